--- /dev/null
+++ b/src/ids.rs
@@ -0,0 +1,154 @@
+//! Names, versions and counters as small types of their own.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::sync::Arc;
+
+macro_rules! name {
+    ($(#[$doc:meta])* $t:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $t(Arc<str>);
+        impl $t {
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+        impl From<&str> for $t {
+            fn from(s: &str) -> Self {
+                $t(s.into())
+            }
+        }
+        impl fmt::Display for $t {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+        impl fmt::Debug for $t {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+        impl Serialize for $t {
+            fn serialize<S: serde::Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+                s.serialize_str(&self.0)
+            }
+        }
+        impl<'de> Deserialize<'de> for $t {
+            fn deserialize<D: serde::Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+                Ok($t(String::deserialize(d)?.into()))
+            }
+        }
+    };
+}
+
+macro_rules! number {
+    ($(#[$doc:meta])* $t:ident, $n:ty) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $t(pub $n);
+        impl fmt::Display for $t {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+    };
+}
+
+name!(/// A job, as its user named it.
+    JobId);
+name!(/// A rented machine, as the cloud named it.
+    Host);
+name!(/// A team with a guarantee and a limit.
+    Team);
+name!(/// A class of jobs that objectives speak of.
+    Class);
+name!(/// A zone of the cloud.
+    Zone);
+name!(/// A machine type.
+    Build);
+name!(/// A controller.
+    Label);
+name!(/// An image that a task needs on its machine.
+    Image);
+
+number!(/// Who may command a worker: the larger token wins.
+    Token, u64);
+number!(/// A term of leadership; each is new and larger.
+    Epoch, u64);
+number!(/// Tells one start of a task from another.
+    Attempt, u64);
+number!(/// A worker's session; a new one begins when its lease runs out.
+    Session, u64);
+number!(/// Orders the reports of one session.
+    Seq, u64);
+number!(/// Revision of a stored key; 0 means that it does not exist.
+    Stamp, u64);
+number!(/// Number of a task within its job.
+    TaskIx, u32);
+number!(/// A request of a user or worker that awaits its answer.
+    ReqId, u64);
+number!(/// A transaction under way.
+    TxnId, u64);
+number!(/// A direct call to a worker under way.
+    CallId, u64);
+
+impl JobId {
+    /// Users name jobs `job-` and digits, always.
+    pub fn well_formed(s: &str) -> bool {
+        s.len() <= 64
+            && s.strip_prefix("job-")
+                .is_some_and(|d| !d.is_empty() && d.bytes().all(|b| b.is_ascii_digit()))
+    }
+}
+
+/// How many tokens and attempts one term of leadership may hand out.
+const PER_EPOCH: u64 = 1 << 24;
+
+impl Epoch {
+    /// The first number of this term; later terms only have larger ones.
+    pub fn base(self) -> u64 {
+        self.0 * PER_EPOCH
+    }
+}
+
+/// One task of a job: `job-000412/3`.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TaskId {
+    pub job: JobId,
+    pub ix: TaskIx,
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.job, self.ix)
+    }
+}
+
+impl fmt::Debug for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+impl Serialize for TaskId {
+    fn serialize<S: serde::Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        s.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for TaskId {
+    fn deserialize<D: serde::Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+        let s = String::deserialize(d)?;
+        let parsed = s
+            .rsplit_once('/')
+            .and_then(|(j, n)| Some((JobId::from(j), TaskIx(n.parse().ok()?))));
+        match parsed {
+            Some((job, ix)) => Ok(TaskId { job, ix }),
+            None => Err(serde::de::Error::custom("not a task name")),
+        }
+    }
+}
--- /dev/null
+++ b/src/node/duties.rs
@@ -0,0 +1,201 @@
+//! The long-lived duties, a thread or a few for each.
+
+use super::{Msg, StoreJob, final_of, key_of_final, spawn};
+use crate::agent::AgentClient;
+use crate::cloud::CloudClient;
+use crate::ids::{CallId, Epoch, Host};
+use crate::lead::Elector;
+use crate::sched::Event;
+use crate::settings::Settings;
+use crate::store::StateClient;
+use crate::store::budget::Budget;
+use crate::store::client::State;
+use crate::time::{Clock, Span};
+use crate::wire::cloud::Hire;
+use crate::wire::worker::Orders;
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, unbounded};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+const STORE_THREADS: usize = 5;
+const AGENT_THREADS: usize = 6;
+const LIST_EVERY: Span = Span(5_000_000);
+const FLAVORS_EVERY: Span = Span(60_000_000);
+
+pub fn store(settings: &Settings, inbox: Sender<Msg>) -> Sender<StoreJob> {
+    let (tx, rx) = unbounded::<StoreJob>();
+    let client = StateClient::new(
+        settings.platform.services.state,
+        Duration::from_millis(2500),
+    );
+    for _ in 0..STORE_THREADS {
+        let (rx, inbox, client): (Receiver<StoreJob>, _, _) =
+            (rx.clone(), inbox.clone(), client.clone());
+        spawn("store", move || {
+            for job in rx {
+                let msg = match job {
+                    StoreJob::Txn(epoch, id, txn) => Msg::Txn(epoch, id, client.txn(&txn)),
+                    StoreJob::ReadBack(epoch, key) => {
+                        let r = client.get(&key).map_err(|_| ());
+                        if r.is_err() {
+                            std::thread::sleep(Duration::from_millis(200));
+                        }
+                        Msg::ReadBack(epoch, key, r)
+                    }
+                    StoreJob::Final(epoch, id) => {
+                        let r = client.get(&key_of_final(&id)).map_err(|_| ());
+                        Msg::Event(epoch, Event::FinalRead(id, r.and_then(final_of)))
+                    }
+                    StoreJob::Look(req, id) => {
+                        let r = client.get(&key_of_final(&id)).map_err(|_| ());
+                        Msg::Look(req, id, r.and_then(final_of))
+                    }
+                };
+                if inbox.send(msg).is_err() {
+                    return;
+                }
+            }
+        });
+    }
+    tx
+}
+
+pub fn election(settings: &Settings, clock: Clock, inbox: Sender<Msg>) {
+    let p = &settings.platform;
+    let ttl = Span::secs(settings.tuning.leader_lease_s);
+    let timeout = Duration::from_millis(1200);
+    let state = StateClient::new(p.services.state, timeout);
+    let instance = rand::random::<u32>() as u64;
+    let mut elector = Elector::new(state, p.label.clone(), instance, ttl);
+    spawn("election", move || {
+        loop {
+            let e = elector.step(|| clock.now());
+            if inbox.send(Msg::Elect(e)).is_err() {
+                elector.resign();
+                return;
+            }
+            // Not all at the same moment.
+            let jitter = Duration::from_millis(rand::random_range(0..60));
+            std::thread::sleep(elector.pause().std() + jitter);
+        }
+    });
+}
+
+pub enum CloudJob {
+    Hire(Epoch, Hire),
+    Release(Epoch, Vec<Host>),
+    /// A new leader wants to know what there is.
+    Look,
+}
+
+pub fn cloud(
+    settings: &Settings,
+    clock: Clock,
+    term: Arc<AtomicU64>,
+    inbox: Sender<Msg>,
+) -> Sender<CloudJob> {
+    let (tx, rx) = unbounded::<CloudJob>();
+    let client = CloudClient::new(settings.platform.services.cloud);
+    let rps = settings.platform.params.cloud.rps;
+    spawn("cloud", move || {
+        let mut budget = Budget::new(rps * 0.9, rps);
+        let wait = |b: &mut Budget| {
+            while !b.has(clock.now(), 1.0) {
+                std::thread::sleep(Duration::from_millis(50));
+            }
+            b.take(clock.now(), 1.0);
+        };
+        let mut list_at = clock.now();
+        let mut flavors_at = clock.now();
+        loop {
+            let now = clock.now();
+            let epoch = Epoch(term.load(Ordering::SeqCst));
+            let leads = epoch.0 != 0;
+            let due = if leads {
+                list_at - now
+            } else {
+                Span::secs(1.0)
+            };
+            let job = match rx.recv_timeout(due.std().min(Duration::from_millis(500))) {
+                Ok(j) => Some(j),
+                Err(RecvTimeoutError::Timeout) => None,
+                Err(RecvTimeoutError::Disconnected) => return,
+            };
+            let now = clock.now();
+            match job {
+                Some(CloudJob::Hire(e, h)) if e == epoch => {
+                    wait(&mut budget);
+                    let r = client.hire(&h);
+                    let _ = inbox.send(Msg::Event(e, Event::Hired(h, r)));
+                }
+                Some(CloudJob::Release(e, hosts)) if e == epoch => {
+                    wait(&mut budget);
+                    let ok = client.release(&hosts);
+                    let _ = inbox.send(Msg::Event(e, Event::Released(hosts, ok)));
+                }
+                Some(CloudJob::Look) => {
+                    list_at = now;
+                    flavors_at = now;
+                }
+                _ => {}
+            }
+            if leads && now >= flavors_at {
+                wait(&mut budget);
+                let r = client.flavors();
+                flavors_at = now
+                    + if r.is_some() {
+                        FLAVORS_EVERY
+                    } else {
+                        Span::secs(1.0)
+                    };
+                if let Some(f) = r {
+                    let _ = inbox.send(Msg::Event(epoch, Event::Flavors(f)));
+                }
+            }
+            if leads && now >= list_at {
+                list_at = now + LIST_EVERY;
+                let mut after: Option<Host> = None;
+                loop {
+                    wait(&mut budget);
+                    let Some((hosts, more)) = client.page(after.as_ref()) else {
+                        break;
+                    };
+                    after = hosts.last().map(|h| h.host.clone());
+                    let _ = inbox.send(Msg::Event(epoch, Event::Listed(hosts)));
+                    if !more || after.is_none() {
+                        break;
+                    }
+                }
+            }
+        }
+    });
+    tx
+}
+
+pub struct AgentJob {
+    pub epoch: Epoch,
+    pub call: CallId,
+    pub host: Host,
+    pub addr: String,
+    pub orders: Orders,
+}
+
+pub fn agents(inbox: Sender<Msg>) -> Sender<AgentJob> {
+    let (tx, rx) = unbounded::<AgentJob>();
+    let client = Arc::new(AgentClient::new());
+    for _ in 0..AGENT_THREADS {
+        let (rx, inbox, client): (Receiver<AgentJob>, _, _) =
+            (rx.clone(), inbox.clone(), client.clone());
+        spawn("agent", move || {
+            for j in rx {
+                let r = client.orders(&j.addr, &j.orders);
+                let e = Event::Direct(j.call, j.host, r);
+                if inbox.send(Msg::Event(j.epoch, e)).is_err() {
+                    return;
+                }
+            }
+        });
+    }
+    tx
+}
--- /dev/null
+++ b/src/node/load.rs
@@ -0,0 +1,118 @@
+//! Taking over: everything unfinished is read from the store.
+
+use super::{Msg, spawn};
+use crate::ids::{Epoch, JobId, Stamp};
+use crate::sched::job::Job;
+use crate::settings::Settings;
+use crate::store::client::{ReadError, State};
+use crate::store::{LIVE, PARTS, StateClient};
+use crate::time::{Clock, Time, Wall, wall};
+use crate::wire::state::Item;
+use crossbeam_channel::Sender;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+pub struct Loaded {
+    pub epoch: Epoch,
+    pub stamp: Stamp,
+    pub jobs: Vec<Job>,
+    pub stamps: Vec<(String, Stamp)>,
+    pub litter: Vec<String>,
+    pub unreadable: Vec<JobId>,
+}
+
+/// Reads in a thread of its own, so that the leadership is kept up meanwhile.
+pub fn start(settings: &Settings, clock: Clock, inbox: Sender<Msg>, epoch: Epoch, stamp: Stamp) {
+    let addr = settings.platform.services.state;
+    spawn("load", move || {
+        let state = StateClient::new(addr, Duration::from_secs(4));
+        // Whoever can't read for so long has lost the leadership meanwhile.
+        for attempt in 0..100 {
+            match load(&state, epoch, stamp, clock.now(), wall()) {
+                Ok(l) => {
+                    let _ = inbox.send(Msg::Loaded(Box::new(l)));
+                    return;
+                }
+                Err(_) => std::thread::sleep(Duration::from_millis(100 * (attempt + 1).min(10))),
+            }
+        }
+    });
+}
+
+fn all(state: &impl State, prefix: &str) -> Result<Vec<Item>, ReadError> {
+    let mut items: Vec<Item> = vec![];
+    loop {
+        let after = items.last().map(|i| i.key.clone());
+        let page = state.page(prefix, after.as_deref(), 200)?;
+        let empty = page.items.is_empty();
+        items.extend(page.items);
+        if !page.more || empty {
+            return Ok(items);
+        }
+    }
+}
+
+pub fn load(
+    state: &impl State,
+    epoch: Epoch,
+    stamp: Stamp,
+    now: Time,
+    wall: Wall,
+) -> Result<Loaded, ReadError> {
+    let mut jobs = BTreeMap::new();
+    let mut l = Loaded {
+        epoch,
+        stamp,
+        jobs: vec![],
+        stamps: vec![],
+        litter: vec![],
+        unreadable: vec![],
+    };
+    for i in all(state, LIVE)? {
+        let id = JobId::from(i.key.trim_start_matches(LIVE));
+        match Job::decode(&i.value, now, wall) {
+            Some(j) if *j.id() == id => {
+                l.stamps.push((i.key, i.stamp));
+                jobs.insert(id, j);
+            }
+            _ => {
+                tracing::error!(key = %i.key, "a record can't be read and is left alone");
+                l.unreadable.push(id);
+            }
+        }
+    }
+    for i in all(state, PARTS)? {
+        let name = i.key.trim_start_matches(PARTS);
+        let Some((id, part)) = name.rsplit_once('/') else {
+            continue;
+        };
+        let id = JobId::from(id);
+        if l.unreadable.contains(&id) {
+            continue;
+        }
+        let Some(j) = jobs.get_mut(&id) else {
+            l.litter.push(i.key);
+            continue;
+        };
+        let read = part
+            .parse()
+            .ok()
+            .and_then(|p| j.decode_part(p, &i.value, now, wall));
+        if read.is_some() {
+            l.stamps.push((i.key, i.stamp));
+        } else {
+            tracing::error!(key = %i.key, "a record can't be read; its job is left alone");
+            jobs.remove(&id);
+            l.unreadable.push(id);
+        }
+    }
+    for (_, mut j) in jobs {
+        // What is loaded is stored: versions go on from 1.
+        for p in &mut j.parts {
+            p.ver = 1;
+            p.stored = 1;
+        }
+        l.jobs.push(j);
+    }
+    Ok(l)
+}
--- /dev/null
+++ b/src/node/mod.rs
@@ -0,0 +1,574 @@
+//! A controller: its threads, and the loop that holds everything together.
+
+mod duties;
+mod load;
+
+use crate::api::{self, Incoming};
+use crate::ids::{Epoch, Host, JobId, Label, ReqId, TxnId};
+use crate::lead::{Elect, Leader};
+use crate::peer::Peers;
+use crate::sched::job::Final;
+use crate::sched::{Config, Effect, Event, Sched};
+use crate::settings::Settings;
+use crate::store::commit::{Committer, Step};
+use crate::store::{Outcome, final_key};
+use crate::time::{Clock, Span, Time, wall};
+use crate::wire::peer::{Answer, Ask, PeerMsg};
+use crate::wire::state::{Item, Txn};
+use crate::wire::worker::{Redirect, Report};
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, unbounded};
+use hdrhistogram::Histogram;
+use load::Loaded;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+use tiny_http::Request;
+
+/// Small stacks: the machine is small, and nothing here recurses deeply.
+const STACK: usize = 256 * 1024;
+const TICK: Span = Span(250_000);
+/// Requests that await an answer; more are turned away at once.
+const MAX_PENDING: usize = 1500;
+
+pub fn spawn(name: &str, f: impl FnOnce() + Send + 'static) {
+    let b = std::thread::Builder::new()
+        .name(name.into())
+        .stack_size(STACK);
+    if let Err(e) = b.spawn(f) {
+        tracing::error!(name, error = %e, "a thread could not be started");
+    }
+}
+
+/// Everything that reaches the main loop.
+pub enum Msg {
+    Http(Incoming),
+    Peer(PeerMsg),
+    Elect(Elect),
+    Loaded(Box<Loaded>),
+    /// An event of a term; those of earlier terms are dropped.
+    Event(Epoch, Event),
+    Txn(Epoch, TxnId, Outcome),
+    ReadBack(Epoch, String, Result<Option<Item>, ()>),
+    /// A look-up of a final state without a leader.
+    Look(ReqId, JobId, Result<Option<Final>, ()>),
+}
+
+/// Work for the threads that talk to the state service.
+pub enum StoreJob {
+    Txn(Epoch, TxnId, Txn),
+    ReadBack(Epoch, String),
+    Final(Epoch, JobId),
+    Look(ReqId, JobId),
+}
+
+enum Origin {
+    Http(Request),
+    Peer { from: Label, id: u64 },
+}
+
+struct Pending {
+    origin: Origin,
+    since: Time,
+    limit: Span,
+}
+
+enum Role {
+    Follower,
+    Loading(Epoch),
+    Leader(Box<Term>),
+}
+
+struct Term {
+    epoch: Epoch,
+    sched: Sched,
+    commit: Committer,
+}
+
+struct Node {
+    settings: Settings,
+    clock: Clock,
+    peers: Arc<Peers>,
+    role: Role,
+    seen: Option<Leader>,
+    state_ok_at: Time,
+    led_at: Time,
+    proven: Time,
+    healthy: Arc<AtomicBool>,
+    term: Arc<AtomicU64>,
+    answers: Sender<(Request, Answer)>,
+    store: Sender<StoreJob>,
+    cloud: Sender<duties::CloudJob>,
+    agents: Sender<duties::AgentJob>,
+    inbox: Sender<Msg>,
+    pending: HashMap<ReqId, Pending>,
+    next_req: u64,
+    redirected: HashMap<Host, Time>,
+    latency: Histogram<u64>,
+    started: Time,
+}
+
+/// Runs a controller until the process ends.
+pub fn serve(settings: Settings) -> std::io::Result<()> {
+    let clock = Clock::start();
+    let (inbox, rx) = unbounded::<Msg>();
+    let p = &settings.platform;
+    let healthy = Arc::new(AtomicBool::new(false));
+    let term = Arc::new(AtomicU64::new(0));
+    let tx = inbox.clone();
+    let answers = api::start(p.listen, healthy.clone(), move |i| {
+        tx.send(Msg::Http(i)).is_ok()
+    })?;
+    let (peer_tx, peer_rx) = unbounded();
+    let peers = Peers::start(p.label.clone(), clock, p.cluster_listen, &p.seeds, peer_tx)?;
+    let tx = inbox.clone();
+    spawn("peer-inbox", move || {
+        for m in peer_rx {
+            if tx.send(Msg::Peer(m)).is_err() {
+                return;
+            }
+        }
+    });
+    let store = duties::store(&settings, inbox.clone());
+    let cloud = duties::cloud(&settings, clock, term.clone(), inbox.clone());
+    let agents = duties::agents(inbox.clone());
+    duties::election(&settings, clock, inbox.clone());
+    tracing::info!(label = %p.label, zone = %p.zone, listen = %p.listen, "started");
+    let now = clock.now();
+    let node = Node {
+        settings,
+        clock,
+        peers,
+        role: Role::Follower,
+        seen: None,
+        state_ok_at: Time::default(),
+        led_at: Time::default(),
+        proven: Time::default(),
+        healthy,
+        term,
+        answers,
+        store,
+        cloud,
+        agents,
+        inbox,
+        pending: HashMap::new(),
+        next_req: 1,
+        redirected: HashMap::new(),
+        latency: Histogram::new_with_bounds(1, 60_000_000, 2).map_err(std::io::Error::other)?,
+        started: now,
+    };
+    node.run(rx);
+    Ok(())
+}
+
+impl Node {
+    fn run(mut self, rx: Receiver<Msg>) {
+        let mut tick = self.clock.now();
+        loop {
+            let wait = (tick + TICK) - self.clock.now();
+            match rx.recv_timeout(wait.std().max(Duration::from_millis(1))) {
+                Ok(m) => self.take(m),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            let now = self.clock.now();
+            if now - tick >= TICK {
+                tick = now;
+                self.tick(now);
+            }
+            self.flush(now);
+        }
+    }
+
+    fn take(&mut self, m: Msg) {
+        let now = self.clock.now();
+        match m {
+            Msg::Http(Incoming::Ask(request, ask)) => {
+                let limit = limit_of(&ask);
+                self.ask(now, Origin::Http(request), limit, ask);
+            }
+            Msg::Http(Incoming::Overview(request)) => {
+                let body = self.overview(now).to_string();
+                let _ = self.answers.send((request, Answer::new(200, body)));
+            }
+            Msg::Peer(PeerMsg::Ask { id, from, ask, .. }) => {
+                let limit = limit_of(&ask);
+                let from = Label::from(from.as_str());
+                let origin = Origin::Peer { from, id };
+                self.ask_from_peer(now, origin, limit, ask);
+            }
+            Msg::Peer(PeerMsg::Tell { id, answer, .. }) => self.answer(now, ReqId(id), answer),
+            Msg::Peer(PeerMsg::Ping { .. }) => {}
+            Msg::Elect(e) => self.elect(now, e),
+            Msg::Loaded(l) => self.loaded(now, *l),
+            Msg::Event(epoch, e) => self.event(now, epoch, e),
+            Msg::Txn(epoch, id, outcome) => {
+                if let Some(t) = self.term(epoch) {
+                    let (events, steps) = t.commit.finished(now, id, outcome, &mut t.sched);
+                    self.after_commit(now, events, steps);
+                }
+            }
+            Msg::ReadBack(epoch, key, r) => {
+                if let Some(t) = self.term(epoch) {
+                    let (events, steps) = t.commit.read_back(key, r, &mut t.sched);
+                    self.after_commit(now, events, steps);
+                }
+            }
+            Msg::Look(req, id, r) => {
+                let a = match r {
+                    Ok(Some(f)) => crate::sched::answer_final(&id, f),
+                    _ => Answer::later("no leader in reach", 1),
+                };
+                self.answer(now, req, a);
+            }
+        }
+    }
+
+    fn term(&mut self, epoch: Epoch) -> Option<&mut Term> {
+        match &mut self.role {
+            Role::Leader(t) if t.epoch == epoch => Some(t),
+            _ => None,
+        }
+    }
+
+    fn new_req(&mut self, now: Time, origin: Origin, limit: Span) -> ReqId {
+        let req = ReqId(self.next_req);
+        self.next_req += 1;
+        let since = now;
+        self.pending.insert(
+            req,
+            Pending {
+                origin,
+                since,
+                limit,
+            },
+        );
+        req
+    }
+
+    fn ask_from_peer(&mut self, now: Time, origin: Origin, limit: Span, ask: Ask) {
+        let req = self.new_req(now, origin, limit);
+        if matches!(self.role, Role::Leader(_)) {
+            self.lead_ask(now, req, ask);
+        } else {
+            self.answer(now, req, Answer::later("not the leader", 1));
+        }
+    }
+
+    fn ask(&mut self, now: Time, origin: Origin, limit: Span, ask: Ask) {
+        let full = self.pending.len() >= MAX_PENDING;
+        let req = self.new_req(now, origin, limit);
+        if full {
+            return self.answer(now, req, Answer::later("too many requests", 2));
+        }
+        match &self.role {
+            Role::Leader(_) => self.lead_ask(now, req, ask),
+            Role::Loading(_) => self.answer(now, req, Answer::later("taking over", 1)),
+            Role::Follower => self.pass_on(now, req, ask),
+        }
+    }
+
+    fn lead_ask(&mut self, now: Time, req: ReqId, ask: Ask) {
+        if let Role::Leader(t) = &mut self.role {
+            let epoch = t.epoch;
+            self.event(now, epoch, Event::Ask(req, ask));
+        }
+    }
+
+    /// A follower passes everything on to the leader.
+    fn pass_on(&mut self, now: Time, req: ReqId, ask: Ask) {
+        let me = &self.settings.platform.label;
+        let leader = self.peers.best_leader().map(|l| l.0).filter(|l| l != me);
+        let Some(leader) = leader else {
+            return self.no_leader(now, req, ask);
+        };
+        if let Ask::Report(body) = &ask
+            && self.peers.direct(&leader)
+            && let Ok(r) = serde_json::from_slice::<Report>(body)
+        {
+            // Sent to the leader; one that is soon back could not get there,
+            // and its reports are passed on from here.
+            let again = self
+                .redirected
+                .get(&r.host)
+                .is_some_and(|t| now - *t < Span::secs(20.0));
+            if !again {
+                self.redirected.insert(r.host, now);
+                let leader = Some(leader);
+                let body = serde_json::to_string(&Redirect { leader }).unwrap_or_default();
+                return self.answer(now, req, Answer::new(421, body));
+            }
+        }
+        let msg = PeerMsg::Ask {
+            id: req.0,
+            from: me.to_string(),
+            to: leader.to_string(),
+            ask: ask.clone(),
+        };
+        if !self.peers.send(&leader, msg) {
+            self.no_leader(now, req, ask);
+        }
+    }
+
+    fn no_leader(&mut self, now: Time, req: ReqId, ask: Ask) {
+        match ask {
+            Ask::Poll(id) if JobId::well_formed(&id) => {
+                // What is final may be told by anyone who has read it.
+                let _ = self.store.send(StoreJob::Look(req, id.as_str().into()));
+            }
+            _ => self.answer(now, req, Answer::later("no leader in reach", 1)),
+        }
+    }
+
+    fn answer(&mut self, now: Time, req: ReqId, answer: Answer) {
+        let Some(p) = self.pending.remove(&req) else {
+            return;
+        };
+        self.latency.saturating_record((now - p.since).0);
+        match p.origin {
+            Origin::Http(request) => {
+                let _ = self.answers.send((request, answer));
+            }
+            Origin::Peer { from, id } => {
+                let to = from.to_string();
+                self.peers.send(&from, PeerMsg::Tell { id, to, answer });
+            }
+        }
+    }
+
+    fn event(&mut self, now: Time, epoch: Epoch, e: Event) {
+        let Some(t) = self.term(epoch) else { return };
+        let effects = t.sched.handle(now, e);
+        self.effects(now, epoch, effects);
+    }
+
+    fn effects(&mut self, now: Time, epoch: Epoch, effects: Vec<Effect>) {
+        for e in effects {
+            match e {
+                Effect::Answer(req, a) => self.answer(now, req, a),
+                Effect::ReadFinal(id) => {
+                    let _ = self.store.send(StoreJob::Final(epoch, id));
+                }
+                Effect::Orders {
+                    call,
+                    host,
+                    addr,
+                    orders,
+                } => {
+                    let job = duties::AgentJob {
+                        epoch,
+                        call,
+                        host,
+                        addr,
+                        orders,
+                    };
+                    let _ = self.agents.send(job);
+                }
+                Effect::Hire(h) => {
+                    let _ = self.cloud.send(duties::CloudJob::Hire(epoch, h));
+                }
+                Effect::Release(hosts) => {
+                    let _ = self.cloud.send(duties::CloudJob::Release(epoch, hosts));
+                }
+            }
+        }
+    }
+
+    fn after_commit(&mut self, now: Time, events: Vec<Event>, steps: Vec<Step>) {
+        let Role::Leader(t) = &self.role else { return };
+        let epoch = t.epoch;
+        for e in events {
+            self.event(now, epoch, e);
+        }
+        for s in steps {
+            match s {
+                Step::Read(key) => {
+                    let _ = self.store.send(StoreJob::ReadBack(epoch, key));
+                }
+                Step::Deposed => {
+                    tracing::warn!(%epoch, "the leader's key is no longer ours");
+                    self.step_down(now);
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Sends what may be committed now.
+    fn flush(&mut self, now: Time) {
+        let Role::Leader(t) = &mut self.role else {
+            return;
+        };
+        while let Some((id, txn)) = t.commit.next(now, &mut t.sched) {
+            let _ = self.store.send(StoreJob::Txn(t.epoch, id, txn));
+        }
+    }
+
+    fn elect(&mut self, now: Time, e: Elect) {
+        if e != Elect::NoAnswer {
+            self.state_ok_at = now;
+        }
+        match e {
+            Elect::Seen(l) => {
+                if !matches!(self.role, Role::Follower) {
+                    self.step_down(now);
+                }
+                if l.is_some() && l != self.seen {
+                    tracing::info!(leader = ?l, "leader seen");
+                }
+                let told = l.as_ref().map(|l| (l.label.clone(), l.epoch));
+                self.peers.set_leader(told);
+                self.seen = l;
+            }
+            Elect::Won {
+                epoch,
+                stamp,
+                proven,
+            } => {
+                tracing::info!(%epoch, "elected");
+                self.proven = proven;
+                self.role = Role::Loading(epoch);
+                self.seen = None;
+                load::start(&self.settings, self.clock, self.inbox.clone(), epoch, stamp);
+            }
+            Elect::Proven(t) => {
+                self.proven = t;
+                if let Role::Leader(term) = &self.role {
+                    let epoch = term.epoch;
+                    self.event(now, epoch, Event::Proven(t));
+                }
+            }
+            Elect::Lost => {
+                tracing::warn!("leadership lost");
+                self.step_down(now);
+            }
+            Elect::NoAnswer => {}
+        }
+    }
+
+    fn step_down(&mut self, now: Time) {
+        self.role = Role::Follower;
+        self.term.store(0, Ordering::SeqCst);
+        self.peers.set_leader(None);
+        let open: Vec<ReqId> = self.pending.keys().copied().collect();
+        for req in open {
+            self.answer(now, req, Answer::later("the leader has changed", 1));
+        }
+    }
+
+    fn loaded(&mut self, now: Time, l: Loaded) {
+        if !matches!(self.role, Role::Loading(e) if e == l.epoch) {
+            return;
+        }
+        let limits = &self.settings.platform.params.state;
+        let mut commit = Committer::new(l.stamp, limits);
+        for (k, s) in l.stamps {
+            commit.know(k, s);
+        }
+        for k in l.litter {
+            commit.add_litter(k);
+        }
+        let cfg = Config::from(&self.settings);
+        let mut sched = Sched::new(cfg, l.epoch, self.proven, now, wall());
+        tracing::info!(epoch = %l.epoch, jobs = l.jobs.len(), "leading");
+        sched.load(now, l.jobs, l.unreadable);
+        self.role = Role::Leader(Box::new(Term {
+            epoch: l.epoch,
+            sched,
+            commit,
+        }));
+        let me = self.settings.platform.label.clone();
+        self.peers.set_leader(Some((me, l.epoch)));
+        self.term.store(l.epoch.0, Ordering::SeqCst);
+        let _ = self.cloud.send(duties::CloudJob::Look);
+    }
+
+    fn tick(&mut self, now: Time) {
+        if let Role::Leader(t) = &self.role {
+            let epoch = t.epoch;
+            self.event(now, epoch, Event::Tick(wall()));
+        }
+        let late: Vec<ReqId> = self
+            .pending
+            .iter()
+            .filter(|(_, p)| now - p.since > p.limit)
+            .map(|(r, _)| *r)
+            .collect();
+        for req in late {
+            self.answer(now, req, Answer::later("no answer in time", 1));
+        }
+        self.redirected.retain(|_, t| now - *t < Span::secs(60.0));
+        let ok = self.can_serve(now);
+        if ok != self.healthy.swap(ok, Ordering::Relaxed) {
+            tracing::info!(healthy = ok, "health changed");
+        }
+    }
+
+    /// Healthy unless this controller is cut off while others may not be.
+    fn can_serve(&mut self, now: Time) -> bool {
+        let me = &self.settings.platform.label;
+        let led = match &self.role {
+            Role::Leader(t) => t.sched.may_start(now),
+            Role::Loading(_) => true,
+            Role::Follower => {
+                let l = self.peers.best_leader().map(|l| l.0);
+                l.is_some_and(|l| l != *me && self.peers.reachable(&l))
+            }
+        };
+        if led {
+            self.led_at = now;
+            return true;
+        }
+        if now - self.started < Span::secs(4.0) {
+            return false;
+        }
+        // Between two leaders, or while the state service is down for all,
+        // being taken out of the balancing would only make it last longer.
+        let lately = now - self.led_at < Span::secs(40.0);
+        lately && (self.peers.any() || now - self.state_ok_at < Span::secs(2.0))
+    }
+
+    fn overview(&mut self, now: Time) -> serde_json::Value {
+        let role = match &self.role {
+            Role::Follower => "follower",
+            Role::Loading(_) => "taking over",
+            Role::Leader(_) => "leader",
+        };
+        let mut v = serde_json::json!({
+            "label": self.settings.platform.label,
+            "role": role,
+            "leader": self.peers.best_leader().map(|l| l.0),
+            "waiting": self.pending.len(),
+            "answers": self.latency.len(),
+            "answer_ms": {
+                "p50": self.latency.value_at_quantile(0.5) as f64 / 1000.0,
+                "p99": self.latency.value_at_quantile(0.99) as f64 / 1000.0,
+            },
+        });
+        if let Role::Leader(t) = &self.role {
+            v["scheduler"] = t.sched.overview(now);
+        }
+        v
+    }
+}
+
+/// How long an asker waits, less some for the way back.
+fn limit_of(ask: &Ask) -> Span {
+    match ask {
+        Ask::Poll(_) => Span::millis(1600),
+        Ask::Report(_) => Span::millis(3500),
+        Ask::Submit(_) | Ask::Cancel(_) => Span::millis(4200),
+    }
+}
+
+/// Where final states are looked up.
+pub(crate) fn final_of(item: Option<Item>) -> Result<Option<Final>, ()> {
+    match item {
+        None => Ok(None),
+        Some(i) => serde_json::from_value(i.value).map(Some).map_err(|_| ()),
+    }
+}
+
+pub(crate) fn key_of_final(id: &JobId) -> String {
+    final_key(id)
+}
--- /dev/null
+++ b/src/peer.rs
@@ -0,0 +1,268 @@
+//! Controllers among themselves: each keeps a connection to every other, says
+//! twice a second whom it hears and who leads, and passes requests on; through
+//! the third controller where the direct way is cut.
+
+use crate::ids::{Epoch, Label};
+use crate::settings::Seed;
+use crate::time::{Clock, Span, Time};
+use crate::wire::peer::PeerMsg;
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
+use std::collections::HashMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+const PING: Duration = Duration::from_millis(500);
+/// Not heard for longer, a link counts as down.
+const DOWN_AFTER: Span = Span(1_700_000);
+const CALL: Duration = Duration::from_secs(1);
+const MAX_FRAME: usize = 128 * 1024;
+const MAX_INBOUND: usize = 8;
+const QUEUE: usize = 256;
+
+#[derive(Default)]
+struct Heard {
+    at: Time,
+    hears: Vec<String>,
+    leader: Option<(Label, Epoch)>,
+}
+
+/// Shared by the threads of this module and whoever sends.
+pub struct Peers {
+    me: Label,
+    clock: Clock,
+    links: HashMap<Label, Sender<PeerMsg>>,
+    heard: Mutex<HashMap<Label, Heard>>,
+    leader: Mutex<Option<(Label, Epoch)>>,
+}
+
+impl Peers {
+    /// Starts the threads; what arrives for this controller goes to `inbox`.
+    pub fn start(
+        me: Label,
+        clock: Clock,
+        listen: SocketAddr,
+        seeds: &[Seed],
+        inbox: Sender<PeerMsg>,
+    ) -> std::io::Result<Arc<Peers>> {
+        let listener = TcpListener::bind(listen)?;
+        let mut links = HashMap::new();
+        let mut queues = vec![];
+        for s in seeds {
+            let (tx, rx) = bounded(QUEUE);
+            links.insert(s.label.clone(), tx);
+            queues.push((s.peer_addr, rx));
+        }
+        let peers = Arc::new(Peers {
+            me,
+            clock,
+            links,
+            heard: Mutex::default(),
+            leader: Mutex::new(None),
+        });
+        for (addr, rx) in queues {
+            let p = peers.clone();
+            crate::node::spawn("peer-out", move || p.keep_link(addr, rx));
+        }
+        let p = peers.clone();
+        crate::node::spawn("peer-listen", move || p.accept(listener, inbox));
+        Ok(peers)
+    }
+
+    fn heard(&self) -> std::sync::MutexGuard<'_, HashMap<Label, Heard>> {
+        self.heard.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    fn ping(&self) -> PeerMsg {
+        let now = self.clock.now();
+        let heard = self.heard();
+        let fresh = heard.iter().filter(|(_, h)| now - h.at < DOWN_AFTER);
+        let hears = fresh.map(|(l, _)| l.to_string()).collect();
+        drop(heard);
+        let leader = self.own_leader().map(|(l, e)| (l.to_string(), e.0));
+        PeerMsg::Ping {
+            from: self.me.to_string(),
+            leader,
+            hears,
+        }
+    }
+
+    fn own_leader(&self) -> Option<(Label, Epoch)> {
+        self.leader
+            .lock()
+            .unwrap_or_else(|e| e.into_inner())
+            .clone()
+    }
+
+    /// What this controller believes; told to the others.
+    pub fn set_leader(&self, l: Option<(Label, Epoch)>) {
+        *self.leader.lock().unwrap_or_else(|e| e.into_inner()) = l;
+    }
+
+    /// The latest leader that any controller in touch speaks of.
+    pub fn best_leader(&self) -> Option<(Label, Epoch)> {
+        let now = self.clock.now();
+        let heard = self.heard();
+        let told = heard.values().filter(|h| now - h.at < DOWN_AFTER);
+        let told = told.filter_map(|h| h.leader.clone());
+        told.chain(self.own_leader()).max_by_key(|(_, e)| *e)
+    }
+
+    fn both_ways(&self, l: &Label) -> bool {
+        let now = self.clock.now();
+        let heard = self.heard();
+        let me = self.me.as_str();
+        heard
+            .get(l)
+            .is_some_and(|h| now - h.at < DOWN_AFTER && h.hears.iter().any(|x| x == me))
+    }
+
+    pub fn direct(&self, to: &Label) -> bool {
+        self.both_ways(to)
+    }
+
+    /// Any other controller can be talked to.
+    pub fn any(&self) -> bool {
+        self.links.keys().any(|l| self.both_ways(l))
+    }
+
+    /// The neighbour through which `to` can be reached, if any.
+    fn route(&self, to: &Label) -> Option<Label> {
+        if self.both_ways(to) {
+            return Some(to.clone());
+        }
+        let via = |l: &&Label| {
+            let knows = self
+                .heard()
+                .get(*l)
+                .is_some_and(|h| h.hears.iter().any(|x| x == to.as_str()));
+            *l != to && self.both_ways(l) && knows
+        };
+        self.links.keys().find(via).cloned()
+    }
+
+    pub fn reachable(&self, to: &Label) -> bool {
+        self.route(to).is_some()
+    }
+
+    /// False if there is no way at the moment; nothing is sent then.
+    pub fn send(&self, to: &Label, msg: PeerMsg) -> bool {
+        let Some(via) = self.route(to) else {
+            return false;
+        };
+        self.links
+            .get(&via)
+            .is_some_and(|q| q.try_send(msg).is_ok())
+    }
+
+    fn keep_link(&self, addr: SocketAddr, queue: Receiver<PeerMsg>) {
+        loop {
+            let Ok(mut s) = TcpStream::connect_timeout(&addr, CALL) else {
+                while queue.try_recv().is_ok() {}
+                std::thread::sleep(Duration::from_millis(300));
+                continue;
+            };
+            let _ = s.set_nodelay(true);
+            let _ = s.set_write_timeout(Some(CALL));
+            let mut sent = std::time::Instant::now();
+            let mut ok = write(&mut s, &self.ping()).is_ok();
+            while ok {
+                match queue.recv_timeout(PING.saturating_sub(sent.elapsed())) {
+                    Ok(m) => ok = write(&mut s, &m).is_ok(),
+                    Err(RecvTimeoutError::Timeout) => {
+                        sent = std::time::Instant::now();
+                        ok = write(&mut s, &self.ping()).is_ok();
+                    }
+                    Err(RecvTimeoutError::Disconnected) => return,
+                }
+                if sent.elapsed() >= PING {
+                    sent = std::time::Instant::now();
+                    ok = ok && write(&mut s, &self.ping()).is_ok();
+                }
+            }
+        }
+    }
+
+    fn accept(self: Arc<Self>, listener: TcpListener, inbox: Sender<PeerMsg>) {
+        let open = Arc::new(AtomicUsize::new(0));
+        for s in listener.incoming() {
+            let Ok(s) = s else {
+                std::thread::sleep(Duration::from_millis(50));
+                continue;
+            };
+            if open.fetch_add(1, Ordering::SeqCst) >= MAX_INBOUND {
+                open.fetch_sub(1, Ordering::SeqCst);
+                continue;
+            }
+            let (p, inbox, open) = (self.clone(), inbox.clone(), open.clone());
+            crate::node::spawn("peer-in", move || {
+                p.listen_to(s, &inbox);
+                open.fetch_sub(1, Ordering::SeqCst);
+            });
+        }
+    }
+
+    fn listen_to(&self, mut s: TcpStream, inbox: &Sender<PeerMsg>) {
+        // A live peer pings twice a second.
+        let _ = s.set_read_timeout(Some(Duration::from_secs(10)));
+        while let Ok(msg) = read(&mut s) {
+            let msg = match msg {
+                PeerMsg::Ping {
+                    from,
+                    leader,
+                    hears,
+                } => {
+                    let leader = leader.map(|(l, e)| (l.as_str().into(), Epoch(e)));
+                    let at = self.clock.now();
+                    self.heard()
+                        .insert(from.as_str().into(), Heard { at, hears, leader });
+                    continue;
+                }
+                m => m,
+            };
+            let to = match &msg {
+                PeerMsg::Ask { to, .. } | PeerMsg::Tell { to, .. } => to.as_str(),
+                PeerMsg::Ping { .. } => continue,
+            };
+            if to == self.me.as_str() {
+                if inbox.send(msg).is_err() {
+                    return;
+                }
+            } else {
+                // Passed on once, straight to where it belongs.
+                let to = Label::from(to);
+                if self.both_ways(&to)
+                    && let Some(q) = self.links.get(&to)
+                {
+                    let _ = q.try_send(msg);
+                }
+            }
+        }
+    }
+}
+
+fn write(s: &mut TcpStream, m: &PeerMsg) -> std::io::Result<()> {
+    let body = bincode::encode_to_vec(m, bincode::config::standard())
+        .map_err(|e| std::io::Error::other(e.to_string()))?;
+    let mut frame = Vec::with_capacity(body.len() + 4);
+    frame.extend_from_slice(&(body.len() as u32).to_be_bytes());
+    frame.extend_from_slice(&body);
+    s.write_all(&frame)
+}
+
+fn read(s: &mut TcpStream) -> std::io::Result<PeerMsg> {
+    let mut len = [0; 4];
+    s.read_exact(&mut len)?;
+    let len = u32::from_be_bytes(len) as usize;
+    if len > MAX_FRAME {
+        return Err(std::io::Error::other("frame too long"));
+    }
+    let mut body = vec![0; len];
+    s.read_exact(&mut body)?;
+    let config = bincode::config::standard().with_limit::<MAX_FRAME>();
+    bincode::decode_from_slice(&body, config)
+        .map(|(m, _)| m)
+        .map_err(|e| std::io::Error::other(e.to_string()))
+}
--- /dev/null
+++ b/src/sched/estimate.rs
@@ -0,0 +1,28 @@
+//! How long a task will run: the owner's estimate until three tasks of the job
+//! have finished, then their median.
+
+use super::job::Job;
+use super::machine::ENDLESS;
+use crate::time::Span;
+use crate::wire::user::Kind;
+
+/// This many finished tasks replace the owner's estimate.
+pub const ENOUGH: usize = 3;
+
+pub fn of(job: &Job) -> Span {
+    if job.spec.kind == Kind::Service {
+        return ENDLESS;
+    }
+    if job.runtimes.len() >= ENOUGH {
+        let mut v = job.runtimes.clone();
+        v.sort_by(f64::total_cmp);
+        Span::secs(v[v.len() / 2])
+    } else {
+        Span::secs(job.spec.estimate_s)
+    }
+}
+
+/// δ: how far apart the remaining runtimes on a machine may be.
+pub fn delta(estimate: Span, factor: f64, floor_s: f64) -> Span {
+    Span::secs((estimate.as_secs() * factor).max(floor_s))
+}
--- /dev/null
+++ b/src/sched/fleet.rs
@@ -0,0 +1,544 @@
+//! Which machines are rented, watched, returned and written off.
+
+use super::job::{Job, Phase};
+use super::machine::{Life, Machine};
+use super::place::allowed;
+use super::{Effect, HireResult, Room, Sched};
+use crate::ids::{Build, CallId, Class, Epoch, Host, JobId, Session, TaskId, Zone};
+use crate::settings::{Objective, Tuning};
+use crate::time::{Span, Time};
+use crate::wire::cloud::{Hire, Listed};
+use crate::wire::worker::Orders;
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+
+type Kind = (Build, Zone, bool);
+
+/// A refused kind of machine is not asked for again so soon.
+const REFUSED_REST: Span = Span(15_000_000);
+/// A machine costs at least this long.
+const MIN_PAID: Span = Span(60_000_000);
+/// Machines asked for in one request.
+const MAX_HIRE: u32 = 50;
+/// Objectives with a shorter wait than this want room kept for them.
+const QUICK_S: f64 = 12.5;
+/// Arrivals that make the headroom.
+const ARRIVALS: usize = 12;
+const ARRIVALS_FOR: Span = Span(180_000_000);
+/// Errors in a row that put a machine aside.
+const FAILS: u32 = 2;
+
+struct Pending {
+    hire: Hire,
+    /// When to send it (again); none while it is under way.
+    next: Option<Time>,
+    tries: u32,
+}
+
+pub struct Fleet {
+    epoch: Epoch,
+    counter: u64,
+    /// Jobs with tasks that found no room though their team may run them.
+    pub short: Vec<(JobId, i64)>,
+    pending: BTreeMap<String, Pending>,
+    refused: HashMap<Kind, Time>,
+    gone: HashSet<Host>,
+    arrivals: HashMap<Class, VecDeque<(Time, i64)>>,
+}
+
+impl Fleet {
+    pub fn new(epoch: Epoch) -> Fleet {
+        Fleet {
+            epoch,
+            counter: 0,
+            short: vec![],
+            pending: BTreeMap::new(),
+            refused: HashMap::new(),
+            gone: HashSet::new(),
+            arrivals: HashMap::new(),
+        }
+    }
+
+    /// Released for certain: whatever still arrives from there is a ghost.
+    pub fn is_gone(&self, h: &Host) -> bool {
+        self.gone.contains(h)
+    }
+
+    pub fn is_quick(&self, class: &Class, objectives: &[Objective]) -> bool {
+        objectives.iter().any(|o| {
+            o.kind == "wait"
+                && o.class.as_ref() == Some(class)
+                && o.within_s.is_some_and(|s| s <= QUICK_S)
+        })
+    }
+
+    pub fn seen(&mut self, now: Time, job: &Job, objectives: &[Objective]) {
+        let class = &job.spec.class;
+        if self.is_quick(class, objectives) {
+            let seen = self.arrivals.entry(class.clone()).or_default();
+            seen.push_back((now, job.need.scaled(job.spec.tasks as i64).cpu));
+            while seen.len() > ARRIVALS || seen.front().is_some_and(|f| now - f.0 > ARRIVALS_FOR) {
+                seen.pop_front();
+            }
+        }
+    }
+
+    /// CPUs kept free: a usual large arrival of each class that wants it.
+    pub fn headroom(&self, t: &Tuning) -> i64 {
+        let one = |seen: &VecDeque<(Time, i64)>| {
+            let mut v: Vec<i64> = seen.iter().map(|s| s.1).collect();
+            v.sort_unstable();
+            v.get(v.len() * 8 / 10).copied().unwrap_or(0)
+        };
+        let sum: i64 = self.arrivals.values().map(one).sum();
+        (sum as f64 * t.headroom) as i64
+    }
+
+    /// Some kind of machine was not refused lately, or is on its way.
+    pub fn can_rent(&self, now: Time) -> bool {
+        !self.pending.is_empty() || self.refused.values().all(|t| now - *t > REFUSED_REST)
+    }
+}
+
+impl Sched {
+    /// Rents for what found no room, and gives back what idles.
+    pub(super) fn plan_fleet(&mut self, now: Time) {
+        if !self.may_start(now) {
+            return;
+        }
+        self.send_pending(now);
+        self.rent(now);
+        self.give_back(now);
+        self.release_leaving(now);
+    }
+
+    fn send_pending(&mut self, now: Time) {
+        for p in self.fleet.pending.values_mut() {
+            if p.next.is_some_and(|t| now >= t) {
+                p.next = None;
+                self.out.push(Effect::Hire(p.hire.clone()));
+            }
+        }
+    }
+
+    /// Kinds of machine that could serve the job, the cheapest first.
+    fn kinds_for(&self, now: Time, need: &Room, j: Option<&Job>) -> Vec<(f64, Kind)> {
+        let mut v = vec![];
+        for f in self.flavors.values() {
+            let per = Room::of_flavor(f).times(need);
+            if per == 0 {
+                continue;
+            }
+            for z in &f.zones {
+                for spot in [true, false] {
+                    let Some(price) = (if spot { f.spot_price } else { Some(f.price) }) else {
+                        continue;
+                    };
+                    let kind = (f.build.clone(), z.clone(), spot);
+                    let fits = j.is_none_or(|j| {
+                        let s = &j.spec;
+                        s.builds.as_ref().is_none_or(|b| b.contains(&f.build))
+                            && s.zone.as_ref().is_none_or(|w| w == z)
+                            && (s.spot || !spot)
+                    });
+                    let rests = self.fleet.refused.get(&kind);
+                    if fits && rests.is_none_or(|t| now - *t > REFUSED_REST) {
+                        v.push((price / per as f64, kind));
+                    }
+                }
+            }
+        }
+        // Among equals the zone with the fewest machines, so that the loss of
+        // one zone hurts less.
+        let in_zone = |z: &Zone| self.machines.values().filter(|m| m.zone == *z).count();
+        v.sort_by(|a, b| {
+            a.0.total_cmp(&b.0)
+                .then_with(|| in_zone(&a.1.1).cmp(&in_zone(&b.1.1)))
+        });
+        v
+    }
+
+    fn rent(&mut self, now: Time) {
+        if self.fleet.pending.values().any(|p| p.next.is_none()) {
+            return; // One request at a time; its answer says what is left.
+        }
+        let mut coming: f64 = self
+            .machines
+            .values()
+            .filter(|m| m.life == Life::Booting)
+            .count() as f64;
+        coming += self
+            .fleet
+            .pending
+            .values()
+            .map(|p| p.hire.count as f64)
+            .sum::<f64>();
+        let mut left: BTreeMap<_, Room> = BTreeMap::new();
+        let mut wanted: BTreeMap<Kind, f64> = BTreeMap::new();
+        for (id, n) in &self.fleet.short {
+            let Some(j) = self.jobs.get(id) else { continue };
+            let team = &j.spec.team;
+            let left = left
+                .entry(team.clone())
+                .or_insert_with(|| self.teams.left(team));
+            let n = (*n).min(left.times(&j.need));
+            if n <= 0 {
+                continue;
+            }
+            *left -= j.need.scaled(n);
+            let Some((_, kind)) = self.kinds_for(now, &j.need, Some(j)).into_iter().next() else {
+                continue;
+            };
+            let Some(f) = self.flavors.get(&kind.0) else {
+                continue;
+            };
+            let per = Room::of_flavor(f).times(&j.need).max(1);
+            *wanted.entry(kind).or_default() += n as f64 / per as f64;
+        }
+        if wanted.is_empty()
+            && let Some((kind, share)) = self.headroom_short(now)
+        {
+            wanted.insert(kind, share);
+        }
+        for (kind, machines) in wanted {
+            let n = machines - coming;
+            coming = (coming - machines).max(0.0);
+            if n < 0.2 {
+                continue;
+            }
+            let count = (n.ceil() as u32).clamp(1, MAX_HIRE);
+            self.fleet.counter += 1;
+            let name = format!("hw-{}-{}", self.fleet.epoch, self.fleet.counter);
+            let hire = Hire {
+                name: name.clone(),
+                build: kind.0,
+                zone: kind.1,
+                spot: kind.2,
+                count,
+            };
+            tracing::info!(request = %name, build = %hire.build, zone = %hire.zone,
+                spot = hire.spot, count, "renting");
+            self.out.push(Effect::Hire(hire.clone()));
+            let p = Pending {
+                hire,
+                next: None,
+                tries: 0,
+            };
+            self.fleet.pending.insert(name, p);
+        }
+    }
+
+    /// A machine to rent when less is free than is to be kept free.
+    fn headroom_short(&self, now: Time) -> Option<(Kind, f64)> {
+        let keep = self.fleet.headroom(&self.cfg.tuning);
+        let fresh = self.heard_within();
+        let open = self.machines.values().filter(|m| m.open(now, fresh));
+        let free: i64 = open.map(|m| m.free().cpu.max(0)).sum();
+        if keep == 0 || free >= keep {
+            return None;
+        }
+        let need = Room {
+            cpu: 1000,
+            gpu: 0,
+            mem: 1000,
+        };
+        let (_, kind) = self.kinds_for(now, &need, None).into_iter().next()?;
+        let whole = Room::of_flavor(self.flavors.get(&kind.0)?);
+        Some((kind, (keep - free) as f64 / whole.cpu.max(1) as f64))
+    }
+
+    pub(super) fn hired(&mut self, now: Time, hire: Hire, r: HireResult) {
+        let token = self.base_token();
+        let kind = (hire.build.clone(), hire.zone.clone(), hire.spot);
+        match r {
+            HireResult::Ok(hosts) => {
+                self.fleet.pending.remove(&hire.name);
+                if (hosts.len() as u32) < hire.count {
+                    self.fleet.refused.insert(kind, now);
+                }
+                tracing::info!(request = %hire.name, got = hosts.len(), "rented");
+                for h in hosts {
+                    if self.fleet.is_gone(&h) {
+                        continue;
+                    }
+                    let capacity = self.flavors.get(&hire.build).map(Room::of_flavor);
+                    self.machines.entry(h.clone()).or_insert_with(|| {
+                        let (b, z) = (hire.build.clone(), hire.zone.clone());
+                        let mut m = Machine::new(h, b, z, hire.spot, now, token);
+                        m.capacity = capacity.unwrap_or_default();
+                        m
+                    });
+                }
+            }
+            HireResult::NoCapacity => {
+                tracing::info!(request = %hire.name, zone = %hire.zone, spot = hire.spot, "none to rent");
+                self.fleet.pending.remove(&hire.name);
+                self.fleet.refused.insert(kind, now);
+                // The next kind is asked for at once.
+                self.rent(now);
+            }
+            HireResult::Invalid => {
+                tracing::warn!(request = %hire.name, "rental request refused as invalid");
+                self.fleet.pending.remove(&hire.name);
+                self.fleet.refused.insert(kind, now);
+            }
+            HireResult::Busy | HireResult::Unclear => {
+                if let Some(p) = self.fleet.pending.get_mut(&hire.name) {
+                    p.tries += 1;
+                    p.next = Some(now + Span::secs(p.tries.min(5) as f64));
+                }
+            }
+        }
+    }
+
+    pub(super) fn listed(&mut self, now: Time, list: Vec<Listed>) {
+        let token = self.base_token();
+        for l in list {
+            if self.fleet.is_gone(&l.host) {
+                continue;
+            }
+            let capacity = self.flavors.get(&l.build).map(Room::of_flavor);
+            let m = self.machines.entry(l.host.clone()).or_insert_with(|| {
+                tracing::info!(host = %l.host, status = %l.status, "a machine that was not expected is listed");
+                let hired = Time(now.0.saturating_sub(Span::secs(l.age_s).0));
+                Machine::new(l.host.clone(), l.build.clone(), l.zone.clone(), l.spot, hired, token)
+            });
+            if !m.reported {
+                // Loaded attempts name a machine, but not its type and zone.
+                m.build = l.build;
+                m.zone = l.zone;
+                m.spot = l.spot;
+                if let Some(c) = capacity {
+                    m.capacity = c;
+                }
+            }
+            if m.addr.is_none() {
+                m.addr = l.addr;
+            }
+            if l.status == "failed" && !matches!(m.life, Life::Leaving { .. }) {
+                tracing::info!(host = %m.host, "stopped on its own, released");
+                m.life = Life::Leaving { next: now };
+            }
+            let probe = l.status == "running" && !m.reported && m.direct.is_none();
+            if let Some(addr) = m.addr.clone().filter(|_| probe && now >= m.no_push_until) {
+                // A command for no session of its changes nothing and brings
+                // its report, sooner than it would come by itself.
+                let call = CallId(self.next_call);
+                self.next_call += 1;
+                m.direct = Some(call);
+                let orders = Orders {
+                    token: m.token,
+                    session: Session(0),
+                    orders: vec![],
+                };
+                let host = m.host.clone();
+                self.out.push(Effect::Orders {
+                    call,
+                    host,
+                    addr,
+                    orders,
+                });
+            }
+        }
+    }
+
+    /// Machines that fell silent, never came up or are about to be taken.
+    pub(super) fn watch_machines(&mut self, now: Time) {
+        let w = &self.cfg.workers;
+        let patience = Span::secs(
+            (w.lease_s * self.cfg.tuning.silent_share).max(w.report_s * 1.25 * 2.0 + 2.0),
+        );
+        let lease = Span::secs(w.lease_s).stretched() + Span::secs(1.0);
+        let up = |m: &&Machine| m.life == Life::Up;
+        let all = self.machines.values().filter(up).count();
+        let silent_one = |m: &&Machine| up(m) && now - m.heard > patience;
+        let silent = self.machines.values().filter(silent_one).count();
+        // When most fall silent at once, the fault is likely on our side.
+        let ours = all > 2 && silent * 2 > all;
+        let settled = now - self.began > patience;
+        let mut lost: Vec<Host> = vec![];
+        let mut drain: Vec<TaskId> = vec![];
+        for m in self.machines.values_mut() {
+            match m.life {
+                Life::Booting => {
+                    let boot = self.flavors.get(&m.build).map_or(60.0, |f| f.boot_s);
+                    if now - m.hired > Span::secs(boot * 2.5 + 10.0) {
+                        tracing::info!(host = %m.host, "never came up, released");
+                        m.life = Life::Leaving { next: now };
+                    }
+                }
+                Life::Up => {
+                    let taken =
+                        m.notice_until.is_some_and(|t| now > t) && now - m.heard > Span::secs(4.5);
+                    if (now - m.heard > patience && settled && !ours) || taken {
+                        tracing::info!(host = %m.host, tasks = m.slots.len(), "silent, released");
+                        m.life = Life::Leaving { next: now };
+                    }
+                    if now > m.answered + lease {
+                        lost.push(m.host.clone());
+                    }
+                    if m.notice_until.is_some() {
+                        drain.extend(m.slots.keys().cloned());
+                    }
+                }
+                Life::Leaving { .. } => {
+                    if now > m.answered + lease {
+                        lost.push(m.host.clone());
+                    }
+                }
+            }
+        }
+        for h in lost {
+            self.lease_over(now, &h);
+        }
+        for t in drain {
+            self.drain(now, &t);
+        }
+    }
+
+    /// The worker's lease has run out by any clock, so its tasks are gone.
+    fn lease_over(&mut self, now: Time, host: &Host) {
+        let Some(m) = self.machines.get_mut(host) else {
+            return;
+        };
+        m.answered = now;
+        m.reported = false;
+        if m.life == Life::Up {
+            m.life = Life::Leaving { next: now };
+        }
+        let tasks: Vec<TaskId> = m.slots.keys().cloned().collect();
+        if !tasks.is_empty() {
+            tracing::info!(%host, tasks = tasks.len(), "lease has run out, tasks restart");
+        }
+        for t in tasks {
+            self.gone(now, &t);
+        }
+    }
+
+    /// A task on a machine that is about to be taken: it saves while it can.
+    fn drain(&mut self, now: Time, t: &TaskId) {
+        let Some(j) = self.jobs.get(&t.job) else {
+            return;
+        };
+        let save_s = j.spec.save_s;
+        let saves = j.spec.checkpoint_s > 0.0;
+        let Some(l) = j.live.get(&t.ix) else { return };
+        let until = self.machines.get(&l.host).and_then(|m| m.notice_until);
+        let Some(until) = until else { return };
+        let margin = Span::secs(save_s * 1.5 + 4.0);
+        if saves && l.stop.is_none() && l.phase == Phase::Running && now + margin >= until {
+            self.stop(now, &t.job.clone(), t.ix, save_s + 1.0);
+        }
+    }
+
+    /// A task ended with an error: the machine's fault, or the job's?
+    pub(super) fn failed(&mut self, now: Time, host: &Host, t: &TaskId) {
+        let Some(j) = self.jobs.get_mut(&t.job) else {
+            return;
+        };
+        j.errors += 1;
+        j.error_hosts.insert(host.clone());
+        let works_elsewhere = j.done_count > 0;
+        let hosts = j.error_hosts.len();
+        if hosts >= 3 && !works_elsewhere {
+            // It fails everywhere: its machines are not to blame.
+            let pause = 5.0 * 2f64.powi((j.errors / 3).min(4) as i32);
+            j.backoff_until = now + Span::secs(pause.min(60.0));
+            tracing::info!(job = %t.job, pause, "fails everywhere, backs off");
+            let id = t.job.clone();
+            for m in self.machines.values_mut() {
+                if m.fail_jobs.remove(&id) && m.fail_jobs.is_empty() {
+                    m.fails = 0;
+                    m.quarantined = false;
+                }
+            }
+            return;
+        }
+        let Some(m) = self.machines.get_mut(host) else {
+            return;
+        };
+        m.fails += 1;
+        m.fail_jobs.insert(t.job.clone());
+        m.rest_until = now + Span::secs(5.0);
+        let blamed = m.fail_jobs.len() > 1 || works_elsewhere;
+        if m.fails >= FAILS && blamed && !m.quarantined {
+            tracing::info!(%host, fails = m.fails, "quarantined");
+            m.quarantined = true;
+        }
+    }
+
+    fn give_back(&mut self, now: Time) {
+        let fresh = self.heard_within();
+        let keep = self.fleet.headroom(&self.cfg.tuning);
+        let open = self.machines.values().filter(|m| m.open(now, fresh));
+        let mut free: i64 = open.map(|m| m.free().cpu.max(0)).sum();
+        let t = &self.cfg.tuning;
+        let mut idle: Vec<(bool, Time, Host)> = self
+            .machines
+            .values()
+            .filter(|m| m.life == Life::Up && m.reported && m.slots.is_empty())
+            .map(|m| (m.spot, m.idle_since, m.host.clone()))
+            .collect();
+        // Ordinary machines cost more, so they go first.
+        idle.sort();
+        for (spot, since, h) in idle {
+            let Some(m) = self.machines.get(&h) else {
+                continue;
+            };
+            let done_with = m.quarantined || m.notice_until.is_some();
+            let limit = Span::secs(if spot { t.idle_spot_s } else { t.idle_s });
+            let idles = now - since > limit && now - m.hired > MIN_PAID;
+            let wanted = self
+                .fleet
+                .short
+                .iter()
+                .any(|(id, _)| self.jobs.get(id).is_some_and(|j| allowed(&j.spec, m)));
+            if !done_with && (!idles || wanted || free - m.capacity.cpu < keep) {
+                continue;
+            }
+            if !done_with {
+                free -= m.capacity.cpu;
+            }
+            tracing::info!(host = %h, spot, "given back");
+            if let Some(m) = self.machines.get_mut(&h) {
+                m.life = Life::Leaving { next: now };
+            }
+        }
+    }
+
+    fn release_leaving(&mut self, now: Time) {
+        let mut hosts = vec![];
+        for m in self.machines.values_mut() {
+            if let Life::Leaving { next } = &mut m.life
+                && now >= *next
+                && hosts.len() < 100
+            {
+                // Asked again if no answer says that it is gone.
+                *next = now + Span::secs(6.0);
+                hosts.push(m.host.clone());
+            }
+        }
+        if !hosts.is_empty() {
+            self.out.push(Effect::Release(hosts));
+        }
+    }
+
+    pub(super) fn released(&mut self, now: Time, hosts: Vec<Host>, ok: bool) {
+        if !ok {
+            return;
+        }
+        for h in hosts {
+            let Some(m) = self.machines.get(&h) else {
+                continue;
+            };
+            if !matches!(m.life, Life::Leaving { .. }) {
+                continue;
+            }
+            let tasks: Vec<TaskId> = m.slots.keys().cloned().collect();
+            for t in tasks {
+                self.gone(now, &t);
+            }
+            self.machines.remove(&h);
+            self.fleet.gone.insert(h);
+        }
+    }
+}
--- /dev/null
+++ b/src/sched/job.rs
@@ -0,0 +1,332 @@
+//! A job, its tasks, and how both are kept in the store.
+
+use super::room::Room;
+use crate::ids::{Attempt, Host, JobId, ReqId, Seq, TaskIx};
+use crate::time::{Time, Wall};
+use crate::wire::user::{JobSpec, JobState};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// How far a started task is, as far as its worker has told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Not seen on its machine yet.
+    Placed,
+    Fetching,
+    Waiting,
+    Running,
+    Saving,
+}
+
+/// One start of a task. It holds its machine, quota and zone until it is
+/// proven gone.
+#[derive(Clone, Debug)]
+pub struct Live {
+    pub attempt: Attempt,
+    pub host: Host,
+    /// Version of its part of the job that must be stored before `run` leaves.
+    pub ver: u64,
+    pub phase: Phase,
+    pub placed: Time,
+    pub placed_wall: Wall,
+    pub running_since: Option<Time>,
+    /// The report in whose answer `run` was last sent.
+    pub told: Option<Seq>,
+    /// `run` has left by some way or other.
+    pub sent: bool,
+    pub stop: Option<Stop>,
+}
+
+/// An attempt that must end.
+#[derive(Clone, Copy, Debug)]
+pub struct Stop {
+    pub leeway_s: f64,
+}
+
+/// A share of a job's tasks that is stored as one record.
+#[derive(Clone, Debug, Default)]
+pub struct Part {
+    pub ver: u64,
+    pub stored: u64,
+    pub queued: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Waiting {
+    Accept,
+    Known,
+    Cancel,
+}
+
+#[derive(Clone, Debug)]
+pub struct Job {
+    pub spec: JobSpec,
+    pub need: Room,
+    pub seq: u64,
+    pub arrived: Time,
+    pub submitted: Wall,
+    pub cancelled: bool,
+    /// Nothing is left to do; the final state is being stored.
+    pub closing: Option<JobState>,
+    done: Vec<u64>,
+    pub done_count: u32,
+    fresh: u32,
+    retry: BTreeSet<TaskIx>,
+    pub live: BTreeMap<TaskIx, Live>,
+    pub parts: Vec<Part>,
+    pub part_size: u32,
+    pub runtimes: Vec<f64>,
+    pub backoff_until: Time,
+    pub errors: u32,
+    pub error_hosts: BTreeSet<Host>,
+    pub waiters: Vec<(u64, ReqId, Waiting)>,
+}
+
+/// Enough finished tasks for a median that later ones hardly move.
+const RUNTIMES_KEPT: usize = 15;
+
+#[derive(Serialize, Deserialize)]
+struct Header {
+    spec: JobSpec,
+    at: u64,
+    seq: u64,
+    #[serde(default)]
+    cancelled: bool,
+    part_size: u32,
+    #[serde(default)]
+    runtimes: Vec<f64>,
+    first: PartRecord,
+}
+
+#[derive(Default, Serialize, Deserialize)]
+struct PartRecord {
+    /// Bits of the finished tasks, in hex words.
+    #[serde(rename = "d", default)]
+    done: String,
+    #[serde(rename = "a", default)]
+    live: Vec<(u32, u64, Host, u64)>,
+}
+
+/// The final state of a job, kept for ever.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize, PartialEq)]
+pub struct Final {
+    pub state: JobState,
+    pub done: u32,
+}
+
+impl Job {
+    pub fn new(spec: JobSpec, seq: u64, now: Time, wall: Wall, part_size: u32) -> Job {
+        let n = spec.tasks;
+        Job {
+            need: Room::of_task(&spec),
+            spec,
+            seq,
+            arrived: now,
+            submitted: wall,
+            cancelled: false,
+            closing: None,
+            done: vec![0; n.div_ceil(64) as usize],
+            done_count: 0,
+            fresh: 0,
+            retry: BTreeSet::new(),
+            live: BTreeMap::new(),
+            parts: vec![Part::default(); n.div_ceil(part_size) as usize],
+            part_size,
+            runtimes: vec![],
+            backoff_until: Time::default(),
+            errors: 0,
+            error_hosts: BTreeSet::new(),
+            waiters: vec![],
+        }
+    }
+
+    pub fn id(&self) -> &JobId {
+        &self.spec.id
+    }
+
+    /// The state to show to users, of what is stored.
+    pub fn state(&self) -> JobState {
+        if self.cancelled {
+            JobState::Cancelled
+        } else if self.running() > 0 {
+            JobState::Running
+        } else {
+            JobState::Queued
+        }
+    }
+
+    pub fn running(&self) -> u32 {
+        let on = |l: &&Live| matches!(l.phase, Phase::Running | Phase::Saving);
+        self.live.values().filter(on).count() as u32
+    }
+
+    pub fn is_done(&self, t: TaskIx) -> bool {
+        self.done[t.0 as usize / 64] >> (t.0 % 64) & 1 == 1
+    }
+
+    pub fn set_done(&mut self, t: TaskIx) {
+        if !self.is_done(t) {
+            self.done[t.0 as usize / 64] |= 1 << (t.0 % 64);
+            self.done_count += 1;
+            self.retry.remove(&t);
+        }
+    }
+
+    /// Tasks that neither run nor are done.
+    pub fn pending(&self) -> u32 {
+        if self.cancelled || self.closing.is_some() {
+            return 0;
+        }
+        self.spec.tasks - self.done_count - self.live.len() as u32
+    }
+
+    pub fn unfinished(&self) -> u32 {
+        self.spec.tasks - self.done_count
+    }
+
+    /// The next task to start, which is then no longer pending.
+    pub fn take_pending(&mut self) -> Option<TaskIx> {
+        if let Some(t) = self.retry.pop_first() {
+            return Some(t);
+        }
+        while self.fresh < self.spec.tasks {
+            let t = TaskIx(self.fresh);
+            self.fresh += 1;
+            if !self.is_done(t) && !self.live.contains_key(&t) {
+                return Some(t);
+            }
+        }
+        None
+    }
+
+    /// A started task is gone without being done.
+    pub fn put_back(&mut self, t: TaskIx) {
+        if !self.is_done(t) && t.0 < self.fresh {
+            self.retry.insert(t);
+        }
+    }
+
+    pub fn part_of(&self, t: TaskIx) -> usize {
+        (t.0 / self.part_size) as usize
+    }
+
+    /// Everything that was ever changed in this part is stored.
+    pub fn part_stored(&self, t: TaskIx) -> bool {
+        let p = &self.parts[self.part_of(t)];
+        p.stored >= p.ver
+    }
+
+    fn part_record(&self, part: usize) -> PartRecord {
+        let from = part as u32 * self.part_size;
+        let to = (from + self.part_size).min(self.spec.tasks);
+        let words = &self.done[from as usize / 64..to.div_ceil(64) as usize];
+        let done = if words.iter().all(|w| *w == 0) {
+            String::new()
+        } else {
+            words.iter().map(|w| format!("{w:016x}")).collect()
+        };
+        let live = self.live.range(TaskIx(from)..TaskIx(to));
+        PartRecord {
+            done,
+            live: live
+                .map(|(t, l)| (t.0, l.attempt.0, l.host.clone(), l.placed_wall.0))
+                .collect(),
+        }
+    }
+
+    fn take_part(&mut self, part: usize, r: PartRecord, now: Time, wall: Wall) -> Option<()> {
+        let from = (part as u32).checked_mul(self.part_size)?;
+        for (i, word) in r.done.as_bytes().chunks(16).enumerate() {
+            let w = u64::from_str_radix(std::str::from_utf8(word).ok()?, 16).ok()?;
+            for bit in (0..64).filter(|b| w >> b & 1 == 1) {
+                let t = from + i as u32 * 64 + bit;
+                if t >= self.spec.tasks {
+                    return None;
+                }
+                self.set_done(TaskIx(t));
+            }
+        }
+        for (t, attempt, host, at) in r.live {
+            if t >= self.spec.tasks {
+                return None;
+            }
+            let ago = crate::time::Span::millis(wall.0.saturating_sub(at));
+            let live = Live {
+                attempt: Attempt(attempt),
+                host,
+                ver: 0,
+                phase: Phase::Placed,
+                placed: Time(now.0.saturating_sub(ago.0)),
+                placed_wall: Wall(at),
+                running_since: None,
+                told: None,
+                sent: true,
+                stop: None,
+            };
+            self.live.insert(TaskIx(t), live);
+        }
+        Some(())
+    }
+
+    /// The record of one part; the first also holds the job itself.
+    pub fn encode(&self, part: usize) -> serde_json::Value {
+        let record = self.part_record(part);
+        let value = if part == 0 {
+            serde_json::to_value(Header {
+                spec: self.spec.clone(),
+                at: self.submitted.0,
+                seq: self.seq,
+                cancelled: self.cancelled,
+                part_size: self.part_size,
+                runtimes: self.runtimes.clone(),
+                first: record,
+            })
+        } else {
+            serde_json::to_value(record)
+        };
+        value.unwrap_or_default()
+    }
+
+    pub fn decode(value: &serde_json::Value, now: Time, wall: Wall) -> Option<Job> {
+        let h = Header::deserialize(value).ok()?;
+        // Parts begin at whole words of the bit set.
+        if h.part_size == 0 || !h.part_size.is_multiple_of(64) || h.spec.tasks == 0 {
+            return None;
+        }
+        let mut job = Job::new(h.spec, h.seq, now, Wall(h.at), h.part_size);
+        job.arrived = Time(now.0.saturating_sub(1000 * wall.0.saturating_sub(h.at)));
+        job.cancelled = h.cancelled;
+        job.runtimes = h.runtimes;
+        job.take_part(0, h.first, now, wall)?;
+        Some(job)
+    }
+
+    pub fn decode_part(
+        &mut self,
+        part: usize,
+        value: &serde_json::Value,
+        now: Time,
+        wall: Wall,
+    ) -> Option<()> {
+        let r = PartRecord::deserialize(value).ok()?;
+        if part == 0 || part >= self.parts.len() {
+            return None;
+        }
+        self.take_part(part, r, now, wall)
+    }
+
+    pub fn learn_runtime(&mut self, s: f64) {
+        if self.runtimes.len() < RUNTIMES_KEPT {
+            // Tenths will do, and keep the record small.
+            self.runtimes.push((s * 10.0).round() / 10.0);
+        }
+    }
+}
+
+/// How many tasks share a record, so that a full one stays under the limit.
+pub fn part_size(value_kb: f64) -> u32 {
+    const HEADER: f64 = 1100.0;
+    const PER_TASK: f64 = 42.0;
+    let n = ((value_kb * 1024.0 - HEADER) / PER_TASK).max(64.0) as u32;
+    (n / 64 * 64).clamp(64, 512)
+}
--- /dev/null
+++ b/src/sched/machine.rs
@@ -0,0 +1,145 @@
+//! A rented machine as the leader knows it.
+
+use super::room::Room;
+use crate::ids::{Attempt, Build, CallId, Host, Image, JobId, Seq, Session, TaskId, Token, Zone};
+use crate::time::{Span, Time};
+use std::collections::{BTreeMap, BTreeSet};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Life {
+    /// Rented, has not reported yet.
+    Booting,
+    Up,
+    /// To be given back; `next` is when to ask the cloud (again).
+    Leaving {
+        next: Time,
+    },
+}
+
+/// A task's claim on its machine, with what the spread check needs.
+#[derive(Clone, Copy, Debug)]
+pub struct Slot {
+    pub need: Room,
+    pub start: Time,
+    pub estimate: Span,
+    pub endless: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct Machine {
+    pub host: Host,
+    pub addr: Option<String>,
+    pub build: Build,
+    pub zone: Zone,
+    pub spot: bool,
+    pub life: Life,
+    pub capacity: Room,
+    pub used: Room,
+    pub slots: BTreeMap<TaskId, Slot>,
+    pub hired: Time,
+    pub session: Session,
+    pub seq: Seq,
+    /// The token that our commands to this worker carry.
+    pub token: Token,
+    /// An unanswered direct command may be carried out until the worker has
+    /// confirmed this token.
+    pub doubt: Option<Token>,
+    pub direct: Option<CallId>,
+    pub no_push_until: Time,
+    pub heard: Time,
+    /// When the last answer to one of its reports left; its lease counts from
+    /// an earlier moment.
+    pub answered: Time,
+    pub reported: bool,
+    pub notice_until: Option<Time>,
+    pub idle_since: Time,
+    pub images: Vec<Image>,
+    /// Attempts that its last report showed and that are no longer ours.
+    pub strays: BTreeMap<(TaskId, Attempt), bool>,
+    pub fails: u32,
+    pub fail_jobs: BTreeSet<JobId>,
+    pub quarantined: bool,
+    pub rest_until: Time,
+}
+
+const IMAGES_REMEMBERED: usize = 12;
+
+impl Machine {
+    pub fn new(host: Host, build: Build, zone: Zone, spot: bool, now: Time, token: Token) -> Self {
+        Machine {
+            host,
+            addr: None,
+            build,
+            zone,
+            spot,
+            life: Life::Booting,
+            capacity: Room::default(),
+            used: Room::default(),
+            slots: BTreeMap::new(),
+            hired: now,
+            session: Session(0),
+            seq: Seq(0),
+            token,
+            doubt: None,
+            direct: None,
+            no_push_until: Time::default(),
+            heard: now,
+            answered: now,
+            reported: false,
+            notice_until: None,
+            idle_since: now,
+            images: vec![],
+            strays: BTreeMap::new(),
+            fails: 0,
+            fail_jobs: BTreeSet::new(),
+            quarantined: false,
+            rest_until: Time::default(),
+        }
+    }
+
+    pub fn free(&self) -> Room {
+        self.capacity.minus(&self.used)
+    }
+
+    /// May take tasks now.
+    pub fn open(&self, now: Time, fresh: Span) -> bool {
+        self.life == Life::Up
+            && self.reported
+            && !self.quarantined
+            && self.notice_until.is_none()
+            && now >= self.rest_until
+            && now - self.heard < fresh
+    }
+
+    pub fn saw_image(&mut self, image: &Image) {
+        if self.images.last() != Some(image) {
+            self.images.retain(|i| i != image);
+            self.images.push(image.clone());
+            if self.images.len() > IMAGES_REMEMBERED {
+                self.images.remove(0);
+            }
+        }
+    }
+
+    /// Remaining runtimes of its tasks, the smallest and the largest.
+    pub fn remaining(&self, now: Time) -> Option<(Span, Span)> {
+        let each = self.slots.values().map(|s| s.remaining(now));
+        each.fold(None, |acc, r| match acc {
+            None => Some((r, r)),
+            Some((low, high)) => Some((r.min(low), r.max(high))),
+        })
+    }
+}
+
+/// Services run until they are cancelled.
+pub const ENDLESS: Span = Span(u64::MAX / 4);
+
+impl Slot {
+    pub fn remaining(&self, now: Time) -> Span {
+        if self.endless {
+            ENDLESS
+        } else {
+            self.estimate - (now - self.start)
+        }
+    }
+}
--- /dev/null
+++ b/src/sched/mod.rs
@@ -0,0 +1,316 @@
+//! The scheduler itself: no I/O, no clock, no threads. Whatever happens comes
+//! in as an event with its time; what is to be done goes out as effects.
+
+mod estimate;
+mod fleet;
+pub mod job;
+pub mod machine;
+mod place;
+mod preempt;
+mod records;
+mod report;
+mod room;
+mod team;
+mod users;
+
+pub use records::{DirtyQueue, Key};
+pub use room::Room;
+pub use users::answer_final;
+
+use crate::ids::{Attempt, Build, CallId, Epoch, Host, JobId, ReqId, TaskId, Token};
+use crate::settings::{Settings, Tuning, Workers};
+use crate::time::{Span, Time, Wall};
+use crate::wire::cloud::{Flavor, Hire, Listed};
+use crate::wire::peer::{Answer, Ask};
+use crate::wire::worker::{Orders, Report};
+use job::{Final, Job};
+use machine::{Life, Machine, Slot};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+/// What may happen to the scheduler.
+#[derive(Debug)]
+pub enum Event {
+    Ask(ReqId, Ask),
+    /// A part of a job, or its final state, is in the store for certain.
+    Stored(Key, u64),
+    /// The store already holds a final state for a job that was to be new.
+    AlreadyFinal(JobId, Final),
+    /// A consistent read of a final state came back, or failed.
+    FinalRead(JobId, Result<Option<Final>, ()>),
+    Direct(CallId, Host, DirectResult),
+    Flavors(Vec<Flavor>),
+    Listed(Vec<Listed>),
+    Hired(Hire, HireResult),
+    Released(Vec<Host>, bool),
+    /// Leadership is proven as of this moment, when the renewal was sent.
+    Proven(Time),
+    Tick(Wall),
+}
+
+#[derive(Debug)]
+pub enum DirectResult {
+    Done(Box<Report>),
+    /// Not executed: the token or the session was not right.
+    Conflict(Box<Report>),
+    /// The connection was refused, so nothing was sent.
+    Refused,
+    /// May be executed at any later time.
+    Unclear,
+}
+
+#[derive(Debug, PartialEq)]
+pub enum HireResult {
+    Ok(Vec<Host>),
+    NoCapacity,
+    /// Not carried out; the same request may be sent again.
+    Busy,
+    /// May have been carried out; to be repeated under the same name.
+    Unclear,
+    /// Will never be carried out.
+    Invalid,
+}
+
+#[derive(Debug, PartialEq)]
+pub enum Effect {
+    Answer(ReqId, Answer),
+    ReadFinal(JobId),
+    Orders {
+        call: CallId,
+        host: Host,
+        addr: String,
+        orders: Orders,
+    },
+    Hire(Hire),
+    Release(Vec<Host>),
+}
+
+/// What the scheduler is told once, at the start of a term.
+#[derive(Clone, Debug)]
+pub struct Config {
+    pub workers: Workers,
+    pub tuning: Tuning,
+    pub teams: Vec<crate::settings::TeamLimit>,
+    pub objectives: Vec<crate::settings::Objective>,
+    pub value_kb: f64,
+    pub leader_lease: Span,
+}
+
+impl Config {
+    pub fn from(s: &Settings) -> Config {
+        Config {
+            workers: s.platform.params.workers.clone(),
+            tuning: s.tuning.clone(),
+            teams: s.platform.params.teams.clone(),
+            objectives: s.platform.params.objectives.clone(),
+            value_kb: s.platform.params.state.value_kb,
+            leader_lease: Span::secs(s.tuning.leader_lease_s),
+        }
+    }
+    /// For this long after its last proof a leader may go on answering
+    /// reports: whatever it keeps alive is still gone `cancel_s` later.
+    pub fn report_grace(&self) -> Span {
+        let s = self.workers.cancel_s - self.workers.lease_s - 2.0;
+        Span::secs(s).max(self.leader_lease).shrunk()
+    }
+}
+
+pub struct Sched {
+    pub cfg: Config,
+    pub epoch: Epoch,
+    pub jobs: BTreeMap<JobId, Job>,
+    pub machines: BTreeMap<Host, Machine>,
+    pub flavors: BTreeMap<Build, Flavor>,
+    pub dirty: DirtyQueue,
+    teams: team::Teams,
+    fleet: fleet::Fleet,
+    finals: HashMap<JobId, Final>,
+    finals_order: VecDeque<JobId>,
+    reads: HashMap<JobId, Vec<(ReqId, Ask)>>,
+    counter: u64,
+    next_seq: u64,
+    next_call: u64,
+    proven: Time,
+    began: Time,
+    wall: Wall,
+    replan: bool,
+    out: Vec<Effect>,
+    /// Jobs whose records could not be read: asked about, they get no answer.
+    unreadable: std::collections::BTreeSet<JobId>,
+}
+
+/// Final states kept at hand; older ones are read from the store.
+const FINALS_KEPT: usize = 20_000;
+
+impl Sched {
+    pub fn new(cfg: Config, epoch: Epoch, proven: Time, now: Time, wall: Wall) -> Sched {
+        Sched {
+            teams: team::Teams::new(&cfg.teams),
+            fleet: fleet::Fleet::new(epoch),
+            cfg,
+            epoch,
+            jobs: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            flavors: BTreeMap::new(),
+            dirty: DirtyQueue::default(),
+            finals: HashMap::new(),
+            finals_order: VecDeque::new(),
+            reads: HashMap::new(),
+            counter: 0,
+            next_seq: 1,
+            next_call: 1,
+            proven,
+            began: now,
+            wall,
+            replan: false,
+            out: vec![],
+            unreadable: Default::default(),
+        }
+    }
+
+    /// The only way in: an event at a time leads to effects.
+    pub fn handle(&mut self, now: Time, event: Event) -> Vec<Effect> {
+        match event {
+            Event::Ask(req, ask) => self.ask(now, req, ask),
+            Event::Stored(key, ver) => self.stored(now, key, ver),
+            Event::AlreadyFinal(job, f) => self.already_final(now, job, f),
+            Event::FinalRead(job, r) => self.final_read(now, job, r),
+            Event::Direct(call, host, r) => self.direct_result(now, call, host, r),
+            Event::Flavors(f) => self.take_flavors(f),
+            Event::Listed(l) => self.listed(now, l),
+            Event::Hired(h, r) => self.hired(now, h, r),
+            Event::Released(hosts, ok) => self.released(now, hosts, ok),
+            Event::Proven(t) => self.proven = self.proven.max(t),
+            Event::Tick(wall) => {
+                self.wall = wall;
+                self.tick(now);
+            }
+        }
+        if self.replan && self.may_start(now) {
+            self.replan = false;
+            self.place(now);
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    /// Leadership is proven at this moment; anything new needs that.
+    pub fn may_start(&self, now: Time) -> bool {
+        let lease = self.cfg.leader_lease.shrunk() - Span::millis(50);
+        now < self.proven + lease
+    }
+
+    /// Reports may be answered for a while after the last proof.
+    pub fn may_report(&self, now: Time) -> bool {
+        now < self.proven + self.cfg.report_grace()
+    }
+
+    fn next_token(&mut self) -> Token {
+        self.counter += 1;
+        Token(self.epoch.base() + self.counter)
+    }
+
+    fn next_attempt(&mut self) -> Attempt {
+        self.counter += 1;
+        Attempt(self.epoch.base() + self.counter)
+    }
+
+    fn base_token(&self) -> Token {
+        Token(self.epoch.base())
+    }
+
+    fn answer(&mut self, req: ReqId, a: Answer) {
+        self.out.push(Effect::Answer(req, a));
+    }
+
+    fn take_flavors(&mut self, flavors: Vec<Flavor>) {
+        self.flavors = flavors.into_iter().map(|f| (f.build.clone(), f)).collect();
+        for m in self.machines.values_mut() {
+            if let Some(f) = self.flavors.get(&m.build) {
+                m.capacity = Room::of_flavor(f);
+            }
+        }
+        self.replan = true;
+    }
+
+    /// Takes over what earlier leaders stored; called before any event.
+    pub fn load(&mut self, now: Time, jobs: Vec<Job>, unreadable: Vec<JobId>) {
+        self.unreadable = unreadable.into_iter().collect();
+        for job in jobs {
+            self.next_seq = self.next_seq.max(job.seq + 1);
+            let id = job.id().clone();
+            let estimate = estimate::of(&job);
+            for (t, l) in &job.live {
+                let slot = Slot {
+                    need: job.need,
+                    start: l.placed,
+                    estimate,
+                    endless: estimate == machine::ENDLESS,
+                };
+                let token = Token(self.epoch.base());
+                let m = self.machines.entry(l.host.clone()).or_insert_with(|| {
+                    let b = Build::from("");
+                    Machine::new(l.host.clone(), b, "".into(), false, now, token)
+                });
+                m.life = Life::Up;
+                // Earlier leaders may have answered its reports until now, and
+                // one that doesn't know of us yet may for some time to come.
+                m.answered = now + self.cfg.report_grace();
+                m.doubt = Some(token);
+                m.used += job.need;
+                let task = TaskId {
+                    job: id.clone(),
+                    ix: *t,
+                };
+                m.slots.insert(task, slot);
+                self.teams.add(&job.spec.team, &job.need);
+            }
+            self.jobs.insert(id.clone(), job);
+            self.finish_if_over(now, &id);
+            // A cancelled job's tasks are to go; who told its user counts on it.
+            if self.jobs.get(&id).is_some_and(|j| j.cancelled) {
+                self.stop_all(now, &id);
+            }
+        }
+        self.replan = true;
+    }
+
+    fn remember_final(&mut self, id: &JobId, f: Final) {
+        if self.finals.insert(id.clone(), f).is_none() {
+            self.finals_order.push_back(id.clone());
+            if self.finals_order.len() > FINALS_KEPT
+                && let Some(old) = self.finals_order.pop_front()
+            {
+                self.finals.remove(&old);
+            }
+        }
+    }
+
+    fn tick(&mut self, now: Time) {
+        self.watch_machines(now);
+        self.plan_fleet(now);
+        self.push_all(now);
+        // What waits for time alone, such as a back-off, is tried again.
+        self.replan = true;
+    }
+
+    /// Numbers for operators.
+    pub fn overview(&self, now: Time) -> serde_json::Value {
+        let mut by_class: BTreeMap<String, (u64, u64)> = BTreeMap::new();
+        for j in self.jobs.values() {
+            let e = by_class.entry(j.spec.class.to_string()).or_default();
+            e.0 += j.pending() as u64;
+            e.1 += j.live.len() as u64;
+        }
+        let up = self.machines.values().filter(|m| m.life == Life::Up);
+        serde_json::json!({
+            "epoch": self.epoch,
+            "proven": self.may_start(now),
+            "jobs": self.jobs.len(),
+            "machines": self.machines.len(),
+            "machines_up": up.count(),
+            "classes": by_class.into_iter().map(|(c, (p, l))|
+                (c, serde_json::json!({"pending": p, "started": l}))).collect::<serde_json::Map<_, _>>(),
+            "teams": self.teams.overview(),
+            "unwritten": self.dirty.len(),
+        })
+    }
+}
--- /dev/null
+++ b/src/sched/report.rs
@@ -0,0 +1,491 @@
+//! Dealings with workers: reports in, commands out, and when an attempt is
+//! proven gone.
+
+use super::job::{Phase, Stop};
+use super::machine::{Life, Machine};
+use super::{DirectResult, Effect, Sched, estimate};
+use crate::ids::{Attempt, CallId, Host, JobId, ReqId, TaskId, TaskIx};
+use crate::time::{Span, Time};
+use crate::wire::peer::Answer;
+use crate::wire::worker::{Cause, Order, Orders, Report, ReportAnswer, TaskReport, TaskState};
+use std::collections::BTreeSet;
+
+/// After a refused or unanswered direct call, the next report has to do.
+const PUSH_REST: Span = Span(4_000_000);
+/// Commands in one message.
+const MAX_ORDERS: usize = 200;
+
+impl Sched {
+    pub(super) fn beat(&mut self, now: Time, req: ReqId, body: &[u8]) {
+        let report: Report = match serde_json::from_slice(body) {
+            Ok(r) => r,
+            Err(e) => return self.answer(req, Answer::error(400, &e.to_string())),
+        };
+        if !self.may_report(now) || self.fleet.is_gone(&report.host) {
+            return self.answer(req, Answer::later("not entitled to answer", 1));
+        }
+        if report.token.0 >= self.epoch.base() + (1 << 24) {
+            // A later leader has spoken to it.
+            return self.answer(req, Answer::error(503, "a later leader has spoken"));
+        }
+        let host = report.host.clone();
+        let base = self.base_token();
+        let newer = self.take_report(now, &report, true);
+        let (token, orders) = match self.machines.get_mut(&host) {
+            Some(m) => {
+                // Only a worker that has heard our token drops the answers of
+                // an earlier leader; until then its lease may be renewed there.
+                m.answered = if report.token >= base {
+                    now
+                } else {
+                    m.answered.max(now)
+                };
+                (m.token, newer)
+            }
+            None => return self.answer(req, Answer::later("unknown machine", 1)),
+        };
+        let orders = if orders {
+            self.orders_for(&host, true)
+        } else {
+            vec![]
+        };
+        let a = ReportAnswer { token, orders };
+        let body = serde_json::to_string(&a).unwrap_or_default();
+        self.answer(req, Answer::new(200, body));
+    }
+
+    /// Takes what a report says, unless a newer one was there before.
+    fn take_report(&mut self, now: Time, r: &Report, beat: bool) -> bool {
+        let token = self.base_token();
+        let capacity = self.flavors.get(&r.build).map(super::Room::of_flavor);
+        let m = self.machines.entry(r.host.clone()).or_insert_with(|| {
+            tracing::info!(host = %r.host, "a machine that was not expected reports");
+            Machine::new(
+                r.host.clone(),
+                r.build.clone(),
+                r.zone.clone(),
+                r.spot,
+                now,
+                token,
+            )
+        });
+        if (r.session, r.seq) <= (m.session, m.seq) {
+            return false;
+        }
+        let new_session = r.session > m.session;
+        (m.session, m.seq) = (r.session, r.seq);
+        m.heard = now;
+        m.build = r.build.clone();
+        m.zone = r.zone.clone();
+        m.spot = r.spot;
+        if let Some(c) = capacity {
+            m.capacity = c;
+        }
+        if r.addr.is_some() {
+            m.addr = r.addr.clone();
+        }
+        if m.life == Life::Booting {
+            m.life = Life::Up;
+        }
+        if !m.reported {
+            m.reported = true;
+            m.idle_since = now;
+            self.replan = true;
+        }
+        if m.doubt.is_some_and(|d| r.token >= d) {
+            m.doubt = None;
+        }
+        let noticed = m.notice_until.is_some();
+        m.notice_until = r.notice_s.map(|s| now + Span::secs(s));
+        if m.notice_until.is_some() && !noticed {
+            tracing::info!(host = %r.host, seconds = r.notice_s, "spot notice");
+        }
+        if new_session {
+            self.new_session(now, &r.host);
+        }
+        let mut strays = std::collections::BTreeMap::new();
+        let mut shown = BTreeSet::new();
+        for t in &r.tasks {
+            if self.take_task(now, &r.host, t) {
+                shown.insert(t.task.clone());
+            } else {
+                let ended = t.state == TaskState::Ended;
+                strays.insert((t.task.clone(), t.attempt), ended);
+            }
+        }
+        if let Some(m) = self.machines.get_mut(&r.host) {
+            m.strays = strays;
+        }
+        self.take_missing(now, &r.host, &shown, beat);
+        true
+    }
+
+    /// The worker's lease ran out, so all that was there is gone.
+    fn new_session(&mut self, now: Time, host: &Host) {
+        let Some(m) = self.machines.get_mut(host) else {
+            return;
+        };
+        m.doubt = None;
+        let tasks: Vec<TaskId> = m.slots.keys().cloned().collect();
+        for t in tasks {
+            let sent = self.live_mut(&t).is_some_and(|l| l.sent);
+            if sent {
+                tracing::debug!(%host, task = %t, "gone with its worker's session");
+                self.gone(now, &t);
+            }
+        }
+    }
+
+    pub(super) fn live_mut(&mut self, t: &TaskId) -> Option<&mut super::job::Live> {
+        self.jobs.get_mut(&t.job)?.live.get_mut(&t.ix)
+    }
+
+    /// True if the task is a live attempt of ours on that machine.
+    fn take_task(&mut self, now: Time, host: &Host, r: &TaskReport) -> bool {
+        let Some(job) = self.jobs.get_mut(&r.task.job) else {
+            return false;
+        };
+        let image = job.spec.image.clone();
+        let Some(l) = job.live.get_mut(&r.task.ix) else {
+            return false;
+        };
+        if l.attempt != r.attempt || l.host != *host {
+            return false;
+        }
+        let phase = match r.state {
+            TaskState::Fetching => Phase::Fetching,
+            TaskState::Waiting => Phase::Waiting,
+            TaskState::Running => Phase::Running,
+            TaskState::Saving => Phase::Saving,
+            TaskState::Ended => {
+                let since = l.running_since;
+                self.ended(now, host, r, since);
+                return false;
+            }
+        };
+        l.phase = phase;
+        if phase == Phase::Running && l.running_since.is_none() {
+            l.running_since = Some(now);
+            if let Some(m) = self.machines.get_mut(host) {
+                m.saw_image(&image);
+                if let Some(s) = m.slots.get_mut(&r.task) {
+                    s.start = now;
+                }
+            }
+        }
+        true
+    }
+
+    fn ended(&mut self, now: Time, host: &Host, r: &TaskReport, since: Option<Time>) {
+        let t = &r.task;
+        match r.cause {
+            Some(Cause::Done) => {
+                if let Some(m) = self.machines.get_mut(host) {
+                    m.fails = 0;
+                    m.fail_jobs.clear();
+                }
+                self.done(now, t, since);
+            }
+            Some(Cause::Error) => {
+                self.failed(now, host, t);
+                self.gone(now, t);
+            }
+            Some(Cause::NoRoom | Cause::InUse) => {
+                tracing::info!(%host, task = %t, cause = ?r.cause, "start refused");
+                if let Some(m) = self.machines.get_mut(host) {
+                    m.rest_until = now + Span::secs(2.0);
+                }
+                self.gone(now, t);
+            }
+            Some(Cause::Unknown) | None => {
+                if let Some(j) = self.jobs.get_mut(&t.job) {
+                    j.backoff_until = now + Span::secs(3.0);
+                }
+                self.gone(now, t);
+            }
+            Some(Cause::Stopped | Cause::PeersGone | Cause::Alone) => self.gone(now, t),
+        }
+    }
+
+    fn done(&mut self, now: Time, t: &TaskId, since: Option<Time>) {
+        self.release_slot(now, t);
+        let Some(j) = self.jobs.get_mut(&t.job) else {
+            return;
+        };
+        j.live.remove(&t.ix);
+        j.set_done(t.ix);
+        j.errors = 0;
+        if let Some(s) = since {
+            j.learn_runtime((now - s).as_secs());
+            if j.runtimes.len() == estimate::ENOUGH {
+                self.refresh_estimates(&t.job);
+            }
+        }
+        self.touch_task(&t.job, t.ix, false);
+        self.finish_if_over(now, &t.job);
+    }
+
+    fn refresh_estimates(&mut self, id: &JobId) {
+        let Some(j) = self.jobs.get(id) else { return };
+        let e = estimate::of(j);
+        for (t, l) in &j.live {
+            let task = TaskId {
+                job: id.clone(),
+                ix: *t,
+            };
+            if let Some(s) = self
+                .machines
+                .get_mut(&l.host)
+                .and_then(|m| m.slots.get_mut(&task))
+            {
+                s.estimate = e;
+            }
+        }
+    }
+
+    /// The attempt's claim on machine, quota and zone ends.
+    fn release_slot(&mut self, now: Time, t: &TaskId) {
+        let Some(j) = self.jobs.get(&t.job) else {
+            return;
+        };
+        let Some(l) = j.live.get(&t.ix) else { return };
+        self.teams.sub(&j.spec.team, &j.need);
+        if let Some(m) = self.machines.get_mut(&l.host)
+            && m.slots.remove(t).is_some()
+        {
+            m.used -= j.need;
+            if m.slots.is_empty() {
+                m.idle_since = now;
+            }
+        }
+        self.replan = true;
+    }
+
+    /// The attempt is proven gone without being done.
+    pub(super) fn gone(&mut self, now: Time, t: &TaskId) {
+        self.release_slot(now, t);
+        let Some(j) = self.jobs.get_mut(&t.job) else {
+            return;
+        };
+        if j.live.remove(&t.ix).is_some() {
+            j.put_back(t.ix);
+            self.touch_task(&t.job, t.ix, false);
+            self.finish_if_over(now, &t.job);
+        }
+    }
+
+    /// Attempts that a newer report does not show.
+    fn take_missing(&mut self, now: Time, host: &Host, shown: &BTreeSet<TaskId>, beat: bool) {
+        let Some(m) = self.machines.get(host) else {
+            return;
+        };
+        let clear = m.doubt.is_none() && m.direct.is_none();
+        let seq = m.seq;
+        let missing: Vec<TaskId> = m
+            .slots
+            .keys()
+            .filter(|t| !shown.contains(*t))
+            .cloned()
+            .collect();
+        for t in missing {
+            let Some(l) = self.live_mut(&t) else { continue };
+            let over = match (l.phase, l.stop) {
+                // It was there and no longer is.
+                (Phase::Placed, None) => false,
+                // It is not to start any more: gone once no command that may
+                // still be carried out could start it.
+                (Phase::Placed, Some(_)) => {
+                    !l.sent || (clear && beat && l.told.is_none_or(|s| s < seq))
+                }
+                _ => clear,
+            };
+            if over {
+                self.gone(now, &t);
+            }
+        }
+    }
+
+    /// What the worker is to do. In an answer to a report nothing is lost: a
+    /// worker that did not get it reports again, and hears the same.
+    fn orders_for(&mut self, host: &Host, answer: bool) -> Vec<Order> {
+        let may_run = self.machines.get(host).is_some_and(|m| m.life == Life::Up);
+        let Some(m) = self.machines.get(host) else {
+            return vec![];
+        };
+        // While a direct call is on its way the two could overtake each other.
+        if m.direct.is_some() {
+            return vec![];
+        }
+        let mut orders = vec![];
+        let seq = m.seq;
+        for ((task, attempt), ended) in &m.strays {
+            let (task, attempt) = (task.clone(), *attempt);
+            if !ended {
+                let leeway_s = 0.0;
+                orders.push(Order::Kill {
+                    task,
+                    attempt,
+                    leeway_s,
+                });
+            } else if m.doubt.is_none() && self.may_clear(&task, attempt) {
+                orders.push(Order::Clear { task, attempt });
+            }
+        }
+        let tasks: Vec<TaskId> = m.slots.keys().cloned().collect();
+        for task in tasks {
+            if orders.len() >= MAX_ORDERS {
+                break;
+            }
+            let stored = match self.jobs.get(&task.job) {
+                Some(j) => j.parts[j.part_of(task.ix)].stored,
+                None => continue,
+            };
+            let Some(l) = self.live_mut(&task) else {
+                continue;
+            };
+            let attempt = l.attempt;
+            match (l.phase, l.stop) {
+                (Phase::Placed, None) if may_run && stored >= l.ver => {
+                    l.sent = true;
+                    if answer {
+                        l.told = Some(seq);
+                    }
+                    orders.push(Order::Run { task, attempt });
+                }
+                (Phase::Placed, _) => {}
+                (_, Some(s)) => orders.push(Order::Kill {
+                    task,
+                    attempt,
+                    leeway_s: s.leeway_s,
+                }),
+                (_, None) => {}
+            }
+        }
+        orders
+    }
+
+    /// An ended attempt may be forgotten once nothing of it waits to be stored.
+    fn may_clear(&self, task: &TaskId, _attempt: Attempt) -> bool {
+        match self.jobs.get(&task.job) {
+            Some(j) if task.ix.0 < j.spec.tasks => j.closing.is_none() && j.part_stored(task.ix),
+            _ => true,
+        }
+    }
+
+    /// The attempt is to end, saving for so long.
+    pub(super) fn stop(&mut self, now: Time, id: &JobId, ix: TaskIx, leeway_s: f64) {
+        let t = TaskId {
+            job: id.clone(),
+            ix,
+        };
+        let Some(l) = self.live_mut(&t) else { return };
+        if !l.sent {
+            return self.gone(now, &t);
+        }
+        l.stop = Some(Stop { leeway_s });
+        let host = l.host.clone();
+        self.push(now, &host);
+    }
+
+    /// Sends what waits for this worker straight to it, not to lose the time
+    /// until its next report.
+    pub(super) fn push(&mut self, now: Time, host: &Host) {
+        let Some(m) = self.machines.get(host) else {
+            return;
+        };
+        let fresh = Span::secs(self.cfg.workers.report_s * 1.5);
+        let ready = m.reported
+            && m.life == Life::Up
+            && m.direct.is_none()
+            && m.doubt.is_none()
+            && now >= m.no_push_until
+            && now - m.heard < fresh;
+        let Some(addr) = m.addr.clone().filter(|_| ready) else {
+            return;
+        };
+        if !self.may_start(now) {
+            return;
+        }
+        let orders = self.orders_for(host, false);
+        let worth = |o: &Order| !matches!(o, Order::Clear { .. });
+        if !orders.iter().any(worth) {
+            return;
+        }
+        let call = CallId(self.next_call);
+        self.next_call += 1;
+        let Some(m) = self.machines.get_mut(host) else {
+            return;
+        };
+        m.direct = Some(call);
+        let orders = Orders {
+            token: m.token,
+            session: m.session,
+            orders,
+        };
+        self.out.push(Effect::Orders {
+            call,
+            host: host.clone(),
+            addr,
+            orders,
+        });
+    }
+
+    pub(super) fn push_job(&mut self, now: Time, id: &JobId) {
+        let hosts: BTreeSet<Host> = match self.jobs.get(id) {
+            Some(j) => {
+                let waits = |l: &&super::job::Live| l.phase == Phase::Placed && !l.sent;
+                let live = j.live.values().filter(waits);
+                live.map(|l| l.host.clone()).collect()
+            }
+            None => return,
+        };
+        for h in hosts {
+            self.push(now, &h);
+        }
+    }
+
+    pub(super) fn push_all(&mut self, now: Time) {
+        let hosts: Vec<Host> = self.machines.keys().cloned().collect();
+        for h in hosts {
+            let waits = self.machines[&h].slots.keys().any(|t| {
+                let live = self.jobs.get(&t.job).and_then(|j| j.live.get(&t.ix));
+                live.is_some_and(|l| l.phase == Phase::Placed && !l.sent)
+            });
+            if waits {
+                self.push(now, &h);
+            }
+        }
+    }
+
+    pub(super) fn direct_result(&mut self, now: Time, call: CallId, host: Host, r: DirectResult) {
+        let fresh = self.next_token();
+        let Some(m) = self.machines.get_mut(&host) else {
+            return;
+        };
+        if m.direct != Some(call) {
+            return;
+        }
+        m.direct = None;
+        match r {
+            DirectResult::Done(report) => {
+                self.take_report(now, &report, false);
+                self.push(now, &host);
+            }
+            DirectResult::Conflict(report) => {
+                // A probe of a machine that had not reported yet ends so, too.
+                if m.reported {
+                    m.no_push_until = now + PUSH_REST;
+                }
+                self.take_report(now, &report, false);
+            }
+            DirectResult::Refused => m.no_push_until = now + PUSH_REST,
+            DirectResult::Unclear => {
+                // It may be carried out minutes from now, unless the worker has
+                // heard a higher token by then.
+                m.no_push_until = now + PUSH_REST;
+                m.token = fresh;
+                m.doubt = Some(fresh);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/sched/room.rs
@@ -0,0 +1,96 @@
+//! Amounts of a machine, in thousandths, so that sums stay exact.
+
+use crate::wire::cloud::Flavor;
+use crate::wire::user::JobSpec;
+use std::ops::{AddAssign, SubAssign};
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Room {
+    pub cpu: i64,
+    pub gpu: i64,
+    pub mem: i64,
+}
+
+fn up(v: f64) -> i64 {
+    (v * 1000.0 - 1e-6).ceil() as i64
+}
+
+fn down(v: f64) -> i64 {
+    (v * 1000.0 + 1e-6).floor() as i64
+}
+
+impl Room {
+    /// What one task of the job takes, rounded up.
+    pub fn of_task(s: &JobSpec) -> Room {
+        Room {
+            cpu: up(s.cpus),
+            gpu: up(s.gpus),
+            mem: up(s.memory_gb),
+        }
+    }
+    /// What a machine offers, rounded down.
+    pub fn of_flavor(f: &Flavor) -> Room {
+        Room {
+            cpu: down(f.cpus),
+            gpu: down(f.gpus),
+            mem: down(f.memory_gb),
+        }
+    }
+    /// A team's limit on CPUs and accelerators; memory has none.
+    pub fn limit(cpus: f64, gpus: f64) -> Room {
+        Room {
+            cpu: down(cpus),
+            gpu: down(gpus),
+            mem: i64::MAX / 4,
+        }
+    }
+    pub fn fits(&self, need: &Room) -> bool {
+        self.times(need) > 0
+    }
+    /// How many tasks of this need fit.
+    pub fn times(&self, need: &Room) -> i64 {
+        let one = |have: i64, n: i64| match n {
+            0 if have >= 0 => i64::MAX,
+            0 => 0,
+            _ => have.max(0) / n,
+        };
+        one(self.cpu, need.cpu)
+            .min(one(self.gpu, need.gpu))
+            .min(one(self.mem, need.mem))
+            .min(1_000_000)
+    }
+    pub fn scaled(&self, n: i64) -> Room {
+        Room {
+            cpu: self.cpu * n,
+            gpu: self.gpu * n,
+            mem: self.mem * n,
+        }
+    }
+    pub fn minus(mut self, o: &Room) -> Room {
+        self -= *o;
+        self
+    }
+    /// Share of `whole` that this is, by its scarcest part.
+    pub fn share_of(&self, whole: &Room) -> f64 {
+        let one = |a: i64, b: i64| if b > 0 { a as f64 / b as f64 } else { 0.0 };
+        one(self.cpu, whole.cpu)
+            .max(one(self.gpu, whole.gpu))
+            .max(one(self.mem, whole.mem))
+    }
+}
+
+impl AddAssign for Room {
+    fn add_assign(&mut self, o: Room) {
+        self.cpu += o.cpu;
+        self.gpu += o.gpu;
+        self.mem += o.mem;
+    }
+}
+
+impl SubAssign for Room {
+    fn sub_assign(&mut self, o: Room) {
+        self.cpu -= o.cpu;
+        self.gpu -= o.gpu;
+        self.mem -= o.mem;
+    }
+}
--- /dev/null
+++ b/src/sched/users.rs
@@ -0,0 +1,281 @@
+//! What users ask: submissions, polls and cancellations.
+
+use super::job::{Final, Job, Waiting, part_size};
+use super::{Room, Sched};
+use crate::ids::{JobId, ReqId};
+use crate::time::Time;
+use crate::wire::peer::{Answer, Ask};
+use crate::wire::user::{JobSpec, JobState, JobView, Kind};
+
+/// More live jobs than this are not taken on: the machine is small.
+const MAX_JOBS: usize = 4000;
+/// Reads of old final states under way at a time.
+const MAX_READS: usize = 64;
+
+fn view(id: &JobId, state: JobState, done: u32, running: u32) -> String {
+    let v = JobView {
+        id: id.clone(),
+        state,
+        done,
+        running,
+    };
+    serde_json::to_string(&v).unwrap_or_default()
+}
+
+fn final_answer(id: &JobId, f: Final) -> Answer {
+    Answer::new(200, view(id, f.state, f.done, 0))
+}
+
+/// The answer for a final state that was read from the store.
+pub fn answer_final(id: &JobId, f: Final) -> Answer {
+    final_answer(id, f)
+}
+
+impl Sched {
+    pub(super) fn ask(&mut self, now: Time, req: ReqId, ask: Ask) {
+        match ask {
+            Ask::Report(body) => self.beat(now, req, &body),
+            Ask::Submit(body) => match JobSpec::parse(&body) {
+                Ok(spec) => self.submit(now, req, spec, body),
+                Err(e) => self.answer(req, Answer::error(400, &e)),
+            },
+            Ask::Poll(id) => self.poll(now, req, id.as_str().into()),
+            Ask::Cancel(id) => self.cancel(now, req, id.as_str().into()),
+        }
+    }
+
+    fn no_proof(&mut self, req: ReqId) {
+        let text = "leadership is not proven at the moment";
+        self.answer(req, Answer::later(text, 1));
+    }
+
+    /// Why a job can never run, if so; `Err` when that can't be told yet.
+    fn never_runs(&self, s: &JobSpec) -> Result<Option<String>, String> {
+        let Some(limit) = self.teams.limit(&s.team) else {
+            return Ok(Some(format!("Crew: no team {}", s.team)));
+        };
+        let need = Room::of_task(s);
+        let at_once = match s.kind {
+            Kind::Array => 1,
+            Kind::Gang | Kind::Service => s.tasks as i64,
+        };
+        if limit.times(&need) < at_once {
+            return Ok(Some("Vcpus: more than the team's limit".into()));
+        }
+        if self.flavors.is_empty() {
+            return Err("machine types are not known yet".into());
+        }
+        let fits = self.flavors.values().any(|f| {
+            s.builds.as_ref().is_none_or(|b| b.contains(&f.build))
+                && s.zone
+                    .as_ref()
+                    .is_none_or(|z| f.zones.is_empty() || f.zones.contains(z))
+                && Room::of_flavor(f).fits(&need)
+        });
+        if !fits {
+            return Ok(Some("a task fits no allowed machine type".into()));
+        }
+        Ok(None)
+    }
+
+    fn submit(&mut self, now: Time, req: ReqId, spec: JobSpec, _body: Vec<u8>) {
+        let id = spec.id.clone();
+        if let Some(f) = self.finals.get(&id) {
+            let f = *f;
+            return self.answer(req, final_answer(&id, f));
+        }
+        if self.unreadable.contains(&id) {
+            return self.answer(req, Answer::later("the job's record can't be read", 30));
+        }
+        if let Some(j) = self.jobs.get_mut(&id) {
+            if j.parts[0].stored == 0 && j.parts[0].ver > 0 {
+                let ver = j.parts[0].ver;
+                j.waiters.push((ver, req, Waiting::Known));
+                return;
+            }
+            if !self.may_start(now) {
+                return self.no_proof(req);
+            }
+            return self.tell_live(req, &id);
+        }
+        if !self.may_start(now) {
+            return self.no_proof(req);
+        }
+        // A repeated submission must never get 400 or 422, so what would be
+        // refused is only refused after a look at what is over already.
+        match self.never_runs(&spec) {
+            Err(e) => return self.answer(req, Answer::later(&e, 1)),
+            Ok(Some(_)) => return self.look_up(req, id, Ask::Submit(_body)),
+            Ok(None) => {}
+        }
+        if spec.kind != Kind::Array {
+            let text = "jobs of this shape can't be run yet";
+            return self.answer(req, Answer::later(text, 30));
+        }
+        if self.jobs.len() >= MAX_JOBS {
+            return self.answer(req, Answer::later("too many unfinished jobs", 10));
+        }
+        let size = part_size(self.cfg.value_kb);
+        let mut job = Job::new(spec, self.next_seq, now, self.wall, size);
+        let room = (self.cfg.value_kb * 1024.0) as usize;
+        if job.encode(0).to_string().len() + size.min(job.spec.tasks) as usize * 42 > room {
+            let text = "Builds: the job's description is too large to be stored";
+            return self.answer(req, Answer::error(400, text));
+        }
+        self.next_seq += 1;
+        self.fleet.seen(now, &job, &self.cfg.objectives);
+        let ver = job.touch(0, &mut self.dirty, true);
+        job.waiters.push((ver, req, Waiting::Accept));
+        self.jobs.insert(id, job);
+    }
+
+    fn tell_live(&mut self, req: ReqId, id: &JobId) {
+        if let Some(j) = self.jobs.get(id) {
+            // Done is told only once it is stored as the final state.
+            let a = Answer::new(200, view(id, j.state(), j.done_count, j.running()));
+            self.answer(req, a);
+        }
+    }
+
+    fn poll(&mut self, now: Time, req: ReqId, id: JobId) {
+        if let Some(f) = self.finals.get(&id) {
+            let f = *f;
+            return self.answer(req, final_answer(&id, f));
+        }
+        if !self.may_start(now) {
+            return self.no_proof(req);
+        }
+        if self.unreadable.contains(&id) {
+            return self.answer(req, Answer::later("the job's record can't be read", 30));
+        }
+        match self.jobs.get(&id) {
+            Some(j) if j.parts[0].stored == 0 && j.parts[0].ver > 0 => {
+                self.answer(req, Answer::later("the job is being stored", 1));
+            }
+            // The user may already have been told so by an earlier leader, but
+            // not by us: what is not stored is not told.
+            Some(j) if j.cancelled && j.waiters.iter().any(|w| w.2 == Waiting::Cancel) => {
+                self.answer(req, Answer::later("the job is being cancelled", 1));
+            }
+            Some(_) => self.tell_live(req, &id),
+            None => self.look_up(req, id.clone(), Ask::Poll(id.to_string())),
+        }
+    }
+
+    fn cancel(&mut self, now: Time, req: ReqId, id: JobId) {
+        if let Some(f) = self.finals.get(&id) {
+            let f = *f;
+            return self.answer(req, final_answer(&id, f));
+        }
+        if !self.may_start(now) {
+            return self.no_proof(req);
+        }
+        if self.unreadable.contains(&id) {
+            return self.answer(req, Answer::later("the job's record can't be read", 30));
+        }
+        let Some(j) = self.jobs.get_mut(&id) else {
+            return self.look_up(req, id.clone(), Ask::Cancel(id.to_string()));
+        };
+        if j.closing.is_some() {
+            j.waiters.push((u64::MAX, req, Waiting::Cancel));
+            return;
+        }
+        if !j.cancelled {
+            j.cancelled = true;
+            let ver = j.touch(0, &mut self.dirty, true);
+            j.waiters.push((ver, req, Waiting::Cancel));
+            self.stop_all(now, &id);
+            self.finish_if_over(now, &id);
+            self.replan = true;
+        } else if j.parts[0].stored >= j.parts[0].ver {
+            let a = Answer::new(200, view(&id, JobState::Cancelled, j.done_count, 0));
+            self.answer(req, a);
+        } else {
+            let ver = j.parts[0].ver;
+            j.waiters.push((ver, req, Waiting::Cancel));
+        }
+    }
+
+    /// Everything of the job is to leave its machines; what never left here is
+    /// gone at once.
+    pub(super) fn stop_all(&mut self, now: Time, id: &JobId) {
+        let tasks: Vec<_> = match self.jobs.get(id) {
+            Some(j) => j.live.keys().copied().collect(),
+            None => return,
+        };
+        for t in tasks {
+            self.stop(now, id, t, 0.0);
+        }
+    }
+
+    fn look_up(&mut self, req: ReqId, id: JobId, ask: Ask) {
+        if id.as_str().is_empty() || id.as_str().len() > 150 || id.as_str().contains(' ') {
+            return self.answer(req, Answer::error(404, "no such job"));
+        }
+        if self.reads.len() >= MAX_READS {
+            return self.answer(req, Answer::later("too many look-ups at a time", 1));
+        }
+        let first = !self.reads.contains_key(&id);
+        self.reads.entry(id.clone()).or_default().push((req, ask));
+        if first {
+            self.read_final(&id);
+        }
+    }
+
+    pub(super) fn final_read(&mut self, now: Time, id: JobId, r: Result<Option<Final>, ()>) {
+        let asked = self.reads.remove(&id).unwrap_or_default();
+        if let Ok(Some(f)) = r {
+            self.remember_final(&id, f);
+        }
+        for (req, ask) in asked {
+            let a = match (&r, &ask) {
+                (Err(()), _) => Answer::later("the state service does not answer", 1),
+                (Ok(Some(f)), _) => final_answer(&id, *f),
+                (Ok(None), _) if !self.may_start(now) => {
+                    self.no_proof(req);
+                    continue;
+                }
+                (Ok(None), _) if self.jobs.contains_key(&id) => {
+                    Answer::later("the job is being stored", 1)
+                }
+                (Ok(None), Ask::Submit(body)) => {
+                    let why = JobSpec::parse(body).map(|s| self.never_runs(&s));
+                    match why {
+                        Ok(Ok(Some(text))) => Answer::error(422, &text),
+                        _ => Answer::later("the machine types have changed", 1),
+                    }
+                }
+                (Ok(None), _) => Answer::error(404, "no such job"),
+            };
+            self.answer(req, a);
+        }
+    }
+
+    pub(super) fn tell_waiters(&mut self, id: &JobId, ready: Vec<(u64, ReqId, Waiting)>) {
+        for (_, req, what) in ready {
+            let (status, state) = match what {
+                Waiting::Accept => (201, JobState::Queued),
+                Waiting::Known => (200, JobState::Queued),
+                Waiting::Cancel => (200, JobState::Cancelled),
+            };
+            let cancelled = self.jobs.get(id).is_some_and(|j| j.cancelled);
+            let state = if cancelled {
+                JobState::Cancelled
+            } else {
+                state
+            };
+            self.answer(req, Answer::new(status, view(id, state, 0, 0)));
+        }
+    }
+
+    pub(super) fn tell_waiters_final(
+        &mut self,
+        id: &JobId,
+        waiters: Vec<(u64, ReqId, Waiting)>,
+        f: Final,
+    ) {
+        for (_, req, _) in waiters {
+            self.answer(req, final_answer(id, f));
+        }
+    }
+}
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,55 @@
+//! Settings: the platform's JSON file and the operators' own XML file.
+
+mod platform;
+mod tuning;
+
+pub use platform::{Limits, Objective, Params, Platform, Seed, StateLimits, TeamLimit, Workers};
+pub use tuning::Tuning;
+
+use thiserror::Error;
+
+#[derive(Debug, Error)]
+pub enum SettingsError {
+    #[error("{file}: {why}")]
+    Read { file: String, why: String },
+    #[error("{file}: {field}: {why}")]
+    Field {
+        file: String,
+        field: String,
+        why: String,
+    },
+}
+
+/// Everything a controller is told.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub platform: Platform,
+    pub tuning: Tuning,
+}
+
+impl Settings {
+    /// Reads both files; without an XML file the defaults hold.
+    pub fn load(platform: &str, tuning: Option<&str>) -> Result<Settings, SettingsError> {
+        let platform = Platform::parse(platform, &read(platform)?)?;
+        let tuning = match tuning {
+            Some(f) => Tuning::parse(f, &read(f)?)?,
+            None => Tuning::default(),
+        };
+        Ok(Settings { platform, tuning })
+    }
+}
+
+fn read(file: &str) -> Result<String, SettingsError> {
+    std::fs::read_to_string(file).map_err(|e| SettingsError::Read {
+        file: file.into(),
+        why: e.to_string(),
+    })
+}
+
+fn bad(file: &str, field: &str, why: &str) -> SettingsError {
+    SettingsError::Field {
+        file: file.into(),
+        field: field.into(),
+        why: why.into(),
+    }
+}
--- /dev/null
+++ b/src/settings/platform.rs
@@ -0,0 +1,145 @@
+//! The settings file that the platform hands over.
+
+use super::{SettingsError, bad};
+use crate::ids::{Class, Label, Team, Zone};
+use serde::Deserialize;
+use std::net::SocketAddr;
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Platform {
+    pub label: Label,
+    pub zone: Zone,
+    pub listen: SocketAddr,
+    pub cluster_listen: SocketAddr,
+    #[serde(default)]
+    pub seeds: Vec<Seed>,
+    pub services: Services,
+    pub params: Params,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Seed {
+    pub label: Label,
+    pub zone: Zone,
+    pub peer_addr: SocketAddr,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Services {
+    pub cloud: SocketAddr,
+    pub state: SocketAddr,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Params {
+    #[serde(default)]
+    pub zones: Vec<Zone>,
+    pub teams: Vec<TeamLimit>,
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+    pub workers: Workers,
+    pub state: StateLimits,
+    pub cloud: CloudLimits,
+    pub machine_limits: Limits,
+    #[serde(default)]
+    pub clock_error_ms: f64,
+}
+
+/// What a team is guaranteed and what it may use at the most; 0 means none.
+#[derive(Clone, Debug, Deserialize)]
+pub struct TeamLimit {
+    pub name: Team,
+    #[serde(default)]
+    pub cpus: f64,
+    #[serde(default)]
+    pub cpus_max: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Objective {
+    pub kind: String,
+    #[serde(default)]
+    pub class: Option<Class>,
+    #[serde(default)]
+    pub within_s: Option<f64>,
+    #[serde(default)]
+    pub share: Option<f64>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Workers {
+    pub report_s: f64,
+    pub lease_s: f64,
+    #[serde(default)]
+    pub gang_wait_s: f64,
+    #[serde(default)]
+    pub gang_peer_s: f64,
+    pub cancel_s: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct StateLimits {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct CloudLimits {
+    pub rps: f64,
+    pub list_lag_s: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Limits {
+    pub core_share: f64,
+    pub ram_mb: f64,
+    pub max_connections: usize,
+}
+
+impl Platform {
+    pub fn parse(file: &str, text: &str) -> Result<Platform, SettingsError> {
+        let p: Platform = serde_json::from_str(text).map_err(|e| SettingsError::Read {
+            file: file.into(),
+            why: e.to_string(),
+        })?;
+        let positive = [
+            ("params.workers.report_s", p.params.workers.report_s),
+            ("params.workers.lease_s", p.params.workers.lease_s),
+            ("params.workers.cancel_s", p.params.workers.cancel_s),
+            ("params.state.rps", p.params.state.rps),
+            ("params.state.write_rps", p.params.state.write_rps),
+            ("params.state.value_kb", p.params.state.value_kb),
+            ("params.cloud.rps", p.params.cloud.rps),
+        ];
+        for (field, v) in positive {
+            if !(v.is_finite() && v > 0.0) {
+                return Err(bad(file, field, "must be above 0"));
+            }
+        }
+        if p.params.state.txn_ops < 4 {
+            return Err(bad(file, "params.state.txn_ops", "must be at least 4"));
+        }
+        if p.params.workers.cancel_s <= p.params.workers.lease_s {
+            return Err(bad(
+                file,
+                "params.workers.cancel_s",
+                "must be above lease_s, or a cancelled task could outlive it",
+            ));
+        }
+        for t in &p.params.teams {
+            if [t.cpus, t.cpus_max, t.gpus, t.gpus_max]
+                .iter()
+                .any(|v| !v.is_finite() || *v < 0.0)
+            {
+                return Err(bad(file, "params.teams", "amounts must be 0 or more"));
+            }
+        }
+        Ok(p)
+    }
+}
--- /dev/null
+++ b/src/settings/tuning.rs
@@ -0,0 +1,62 @@
+//! The operators' own settings, in XML.
+
+use super::{SettingsError, bad};
+use serde::{Deserialize, Serialize};
+
+/// `<hookworks><delta-factor>0.5</delta-factor>…</hookworks>`; all optional.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(rename = "hookworks", rename_all = "kebab-case", default)]
+pub struct Tuning {
+    /// Share of a task's estimate that makes δ.
+    pub delta_factor: f64,
+    /// δ is never less than this.
+    pub delta_floor_s: f64,
+    /// How long the key of the leader lives without a renewal.
+    pub leader_lease_s: f64,
+    /// A silent machine is released after this share of the workers' lease.
+    pub silent_share: f64,
+    /// An ordinary machine is given back after idling this long.
+    pub idle_s: f64,
+    /// A spot machine is given back after idling this long.
+    pub idle_spot_s: f64,
+    /// How much of the seen arrivals is kept free for classes that want quick starts.
+    pub headroom: f64,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Tuning {
+            delta_factor: 0.5,
+            delta_floor_s: 600.0,
+            leader_lease_s: 2.5,
+            silent_share: 0.6,
+            idle_s: 30.0,
+            idle_spot_s: 60.0,
+            headroom: 1.0,
+        }
+    }
+}
+
+impl Tuning {
+    pub fn parse(file: &str, text: &str) -> Result<Tuning, SettingsError> {
+        let t: Tuning = quick_xml::de::from_str(text).map_err(|e| SettingsError::Read {
+            file: file.into(),
+            why: e.to_string(),
+        })?;
+        let all = [
+            ("delta-factor", t.delta_factor, 0.0, 1e3),
+            ("delta-floor-s", t.delta_floor_s, 0.0, 1e6),
+            ("leader-lease-s", t.leader_lease_s, 1.0, 60.0),
+            ("silent-share", t.silent_share, 0.3, 2.0),
+            ("idle-s", t.idle_s, 0.0, 1e6),
+            ("idle-spot-s", t.idle_spot_s, 0.0, 1e6),
+            ("headroom", t.headroom, 0.0, 100.0),
+        ];
+        for (field, v, low, high) in all {
+            if !(v.is_finite() && (low..=high).contains(&v)) {
+                return Err(bad(file, field, &format!("must be {low} to {high}")));
+            }
+        }
+        Ok(t)
+    }
+}
--- /dev/null
+++ b/src/store/client.rs
@@ -0,0 +1,167 @@
+//! Requests to the state service, one at a time for each caller.
+
+use crate::ids::Stamp;
+use crate::wire::state::{Applied, Failed, Item, Lease, LeaseRequest, Page, Txn};
+use serde::de::DeserializeOwned;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// What became of a transaction.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Outcome {
+    Ok(Stamp),
+    /// These keys did not have the expected stamps.
+    Conflict(Vec<String>),
+    /// Certainly not carried out: too many requests, or an outage.
+    NotDone,
+    /// No such lease.
+    NoLease,
+    /// No answer: it may have been or may still be carried out.
+    Unclear,
+}
+
+/// Why a read gave nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadError {
+    Failed,
+}
+
+/// What the election, the loader and the committer need of the service; the
+/// tests have one in memory.
+pub trait State: Send {
+    fn get(&self, key: &str) -> Result<Option<Item>, ReadError>;
+    fn page(&self, prefix: &str, after: Option<&str>, limit: u32) -> Result<Page, ReadError>;
+    fn txn(&self, t: &Txn) -> Outcome;
+    fn grant(&self, ttl_ms: u64) -> Result<u64, ReadError>;
+    /// `Ok(false)`: the lease has ended.
+    fn renew(&self, lease: u64) -> Result<bool, ReadError>;
+    fn revoke(&self, lease: u64);
+}
+
+#[derive(Clone)]
+pub struct StateClient {
+    agent: ureq::Agent,
+    base: String,
+}
+
+pub(crate) fn agent(timeout: Duration, idle: usize) -> ureq::Agent {
+    ureq::Agent::config_builder()
+        .timeout_global(Some(timeout))
+        .http_status_as_error(false)
+        .max_idle_connections(idle)
+        .max_idle_connections_per_host(2)
+        .max_idle_age(Duration::from_secs(20))
+        .input_buffer_size(16 * 1024)
+        .output_buffer_size(16 * 1024)
+        .proxy(None)
+        .build()
+        .into()
+}
+
+type Reply = (u16, Vec<u8>);
+
+impl StateClient {
+    pub fn new(addr: SocketAddr, timeout: Duration) -> StateClient {
+        StateClient {
+            agent: agent(timeout, 4),
+            base: format!("http://{addr}"),
+        }
+    }
+
+    fn read(&self, path: &str) -> Option<Reply> {
+        let url = format!("{}{path}", self.base);
+        finish(self.agent.get(&url).call())
+    }
+
+    fn post(&self, path: &str, body: &impl serde::Serialize) -> Option<Reply> {
+        let url = format!("{}{path}", self.base);
+        let body = serde_json::to_vec(body).ok()?;
+        let r = self.agent.post(&url);
+        finish(r.header("Content-Type", "application/json").send(&body[..]))
+    }
+}
+
+/// The whole answer, or none if any of it failed to come.
+pub(crate) fn finish(
+    r: Result<ureq::http::Response<ureq::Body>, ureq::Error>,
+) -> Option<(u16, Vec<u8>)> {
+    match r {
+        Ok(mut r) => {
+            let status = r.status().as_u16();
+            let body = r.body_mut().with_config().limit(8 << 20).read_to_vec();
+            body.ok().map(|b| (status, b))
+        }
+        Err(e) => {
+            tracing::debug!(error = %e, "no answer");
+            None
+        }
+    }
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, ReadError> {
+    serde_json::from_slice(body).map_err(|_| ReadError::Failed)
+}
+
+impl State for StateClient {
+    fn get(&self, key: &str) -> Result<Option<Item>, ReadError> {
+        match self.read(&format!("/store/{key}")) {
+            Some((200, b)) => parse(&b).map(Some),
+            Some((404, _)) => Ok(None),
+            _ => Err(ReadError::Failed),
+        }
+    }
+
+    fn page(&self, prefix: &str, after: Option<&str>, limit: u32) -> Result<Page, ReadError> {
+        let mut path = format!("/store?Under={prefix}&Page={limit}");
+        if let Some(a) = after {
+            path.push_str(&format!("&Since={a}"));
+        }
+        match self.read(&path) {
+            Some((200, b)) => parse(&b),
+            _ => Err(ReadError::Failed),
+        }
+    }
+
+    fn txn(&self, t: &Txn) -> Outcome {
+        match self.post("/txn", t) {
+            Some((200, b)) => match parse::<Applied>(&b) {
+                Ok(a) => Outcome::Ok(a.revision),
+                Err(_) => Outcome::Unclear,
+            },
+            Some((409, b)) => match parse::<Failed>(&b) {
+                Ok(f) => Outcome::Conflict(f.failed),
+                Err(_) => Outcome::Unclear,
+            },
+            Some((429 | 503, _)) => Outcome::NotDone,
+            Some((400, b)) => {
+                let text = String::from_utf8_lossy(&b);
+                if text.contains("no such lease") {
+                    return Outcome::NoLease;
+                }
+                tracing::error!(%text, "the state service refused a transaction");
+                Outcome::NotDone
+            }
+            _ => Outcome::Unclear,
+        }
+    }
+
+    fn grant(&self, ttl_ms: u64) -> Result<u64, ReadError> {
+        match self.post("/grants", &LeaseRequest { ttl_ms }) {
+            Some((200, b)) => parse::<Lease>(&b).map(|l| l.lease),
+            _ => Err(ReadError::Failed),
+        }
+    }
+
+    fn renew(&self, lease: u64) -> Result<bool, ReadError> {
+        match self.post(&format!("/grants/{lease}/renew"), &serde_json::json!({})) {
+            Some((200, _)) => Ok(true),
+            Some((404, _)) => Ok(false),
+            _ => Err(ReadError::Failed),
+        }
+    }
+
+    fn revoke(&self, lease: u64) {
+        let url = format!("{}/grants/{lease}", self.base);
+        let _ = self.agent.delete(&url).call();
+    }
+}
--- /dev/null
+++ b/src/store/commit.rs
@@ -0,0 +1,359 @@
+//! Group commit: turns changed records into transactions that stay within the
+//! service's limits. No I/O: what to send comes out, what became of it goes in.
+//!
+//! Every transaction is conditioned on the stamp of the leader's key and on
+//! that of each record it changes, so what arrives late or from a leader that
+//! is none any more fails.
+
+use super::budget::Budget;
+use super::client::Outcome;
+use super::{LEADER, final_key, part_key};
+use crate::ids::{JobId, Stamp, TxnId};
+use crate::sched::job::Final;
+use crate::sched::{Event, Key, Sched};
+use crate::settings::StateLimits;
+use crate::time::{Span, Time};
+use crate::wire::state::{Change, Condition, Item, Txn};
+use std::collections::{HashMap, HashSet};
+
+/// Transactions under way at a time.
+const LANES: usize = 3;
+/// Room left in a transaction of 64 KiB.
+const MAX_BYTES: usize = 56 * 1024;
+
+struct Work {
+    job: JobId,
+    /// The part and its version, or the end of the job.
+    what: What,
+    keys: Vec<(String, bool)>,
+}
+
+enum What {
+    Part(usize, u64),
+    End,
+}
+
+pub struct Committer {
+    leader: Stamp,
+    limits: StateLimits,
+    stamps: HashMap<String, Stamp>,
+    under_way: HashMap<TxnId, Vec<Work>>,
+    /// Jobs in a transaction or being read back: nothing else of them is sent.
+    busy: HashSet<JobId>,
+    /// Keys being read back, for the job that waits for them.
+    reading: HashMap<String, JobId>,
+    /// Records left over from large jobs that are done.
+    litter: Vec<String>,
+    writes: Budget,
+    requests: Budget,
+    rest_until: Time,
+    next: u64,
+}
+
+/// What the committer asks of its surroundings.
+#[derive(Debug, PartialEq)]
+pub enum Step {
+    Read(String),
+    /// The leader's key is no longer ours.
+    Deposed,
+}
+
+impl Committer {
+    pub fn new(leader: Stamp, limits: &StateLimits) -> Committer {
+        // Part of each limit is left to elections, reads and the other nodes.
+        let writes = limits.write_rps * 0.9;
+        let requests = limits.rps * 0.6;
+        Committer {
+            leader,
+            limits: limits.clone(),
+            stamps: HashMap::new(),
+            under_way: HashMap::new(),
+            busy: HashSet::new(),
+            reading: HashMap::new(),
+            litter: vec![],
+            writes: Budget::new(writes, limits.write_rps * 0.8),
+            requests: Budget::new(requests, requests * 0.5),
+            rest_until: Time::default(),
+            next: 1,
+        }
+    }
+
+    /// Records found when the leader loaded its state.
+    pub fn know(&mut self, key: String, stamp: Stamp) {
+        self.stamps.insert(key, stamp);
+    }
+
+    /// A record without its job: what a finished large job left behind.
+    pub fn add_litter(&mut self, key: String) {
+        self.litter.push(key);
+    }
+
+    pub fn idle(&self) -> bool {
+        self.under_way.is_empty() && self.reading.is_empty()
+    }
+
+    fn stamp(&self, key: &str) -> Stamp {
+        self.stamps.get(key).copied().unwrap_or_default()
+    }
+
+    /// Changes for one entry of the queue, or none if nothing is to be written.
+    fn work(&self, sched: &Sched, job: &JobId, part: usize) -> Option<(Work, Vec<Change>)> {
+        let j = sched.jobs.get(job)?;
+        let put = |key: &str, value| Change::Put {
+            key: key.into(),
+            value,
+            lease: None,
+        };
+        let mut changes = vec![];
+        let mut keys = vec![];
+        let what = if j.closing.is_some() {
+            let key = final_key(job);
+            let f = sched.final_of(job)?;
+            changes.push(put(&key, serde_json::to_value(f).ok()?));
+            keys.push((key, true));
+            let known = (0..j.parts.len()).map(|p| part_key(job, p));
+            let most = self.limits.txn_ops - 1;
+            for key in known.filter(|k| self.stamps.contains_key(k)).take(most) {
+                changes.push(Change::Delete { key: key.clone() });
+                keys.push((key, false));
+            }
+            What::End
+        } else {
+            let key = part_key(job, part);
+            changes.push(put(&key, j.encode(part)));
+            keys.push((key, true));
+            What::Part(part, j.parts[part].ver)
+        };
+        let job = job.clone();
+        Some((Work { job, what, keys }, changes))
+    }
+
+    /// The next transaction to send, if any may be sent now.
+    pub fn next(&mut self, now: Time, sched: &mut Sched) -> Option<(TxnId, Txn)> {
+        if now < self.rest_until || self.under_way.len() >= LANES {
+            return None;
+        }
+        if !self.requests.has(now, 1.0) || sched.dirty.is_empty() && self.litter.is_empty() {
+            return None;
+        }
+        let budget = self.writes.left(now) as usize;
+        let most = self.limits.txn_ops.min(budget);
+        let mut txn = Txn::default();
+        let mut works: Vec<Work> = vec![];
+        let mut bytes = 0;
+        let mut skipped = vec![];
+        while let Some((job, part)) = sched.dirty.pop() {
+            // Within one transaction a job may appear with several parts.
+            if self.busy.contains(&job) && !works.iter().any(|w| w.job == job) {
+                skipped.push((job, part));
+                continue;
+            }
+            let ended = works
+                .iter()
+                .any(|w| w.job == job && matches!(w.what, What::End));
+            let Some((work, changes)) = self.work(sched, &job, part).filter(|_| !ended) else {
+                if let Some(j) = sched.jobs.get_mut(&job) {
+                    j.parts[part].queued = false;
+                }
+                continue;
+            };
+            let mut size = 0;
+            for c in &changes {
+                size += c.key().len() * 2 + 80;
+                if let Change::Put { value, .. } = c {
+                    size += value.to_string().len();
+                }
+            }
+            if txn.changes.len() + changes.len() > most || bytes + size > MAX_BYTES {
+                sched.dirty.push_front(job, part);
+                break;
+            }
+            bytes += size;
+            if let Some(j) = sched.jobs.get_mut(&job) {
+                j.parts[part].queued = false;
+            }
+            for (key, _) in &work.keys {
+                let stamp = self.stamp(key);
+                txn.conditions.push(Condition {
+                    key: key.clone(),
+                    stamp,
+                });
+            }
+            if let What::Part(0, _) = work.what
+                && self.stamp(&work.keys[0].0) == Stamp(0)
+            {
+                // A new job: unless it is over already.
+                let key = final_key(&job);
+                txn.conditions.push(Condition {
+                    key,
+                    stamp: Stamp(0),
+                });
+            }
+            txn.changes.extend(changes);
+            self.busy.insert(job);
+            works.push(work);
+        }
+        for (job, part) in skipped {
+            sched.dirty.push_back(job, part);
+        }
+        if works.is_empty() {
+            while txn.changes.len() < most {
+                let Some(key) = self.litter.pop() else { break };
+                txn.changes.push(Change::Delete { key });
+            }
+        }
+        if txn.changes.is_empty() {
+            return None;
+        }
+        txn.conditions.push(Condition {
+            key: LEADER.into(),
+            stamp: self.leader,
+        });
+        self.writes.take(now, txn.changes.len() as f64);
+        self.requests.take(now, 1.0);
+        let id = TxnId(self.next);
+        self.next += 1;
+        self.under_way.insert(id, works);
+        Some((id, txn))
+    }
+
+    fn requeue(&mut self, sched: &mut Sched, works: Vec<Work>) {
+        for w in works.into_iter().rev() {
+            self.busy.remove(&w.job);
+            let part = match w.what {
+                What::Part(p, _) => p,
+                What::End => 0,
+            };
+            if let Some(j) = sched.jobs.get_mut(&w.job)
+                && !j.parts[part].queued
+            {
+                j.parts[part].queued = true;
+                sched.dirty.push_front(w.job, part);
+            }
+        }
+    }
+
+    /// What became of a transaction.
+    pub fn finished(
+        &mut self,
+        now: Time,
+        id: TxnId,
+        outcome: Outcome,
+        sched: &mut Sched,
+    ) -> (Vec<Event>, Vec<Step>) {
+        let mut events = vec![];
+        let mut steps = vec![];
+        let Some(works) = self.under_way.remove(&id) else {
+            return (events, steps);
+        };
+        match outcome {
+            Outcome::Ok(stamp) => {
+                for w in works {
+                    self.busy.remove(&w.job);
+                    for (key, put) in w.keys {
+                        if put && !matches!(w.what, What::End) {
+                            self.stamps.insert(key, stamp);
+                        } else {
+                            self.stamps.remove(&key);
+                        }
+                    }
+                    match w.what {
+                        What::Part(p, ver) => events.push(Event::Stored(Key::Part(w.job, p), ver)),
+                        What::End => {
+                            self.sweep(sched, &w.job);
+                            events.push(Event::Stored(Key::Final(w.job), 0));
+                        }
+                    }
+                }
+            }
+            Outcome::Conflict(failed) if failed.iter().any(|k| k == LEADER) => {
+                steps.push(Step::Deposed);
+            }
+            Outcome::Conflict(failed) => {
+                // Ours alone may write here, so these are earlier writes of our
+                // own whose answers were lost: read back, then go on from there.
+                let (hit, fine): (Vec<Work>, Vec<Work>) = works.into_iter().partition(|w| {
+                    let end = final_key(&w.job);
+                    let of_job = |k: &String| *k == end || w.keys.iter().any(|(x, _)| x == k);
+                    failed.iter().any(of_job)
+                });
+                self.requeue(sched, fine);
+                for w in hit {
+                    let mut keys: Vec<String> = w.keys.iter().map(|k| k.0.clone()).collect();
+                    keys.push(final_key(&w.job));
+                    keys.dedup();
+                    for k in keys {
+                        if failed.contains(&k) {
+                            self.reading.insert(k.clone(), w.job.clone());
+                            steps.push(Step::Read(k));
+                        }
+                    }
+                    let part = match w.what {
+                        What::Part(p, _) => p,
+                        What::End => 0,
+                    };
+                    if let Some(j) = sched.jobs.get_mut(&w.job)
+                        && !j.parts[part].queued
+                    {
+                        j.parts[part].queued = true;
+                        sched.dirty.push_front(w.job, part);
+                    }
+                }
+            }
+            Outcome::NotDone | Outcome::NoLease => {
+                self.rest_until = now + Span::millis(250);
+                self.requeue(sched, works);
+            }
+            Outcome::Unclear => {
+                self.rest_until = now + Span::millis(100);
+                self.requeue(sched, works);
+            }
+        }
+        (events, steps)
+    }
+
+    /// Parts of a finished job that did not fit into its last transaction.
+    fn sweep(&mut self, sched: &Sched, job: &JobId) {
+        let parts = sched.jobs.get(job).map_or(0, |j| j.parts.len());
+        for key in (0..parts).map(|p| part_key(job, p)) {
+            if self.stamps.remove(&key).is_some() {
+                self.litter.push(key);
+            }
+        }
+    }
+
+    /// A key that was read back; `Err` makes it be read again.
+    pub fn read_back(
+        &mut self,
+        key: String,
+        r: Result<Option<Item>, ()>,
+        sched: &mut Sched,
+    ) -> (Vec<Event>, Vec<Step>) {
+        let Ok(item) = r else {
+            return (vec![], vec![Step::Read(key)]);
+        };
+        let Some(job) = self.reading.remove(&key) else {
+            return (vec![], vec![]);
+        };
+        let mut events = vec![];
+        let is_final = key == final_key(&job);
+        match item {
+            Some(i) if is_final => {
+                if let Ok(f) = serde_json::from_value::<Final>(i.value) {
+                    self.sweep(sched, &job);
+                    events.push(Event::AlreadyFinal(job.clone(), f));
+                }
+            }
+            Some(i) => {
+                self.stamps.insert(key, i.stamp);
+            }
+            None => {
+                self.stamps.remove(&key);
+            }
+        }
+        if !self.reading.values().any(|j| *j == job) {
+            self.busy.remove(&job);
+        }
+        (events, vec![])
+    }
+}
--- /dev/null
+++ b/src/wire/peer.rs
@@ -0,0 +1,61 @@
+//! Talk among controllers: length-prefixed `bincode` frames.
+
+use bincode::{Decode, Encode};
+
+/// What a controller passes on to the leader.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub enum Ask {
+    Submit(Vec<u8>),
+    Poll(String),
+    Cancel(String),
+    Report(Vec<u8>),
+}
+
+/// A finished answer, ready to be written to the asker.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct Answer {
+    pub status: u16,
+    pub body: String,
+    /// Seconds after which asking again makes sense.
+    pub retry_after: Option<u32>,
+}
+
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub enum PeerMsg {
+    /// Sent twice a second: who leads, and whom the sender hears.
+    Ping {
+        from: String,
+        leader: Option<(String, u64)>,
+        hears: Vec<String>,
+    },
+    Ask {
+        id: u64,
+        from: String,
+        to: String,
+        ask: Ask,
+    },
+    Tell {
+        id: u64,
+        to: String,
+        answer: Answer,
+    },
+}
+
+impl Answer {
+    pub fn new(status: u16, body: String) -> Answer {
+        Answer {
+            status,
+            body,
+            retry_after: None,
+        }
+    }
+    pub fn error(status: u16, text: &str) -> Answer {
+        Answer::new(status, serde_json::json!({ "error": text }).to_string())
+    }
+    pub fn later(text: &str, seconds: u32) -> Answer {
+        Answer {
+            retry_after: Some(seconds),
+            ..Answer::error(503, text)
+        }
+    }
+}
--- /dev/null
+++ b/src/wire/user.rs
@@ -0,0 +1,148 @@
+//! Talk with users.
+
+use crate::ids::{Build, Class, Image, JobId, Team, Zone};
+use serde::{Deserialize, Serialize};
+
+/// Most tasks a job may have.
+pub const MAX_TASKS: u32 = 100_000;
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct JobSpec {
+    #[serde(rename = "Id")]
+    pub id: JobId,
+    #[serde(rename = "Jobline")]
+    pub class: Class,
+    #[serde(rename = "Crew")]
+    pub team: Team,
+    #[serde(rename = "Shape")]
+    pub kind: Kind,
+    #[serde(rename = "Urgency")]
+    pub priority: Priority,
+    #[serde(rename = "Pieces")]
+    pub tasks: u32,
+    #[serde(rename = "Vcpus")]
+    pub cpus: f64,
+    #[serde(rename = "Accelerators")]
+    pub gpus: f64,
+    #[serde(rename = "RamGb")]
+    pub memory_gb: f64,
+    #[serde(rename = "Bundle")]
+    pub image: Image,
+    #[serde(rename = "SizeGb")]
+    pub image_gb: f64,
+    #[serde(rename = "Builds", default, skip_serializing_if = "Option::is_none")]
+    pub builds: Option<Vec<Build>>,
+    #[serde(rename = "Yard", default, skip_serializing_if = "Option::is_none")]
+    pub zone: Option<Zone>,
+    #[serde(rename = "OneZone")]
+    pub one_zone: bool,
+    #[serde(rename = "Scatter")]
+    pub spread: bool,
+    #[serde(rename = "Lendable")]
+    pub spot: bool,
+    #[serde(rename = "GuessS")]
+    pub estimate_s: f64,
+    #[serde(rename = "BookmarkS")]
+    pub checkpoint_s: f64,
+    #[serde(rename = "StowS")]
+    pub save_s: f64,
+    #[serde(rename = "DueS", default, skip_serializing_if = "Option::is_none")]
+    pub deadline_s: Option<f64>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Kind {
+    #[serde(rename = "batch")]
+    Array,
+    #[serde(rename = "gang")]
+    Gang,
+    #[serde(rename = "daemon")]
+    Service,
+}
+
+/// From the most to the least urgent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Priority {
+    #[serde(rename = "production")]
+    Production,
+    #[serde(rename = "high")]
+    High,
+    #[serde(rename = "normal")]
+    Normal,
+    #[serde(rename = "best_effort")]
+    Low,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum JobState {
+    Queued,
+    Running,
+    Done,
+    Cancelled,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct JobView {
+    #[serde(rename = "Id")]
+    pub id: JobId,
+    #[serde(rename = "Status")]
+    pub state: JobState,
+    #[serde(default)]
+    pub done: u32,
+    #[serde(default)]
+    pub running: u32,
+}
+
+impl JobSpec {
+    /// Reads a submission; the error names the field that is wrong.
+    pub fn parse(body: &[u8]) -> Result<JobSpec, String> {
+        // serde would also take an array of all fields in their order.
+        if body.iter().find(|b| !b.is_ascii_whitespace()) != Some(&b'{') {
+            return Err("body: must be a JSON object".into());
+        }
+        let mut de = serde_json::Deserializer::from_slice(body);
+        let spec: JobSpec = serde_path_to_error::deserialize(&mut de).map_err(|e| e.to_string())?;
+        de.end().map_err(|e| e.to_string())?;
+        spec.check()?;
+        Ok(spec)
+    }
+
+    fn check(&self) -> Result<(), String> {
+        if !JobId::well_formed(self.id.as_str()) {
+            return Err("Id: must be job- and digits".into());
+        }
+        if self.tasks == 0 || self.tasks > MAX_TASKS {
+            return Err(format!("Pieces: must be 1 to {MAX_TASKS}"));
+        }
+        let amounts = [
+            ("Vcpus", self.cpus),
+            ("Accelerators", self.gpus),
+            ("RamGb", self.memory_gb),
+            ("SizeGb", self.image_gb),
+            ("GuessS", self.estimate_s),
+            ("BookmarkS", self.checkpoint_s),
+            ("StowS", self.save_s),
+            ("DueS", self.deadline_s.unwrap_or(0.0)),
+        ];
+        for (field, v) in amounts {
+            if !v.is_finite() || !(0.0..=1e9).contains(&v) {
+                return Err(format!("{field}: must be 0 or more"));
+            }
+        }
+        let names = [
+            ("Jobline", self.class.as_str()),
+            ("Crew", self.team.as_str()),
+            ("Bundle", self.image.as_str()),
+        ];
+        for (field, v) in names {
+            if v.is_empty() || v.len() > 200 {
+                return Err(format!("{field}: must have 1 to 200 bytes"));
+            }
+        }
+        if self.builds.as_ref().is_some_and(|b| b.len() > 64) {
+            return Err("Builds: at most 64 types".into());
+        }
+        Ok(())
+    }
+}
