A first report after a take-over is no new session

Cause: the loaded attempts were taken for gone when a worker's first report came, since its session was above the unknown one.

--- a/src/sched/report.rs
+++ b/src/sched/report.rs
@@ -4,7 +4,7 @@
 use super::job::{Phase, Stop};
 use super::machine::{Life, Machine};
 use super::{DirectResult, Effect, Sched, estimate};
-use crate::ids::{Attempt, CallId, Host, JobId, ReqId, TaskId, TaskIx};
+use crate::ids::{Attempt, CallId, Host, JobId, ReqId, Session, TaskId, TaskIx};
 use crate::time::{Span, Time};
 use crate::wire::peer::Answer;
 use crate::wire::worker::{Cause, Order, Orders, Report, ReportAnswer, TaskReport, TaskState};
@@ -72,7 +72,9 @@
         if (r.session, r.seq) <= (m.session, m.seq) {
             return false;
         }
-        let new_session = r.session > m.session;
+        // After a take-over the first report tells nothing of what went before:
+        // the loaded attempts may well be of this very session.
+        let new_session = m.session != Session(0) && r.session > m.session;
         (m.session, m.seq) = (r.session, r.seq);
         m.heard = now;
         m.build = r.build.clone();
