--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -71,6 +71,8 @@
     origin: Origin,
     since: Time,
     limit: Span,
+    /// A submission, whose refusal operators would ask about.
+    submits: bool,
 }
 
 enum Role {
@@ -184,18 +186,16 @@
         let now = self.clock.now();
         match m {
             Msg::Http(Incoming::Ask(request, ask)) => {
-                let limit = limit_of(&ask);
-                self.ask(now, Origin::Http(request), limit, ask);
+                self.ask(now, Origin::Http(request), ask);
             }
             Msg::Http(Incoming::Overview(request)) => {
                 let body = self.overview(now).to_string();
                 let _ = self.answers.send((request, Answer::new(200, body)));
             }
             Msg::Peer(PeerMsg::Ask { id, from, ask, .. }) => {
-                let limit = limit_of(&ask);
                 let from = Label::from(from.as_str());
                 let origin = Origin::Peer { from, id };
-                self.ask_from_peer(now, origin, limit, ask);
+                self.ask_from_peer(now, origin, ask);
             }
             Msg::Peer(PeerMsg::Tell { id, answer, .. }) => self.answer(now, ReqId(id), answer),
             Msg::Peer(PeerMsg::Ping { .. }) => {}
@@ -231,7 +231,7 @@
         }
     }
 
-    fn new_req(&mut self, now: Time, origin: Origin, limit: Span) -> ReqId {
+    fn new_req(&mut self, now: Time, origin: Origin, ask: &Ask) -> ReqId {
         let req = ReqId(self.next_req);
         self.next_req += 1;
         let since = now;
@@ -240,14 +240,15 @@
             Pending {
                 origin,
                 since,
-                limit,
+                limit: limit_of(ask),
+                submits: matches!(ask, Ask::Submit(_)),
             },
         );
         req
     }
 
-    fn ask_from_peer(&mut self, now: Time, origin: Origin, limit: Span, ask: Ask) {
-        let req = self.new_req(now, origin, limit);
+    fn ask_from_peer(&mut self, now: Time, origin: Origin, ask: Ask) {
+        let req = self.new_req(now, origin, &ask);
         if matches!(self.role, Role::Leader(_)) {
             self.lead_ask(now, req, ask);
         } else {
@@ -255,9 +256,9 @@
         }
     }
 
-    fn ask(&mut self, now: Time, origin: Origin, limit: Span, ask: Ask) {
+    fn ask(&mut self, now: Time, origin: Origin, ask: Ask) {
         let full = self.pending.len() >= MAX_PENDING;
-        let req = self.new_req(now, origin, limit);
+        let req = self.new_req(now, origin, &ask);
         if full {
             return self.answer(now, req, Answer::later("too many requests", 2));
         }
@@ -325,6 +326,10 @@
             return;
         };
         self.latency.saturating_record((now - p.since).0);
+        if answer.status >= 429 && p.submits {
+            let after_ms = (now - p.since).0 / 1000;
+            tracing::info!(status = answer.status, after_ms, why = %answer.body, "submission refused");
+        }
         match p.origin {
             Origin::Http(request) => {
                 let _ = self.answers.send((request, answer));
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -18,8 +18,10 @@
 /// Not heard for longer, a link counts as down.
 const DOWN_AFTER: Span = Span(1_700_000);
 const CALL: Duration = Duration::from_secs(1);
+/// A connection over which we are not heard by then is made anew.
+const UNHEARD: Duration = Duration::from_millis(2500);
 const MAX_FRAME: usize = 128 * 1024;
-const MAX_INBOUND: usize = 8;
+const MAX_INBOUND: usize = 32;
 const QUEUE: usize = 256;
 
 #[derive(Default)]
@@ -53,7 +55,7 @@
         for s in seeds {
             let (tx, rx) = bounded(QUEUE);
             links.insert(s.label.clone(), tx);
-            queues.push((s.peer_addr, rx));
+            queues.push((s.label.clone(), s.peer_addr, rx));
         }
         let peers = Arc::new(Peers {
             me,
@@ -62,9 +64,9 @@
             heard: Mutex::default(),
             leader: Mutex::new(None),
         });
-        for (addr, rx) in queues {
+        for (to, addr, rx) in queues {
             let p = peers.clone();
-            crate::node::spawn("peer-out", move || p.keep_link(addr, rx));
+            crate::node::spawn("peer-out", move || p.keep_link(&to, addr, rx));
         }
         let p = peers.clone();
         crate::node::spawn("peer-listen", move || p.accept(listener, inbox));
@@ -157,7 +159,7 @@
             .is_some_and(|q| q.try_send(msg).is_ok())
     }
 
-    fn keep_link(&self, addr: SocketAddr, queue: Receiver<PeerMsg>) {
+    fn keep_link(&self, to: &Label, addr: SocketAddr, queue: Receiver<PeerMsg>) {
         loop {
             let Ok(mut s) = TcpStream::connect_timeout(&addr, CALL) else {
                 while queue.try_recv().is_ok() {}
@@ -167,8 +169,11 @@
             let _ = s.set_nodelay(true);
             let _ = s.set_write_timeout(Some(CALL));
             let mut sent = std::time::Instant::now();
+            let since = std::time::Instant::now();
             let mut ok = write(&mut s, &self.ping()).is_ok();
-            while ok {
+            // A peer that came back after a crash may leave the old connection
+            // unanswered for long; only its own word says that we are heard.
+            while ok && (since.elapsed() < UNHEARD || self.both_ways(to)) {
                 match queue.recv_timeout(PING.saturating_sub(sent.elapsed())) {
                     Ok(m) => ok = write(&mut s, &m).is_ok(),
                     Err(RecvTimeoutError::Timeout) => {
--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -66,6 +66,8 @@
     pub arrived: Time,
     pub submitted: Wall,
     pub cancelled: bool,
+    /// Version of the first part that says so; told only once stored.
+    pub cancel_ver: u64,
     /// Nothing is left to do; the final state is being stored.
     pub closing: Option<JobState>,
     done: Vec<u64>,
@@ -126,6 +128,7 @@
             arrived: now,
             submitted: wall,
             cancelled: false,
+            cancel_ver: 0,
             closing: None,
             done: vec![0; n.div_ceil(64) as usize],
             done_count: 0,
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -34,6 +34,8 @@
     Ask(ReqId, Ask),
     /// A part of a job, or its final state, is in the store for certain.
     Stored(Key, u64),
+    /// The state service refuses to store anything of this job for now.
+    NotStored(JobId),
     /// The store already holds a final state for a job that was to be new.
     AlreadyFinal(JobId, Final),
     /// A consistent read of a final state came back, or failed.
@@ -173,6 +175,7 @@
         match event {
             Event::Ask(req, ask) => self.ask(now, req, ask),
             Event::Stored(key, ver) => self.stored(now, key, ver),
+            Event::NotStored(job) => self.not_stored(&job),
             Event::AlreadyFinal(job, f) => self.already_final(now, job, f),
             Event::FinalRead(job, r) => self.final_read(now, job, r),
             Event::Direct(call, host, r) => self.direct_result(now, call, host, r),
--- a/src/sched/place.rs
+++ b/src/sched/place.rs
@@ -21,7 +21,7 @@
 impl Sched {
     /// Jobs that fit within their team's guarantee along with the team's
     /// earlier unfinished ones.
-    fn within_guarantee(&self) -> BTreeSet<JobId> {
+    pub(super) fn within_guarantee(&self) -> BTreeSet<JobId> {
         let mut by_seq: Vec<_> = self.jobs.values().filter(|j| !j.cancelled).collect();
         by_seq.sort_by_key(|j| j.seq);
         let mut used = BTreeMap::new();
@@ -81,8 +81,7 @@
                 }
                 continue;
             }
-            loop {
-                let Some(j) = self.jobs.get(&id) else { break };
+            while let Some(j) = self.jobs.get(&id) {
                 let left = j.pending() as i64;
                 if left == 0 {
                     break;
--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -1,78 +1,119 @@
 //! Who has to make room, in the cases that the protocol allows.
 
-use super::Sched;
-use super::estimate;
-use super::job::Phase;
+use super::job::{Job, Phase};
 use super::place::allowed;
+use super::{Sched, estimate};
 use crate::ids::{Host, JobId, TaskIx};
 use crate::time::Time;
 use crate::wire::user::{Kind, Priority};
 
 /// Tasks stopped in one go; the next pass sees what came of it.
 const MAX_STOPS: usize = 12;
+/// A task that has run for this share of its estimate is let finish.
+const NEARLY_DONE: f64 = 0.85;
+
+struct Victim {
+    cost: f64,
+    host: Host,
+    job: JobId,
+    task: TaskIx,
+    cpu: i64,
+}
 
 impl Sched {
-    /// Stops tasks of lower priority for urgent ones that found no room.
+    /// Stops tasks for those that found no room and have a right to it.
     pub(super) fn preempt(&mut self, now: Time) {
-        let fresh = self.heard_within();
         let mut stopping: i64 = 0;
         for j in self.jobs.values() {
             let s = j.live.values().filter(|l| l.stop.is_some()).count() as i64;
             stopping += s * j.need.cpu;
         }
-        let short = self.fleet.short.clone();
-        let mut stops: Vec<(JobId, TaskIx)> = vec![];
-        for (id, wanted) in short {
+        let mut stops: Vec<Victim> = vec![];
+        let within = self.within_guarantee();
+        for (id, wanted) in self.fleet.short.clone() {
             let Some(j) = self.jobs.get(&id) else {
                 continue;
             };
-            if j.spec.priority > Priority::High {
+            let urgent = j.spec.priority <= Priority::High;
+            if !urgent && !within.contains(&id) {
                 continue;
             }
-            let mut need = j.need.cpu * wanted - stopping.max(0);
-            stopping -= j.need.cpu * wanted;
-            // The cheapest victims first: what lost least.
-            let mut victims: Vec<(f64, Host, JobId, TaskIx, i64)> = vec![];
-            for v in self.jobs.values() {
-                let array = v.spec.kind == Kind::Array;
-                if v.spec.priority <= j.spec.priority || !array {
-                    continue;
-                }
-                for (t, l) in &v.live {
-                    let Some(m) = self.machines.get(&l.host) else {
-                        continue;
-                    };
-                    if l.stop.is_some() || !m.open(now, fresh) || !allowed(&j.spec, m) {
-                        continue;
-                    }
-                    let ran = match (l.phase, l.running_since) {
-                        (Phase::Running, Some(s)) => (now - s).as_secs(),
-                        _ => 0.0,
-                    };
-                    let lost = if v.spec.checkpoint_s > 0.0 {
-                        ran % v.spec.checkpoint_s
-                    } else {
-                        ran
-                    };
-                    if ran > 0.9 * estimate::of(v).as_secs() {
-                        continue;
-                    }
-                    let cost = lost * v.spec.cpus;
-                    victims.push((cost, l.host.clone(), v.id().clone(), *t, v.need.cpu));
-                }
+            // What is being stopped already makes room for the first of them.
+            let asked = j.need.cpu * wanted;
+            let mut need = (asked - stopping).max(0);
+            stopping = (stopping - asked).max(0);
+            if need == 0 {
+                continue;
             }
-            victims.sort_by(|a, b| a.0.total_cmp(&b.0));
-            for (_, host, job, t, cpu) in victims {
+            let mut victims = self.victims(now, j, urgent, &within);
+            // The cheapest first: what would lose least.
+            victims.sort_by(|a, b| a.cost.total_cmp(&b.cost));
+            for v in victims {
                 if need <= 0 || stops.len() >= MAX_STOPS {
                     break;
                 }
-                tracing::info!(%job, task = %t, %host, urgent = %id, "preempted");
-                stops.push((job, t));
-                need -= cpu;
+                if stops.iter().any(|s| s.job == v.job && s.task == v.task) {
+                    continue;
+                }
+                tracing::info!(job = %v.job, task = %v.task, host = %v.host, for_job = %id, "preempted");
+                need -= v.cpu;
+                stops.push(v);
             }
         }
-        for (job, t) in stops {
-            self.stop(now, &job, t, 0.0);
+        for v in stops {
+            self.stop(now, &v.job, v.task, 0.0);
+        }
+    }
+
+    /// Tasks that may be stopped for this job: those of lower priority, and
+    /// what other teams run beyond their guarantee while this one is within.
+    fn victims(
+        &self,
+        now: Time,
+        j: &Job,
+        urgent: bool,
+        within: &std::collections::BTreeSet<JobId>,
+    ) -> Vec<Victim> {
+        let fresh = self.heard_within();
+        let mut victims = vec![];
+        for v in self.jobs.values() {
+            let lower = v.spec.priority > j.spec.priority;
+            let borrowed = within.contains(j.id())
+                && !within.contains(v.id())
+                && v.spec.team != j.spec.team
+                && v.spec.priority >= j.spec.priority
+                && self.teams.beyond_guarantee(&v.spec.team);
+            if !(borrowed || urgent && lower) || v.spec.kind != Kind::Array {
+                continue;
+            }
+            for (t, l) in &v.live {
+                let Some(m) = self.machines.get(&l.host) else {
+                    continue;
+                };
+                if l.stop.is_some() || !m.open(now, fresh) || !allowed(&j.spec, m) {
+                    continue;
+                }
+                let ran = match (l.phase, l.running_since) {
+                    (Phase::Running, Some(s)) => (now - s).as_secs(),
+                    _ => 0.0,
+                };
+                if ran > NEARLY_DONE * estimate::of(v).as_secs() {
+                    continue;
+                }
+                let lost = if v.spec.checkpoint_s > 0.0 {
+                    ran % v.spec.checkpoint_s
+                } else {
+                    ran
+                };
+                victims.push(Victim {
+                    cost: lost * v.spec.cpus,
+                    host: l.host.clone(),
+                    job: v.id().clone(),
+                    task: *t,
+                    cpu: v.need.cpu,
+                });
+            }
         }
+        victims
     }
 }
--- a/src/sched/records.rs
+++ b/src/sched/records.rs
@@ -4,6 +4,7 @@
 use super::{Effect, Sched};
 use crate::ids::{JobId, TaskIx};
 use crate::time::Time;
+use crate::wire::peer::Answer;
 use crate::wire::user::{JobState, Kind};
 use std::collections::VecDeque;
 
@@ -133,6 +134,17 @@
         }
     }
 
+    /// Users need not wait for a state service that refuses: a retry is safe.
+    pub(super) fn not_stored(&mut self, id: &JobId) {
+        let waiters = match self.jobs.get_mut(id) {
+            Some(j) => std::mem::take(&mut j.waiters),
+            None => return,
+        };
+        for (_, req, _) in waiters {
+            self.answer(req, Answer::later("the state service refuses changes", 1));
+        }
+    }
+
     pub(super) fn already_final(&mut self, now: Time, id: JobId, f: Final) {
         let Some(j) = self.jobs.get_mut(&id) else {
             return;
--- a/src/sched/users.rs
+++ b/src/sched/users.rs
@@ -127,6 +127,10 @@
 
     fn tell_live(&mut self, req: ReqId, id: &JobId) {
         if let Some(j) = self.jobs.get(id) {
+            // What is not stored is not told: it could go back.
+            if j.cancelled && j.parts[0].stored < j.cancel_ver {
+                return self.answer(req, Answer::later("the job is being cancelled", 1));
+            }
             // Done is told only once it is stored as the final state.
             let a = Answer::new(200, view(id, j.state(), j.done_count, j.running()));
             self.answer(req, a);
@@ -148,11 +152,6 @@
             Some(j) if j.parts[0].stored == 0 && j.parts[0].ver > 0 => {
                 self.answer(req, Answer::later("the job is being stored", 1));
             }
-            // The user may already have been told so by an earlier leader, but
-            // not by us: what is not stored is not told.
-            Some(j) if j.cancelled && j.waiters.iter().any(|w| w.2 == Waiting::Cancel) => {
-                self.answer(req, Answer::later("the job is being cancelled", 1));
-            }
             Some(_) => self.tell_live(req, &id),
             None => self.look_up(req, id.clone(), Ask::Poll(id.to_string())),
         }
@@ -179,15 +178,16 @@
         if !j.cancelled {
             j.cancelled = true;
             let ver = j.touch(0, &mut self.dirty, true);
+            j.cancel_ver = ver;
             j.waiters.push((ver, req, Waiting::Cancel));
             self.stop_all(now, &id);
             self.finish_if_over(now, &id);
             self.replan = true;
-        } else if j.parts[0].stored >= j.parts[0].ver {
+        } else if j.parts[0].stored >= j.cancel_ver {
             let a = Answer::new(200, view(&id, JobState::Cancelled, j.done_count, 0));
             self.answer(req, a);
         } else {
-            let ver = j.parts[0].ver;
+            let ver = j.cancel_ver;
             j.waiters.push((ver, req, Waiting::Cancel));
         }
     }
--- a/src/settings/tuning.rs
+++ b/src/settings/tuning.rs
@@ -28,7 +28,7 @@
         Tuning {
             delta_factor: 0.5,
             delta_floor_s: 600.0,
-            leader_lease_s: 2.5,
+            leader_lease_s: 1.6,
             silent_share: 0.6,
             idle_s: 30.0,
             idle_spot_s: 60.0,
--- a/src/store/commit.rs
+++ b/src/store/commit.rs
@@ -302,6 +302,8 @@
             }
             Outcome::NotDone | Outcome::NoLease => {
                 self.rest_until = now + Span::millis(250);
+                // Whoever waits for these is told at once to come again.
+                events.extend(works.iter().map(|w| Event::NotStored(w.job.clone())));
                 self.requeue(sched, works);
             }
             Outcome::Unclear => {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -370,7 +370,7 @@
         let told = self.told.entry(id.clone()).or_default();
         told.tasks = tasks;
         let known = self.specs.contains_key(&id);
-        if a.status == 404 && told.accepted || told.accepted && matches!(a.status, 400 | 422) {
+        if told.accepted && matches!(a.status, 400 | 404 | 422) {
             self.broken.push(format!("forgotten: {id} {}", a.status));
         }
         if (200..300).contains(&a.status) {
@@ -453,8 +453,8 @@
                     return self.at(1.0, Ev::Orders(i, epoch, call, h, orders));
                 }
                 let r = match w.direct(now, orders, &self.specs, self.run_s) {
-                    Ok(r) => DirectResult::Done(Box::new(r)),
-                    Err(r) => DirectResult::Conflict(Box::new(r)),
+                    Ok(r) => DirectResult::Done(r),
+                    Err(r) => DirectResult::Conflict(r),
                 };
                 let d = self.delay();
                 self.at(d, Ev::Direct(i, epoch, call, h.clone(), r));
--- a/tests/world/worker.rs
+++ b/tests/world/worker.rs
@@ -194,13 +194,13 @@
         o: Orders,
         specs: &BTreeMap<JobId, JobSpec>,
         run_s: f64,
-    ) -> Result<Report, Report> {
+    ) -> Result<Box<Report>, Box<Report>> {
         self.step(now, 20_000_000);
         if o.token.0 < self.token || o.session.0 != self.session {
-            return Err(self.report());
+            return Err(Box::new(self.report()));
         }
         self.token = o.token.0;
         self.execute(now, o.orders, specs, run_s);
-        Ok(self.report())
+        Ok(Box::new(self.report()))
     }
 }
