--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -330,6 +330,10 @@
             let after_ms = (now - p.since).0 / 1000;
             tracing::info!(status = answer.status, after_ms, why = %answer.body, "submission refused");
         }
+        if p.submits && answer.status < 429 {
+            let after_ms = (now - p.since).0 / 1000;
+            tracing::debug!(status = answer.status, after_ms, "submission answered");
+        }
         match p.origin {
             Origin::Http(request) => {
                 let _ = self.answers.send((request, answer));
@@ -489,6 +493,19 @@
     }
 
     fn tick(&mut self, now: Time) {
+        // Cut off from the state service, a leader learns from the others that
+        // it is none any more.
+        let mine = match &self.role {
+            Role::Leader(t) => Some(t.epoch),
+            Role::Loading(e) => Some(*e),
+            Role::Follower => None,
+        };
+        if let (Some(mine), Some((label, epoch))) = (mine, self.peers.best_leader())
+            && epoch > mine
+        {
+            tracing::warn!(%label, %epoch, "a later leader is known");
+            self.step_down(now);
+        }
         if let Role::Leader(t) = &self.role {
             let epoch = t.epoch;
             self.event(now, epoch, Event::Tick(wall()));
--- a/src/sched/fleet.rs
+++ b/src/sched/fleet.rs
@@ -173,6 +173,7 @@
             .values()
             .map(|p| p.hire.count as f64)
             .sum::<f64>();
+        coming += self.freed_soon(now);
         let mut left: BTreeMap<_, Room> = BTreeMap::new();
         let mut wanted: BTreeMap<Flavoured, f64> = BTreeMap::new();
         for (id, n) in &self.fleet.short {
@@ -228,6 +229,23 @@
         }
     }
 
+    /// Machines' worth of room that running tasks will leave before a machine
+    /// rented now would be up.
+    fn freed_soon(&self, now: Time) -> f64 {
+        let share = self.cfg.tuning.wait_share;
+        let mut sum = 0.0;
+        for m in self.machines.values() {
+            let boot = self.flavors.get(&m.build).map_or(0.0, |f| f.boot_s);
+            let soon = Span::secs(boot * share);
+            let leaves = m.slots.values().filter(|s| s.remaining(now) < soon);
+            let cpu: i64 = leaves.map(|s| s.need.cpu).sum();
+            if m.life == Life::Up && m.notice_until.is_none() && m.capacity.cpu > 0 {
+                sum += cpu as f64 / m.capacity.cpu as f64;
+            }
+        }
+        sum
+    }
+
     /// A machine to rent when less is free than is to be kept free.
     fn headroom_short(&self, now: Time) -> Option<(Flavoured, f64)> {
         let keep = self.fleet.headroom(&self.cfg.tuning);
--- a/src/sched/place.rs
+++ b/src/sched/place.rs
@@ -39,6 +39,36 @@
         within
     }
 
+    /// When the job must start for the next of its aims that it can still
+    /// meet; those that can meet none come last.
+    fn latest_start(&self, now: Time, j: &Job, within: bool) -> f64 {
+        let run = estimate::of(j).as_secs();
+        let run = if run > 1e9 { 0.0 } else { run };
+        let arrived = j.arrived.0 as f64 / 1e6;
+        let now = now.0 as f64 / 1e6;
+        let mut best = f64::INFINITY;
+        let mut take = |start: f64| {
+            if start >= now && start < best {
+                best = start;
+            }
+        };
+        if let Some(d) = j.spec.deadline_s {
+            take(arrived + d - run);
+            take(arrived + 1.5 * d - run);
+        }
+        for o in &self.cfg.objectives {
+            let mine = o.class.as_ref() == Some(&j.spec.class);
+            let Some(s) = o.within_s else { continue };
+            match o.kind.as_str() {
+                "finished" if mine => take(arrived + s - run),
+                "wait" if mine => take(arrived + s),
+                "guarantee" if within => take(arrived + s),
+                _ => {}
+            }
+        }
+        best
+    }
+
     pub(super) fn ranked(&self, now: Time) -> Vec<(Rank, JobId)> {
         let within = self.within_guarantee();
         let mut v: Vec<(Rank, JobId)> = self
@@ -53,10 +83,7 @@
                     Priority::Normal => 3,
                     Priority::Low => 4,
                 };
-                let due = match j.spec.deadline_s {
-                    Some(d) => (j.arrived + Span::secs(d)).0 as f64,
-                    None => 0.0,
-                };
+                let due = self.latest_start(now, j, within.contains(j.id()));
                 let seq = j.seq;
                 (Rank { tier, due, seq }, j.id().clone())
             })
--- a/src/settings/tuning.rs
+++ b/src/settings/tuning.rs
@@ -21,6 +21,8 @@
     pub idle_spot_s: f64,
     /// How much of the seen arrivals is kept free for classes that want quick starts.
     pub headroom: f64,
+    /// Room that tasks leave within this share of a boot time is waited for.
+    pub wait_share: f64,
 }
 
 impl Default for Tuning {
@@ -30,9 +32,10 @@
             delta_floor_s: 600.0,
             leader_lease_s: 1.6,
             silent_share: 0.6,
-            idle_s: 30.0,
-            idle_spot_s: 60.0,
+            idle_s: 12.0,
+            idle_spot_s: 40.0,
             headroom: 1.0,
+            wait_share: 0.6,
         }
     }
 }
@@ -51,6 +54,7 @@
             ("idle-s", t.idle_s, 0.0, 1e6),
             ("idle-spot-s", t.idle_spot_s, 0.0, 1e6),
             ("headroom", t.headroom, 0.0, 100.0),
+            ("wait-share", t.wait_share, 0.0, 10.0),
         ];
         for (field, v, low, high) in all {
             if !(v.is_finite() && (low..=high).contains(&v)) {
