--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -12,6 +12,11 @@
 /// A task that has run for this share of its estimate is let finish.
 const NEARLY_DONE: f64 = 0.85;
 
+/// Work that a task may lose to make room for what is not urgent.
+const CHEAP_S: f64 = 6.0;
+/// A start that is undone sooner was in vain.
+const SETTLED_S: f64 = 31.0;
+
 struct Victim {
     cost: f64,
     host: Host,
@@ -35,7 +40,7 @@
                 continue;
             };
             let urgent = j.spec.priority <= Priority::High;
-            if !urgent && !within.contains(&id) {
+            if j.spec.priority == Priority::Low && !within.contains(&id) {
                 continue;
             }
             // What is being stopped already makes room for the first of them.
@@ -83,7 +88,7 @@
                 && v.spec.team != j.spec.team
                 && v.spec.priority >= j.spec.priority
                 && self.teams.beyond_guarantee(&v.spec.team);
-            if !(borrowed || urgent && lower) || v.spec.kind != Kind::Array {
+            if !(borrowed || lower) || v.spec.kind != Kind::Array {
                 continue;
             }
             for (t, l) in &v.live {
@@ -105,6 +110,12 @@
                 } else {
                     ran
                 };
+                // For what is not urgent only those stop that lose little, and
+                // whose start has counted.
+                let cheap = v.spec.checkpoint_s > 0.0 && lost < CHEAP_S && ran > SETTLED_S;
+                if !(borrowed || urgent || cheap) {
+                    continue;
+                }
                 victims.push(Victim {
                     cost: lost * v.spec.cpus,
                     host: l.host.clone(),
--- a/src/settings/tuning.rs
+++ b/src/settings/tuning.rs
@@ -32,10 +32,10 @@
             delta_floor_s: 600.0,
             leader_lease_s: 1.6,
             silent_share: 0.6,
-            idle_s: 12.0,
+            idle_s: 8.0,
             idle_spot_s: 40.0,
-            headroom: 1.0,
-            wait_share: 0.6,
+            headroom: 2.0,
+            wait_share: 0.8,
         }
     }
 }
