--- a/src/node/duties.rs
+++ b/src/node/duties.rs
@@ -140,7 +140,8 @@
                 }
                 _ => {}
             }
-            if leads && now >= flavors_at {
+            // Followers know them too, so that a take-over need not ask first.
+            if now >= flavors_at {
                 wait(&mut budget);
                 let r = client.flavors();
                 flavors_at = now
@@ -150,7 +151,7 @@
                         Span::secs(1.0)
                     };
                 if let Some(f) = r {
-                    let _ = inbox.send(Msg::Event(epoch, Event::Flavors(f)));
+                    let _ = inbox.send(Msg::Flavors(f));
                 }
             }
             if leads && now >= list_at {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -13,6 +13,7 @@
 use crate::store::commit::{Committer, Step};
 use crate::store::{Outcome, final_key};
 use crate::time::{Clock, Span, Time, wall};
+use crate::wire::cloud::Flavor;
 use crate::wire::peer::{Answer, Ask, PeerMsg};
 use crate::wire::state::{Item, Txn};
 use crate::wire::worker::{Redirect, Report};
@@ -46,6 +47,8 @@
     Peer(PeerMsg),
     Elect(Elect),
     Loaded(Box<Loaded>),
+    /// Machine types, which every controller keeps at hand.
+    Flavors(Vec<Flavor>),
     /// An event of a term; those of earlier terms are dropped.
     Event(Epoch, Event),
     Txn(Epoch, TxnId, Outcome),
@@ -73,6 +76,8 @@
     limit: Span,
     /// A submission, whose refusal operators would ask about.
     submits: bool,
+    /// The leader that it was passed on to.
+    with: Option<Label>,
 }
 
 enum Role {
@@ -106,6 +111,7 @@
     pending: HashMap<ReqId, Pending>,
     next_req: u64,
     redirected: HashMap<Host, Time>,
+    flavors: Vec<Flavor>,
     latency: Histogram<u64>,
     started: Time,
 }
@@ -156,6 +162,7 @@
         pending: HashMap::new(),
         next_req: 1,
         redirected: HashMap::new(),
+        flavors: vec![],
         latency: Histogram::new_with_bounds(1, 60_000_000, 2).map_err(std::io::Error::other)?,
         started: now,
     };
@@ -201,6 +208,13 @@
             Msg::Peer(PeerMsg::Ping { .. }) => {}
             Msg::Elect(e) => self.elect(now, e),
             Msg::Loaded(l) => self.loaded(now, *l),
+            Msg::Flavors(f) => {
+                self.flavors = f.clone();
+                if let Role::Leader(t) = &self.role {
+                    let epoch = t.epoch;
+                    self.event(now, epoch, Event::Flavors(f));
+                }
+            }
             Msg::Event(epoch, e) => self.event(now, epoch, e),
             Msg::Txn(epoch, id, outcome) => {
                 if let Some(t) = self.term(epoch) {
@@ -242,6 +256,7 @@
                 since,
                 limit: limit_of(ask),
                 submits: matches!(ask, Ask::Submit(_)),
+                with: None,
             },
         );
         req
@@ -308,6 +323,8 @@
         };
         if !self.peers.send(&leader, msg) {
             self.no_leader(now, req, ask);
+        } else if let Some(p) = self.pending.get_mut(&req) {
+            p.with = Some(leader);
         }
     }
 
@@ -490,6 +507,10 @@
         self.peers.set_leader(Some((me, l.epoch)));
         self.term.store(l.epoch.0, Ordering::SeqCst);
         let _ = self.cloud.send(duties::CloudJob::Look);
+        if !self.flavors.is_empty() {
+            let known = self.flavors.clone();
+            self.event(now, l.epoch, Event::Flavors(known));
+        }
     }
 
     fn tick(&mut self, now: Time) {
@@ -519,6 +540,16 @@
         for req in late {
             self.answer(now, req, Answer::later("no answer in time", 1));
         }
+        // What was passed to a leader that has fallen silent is not waited for.
+        let lost: Vec<ReqId> = self
+            .pending
+            .iter()
+            .filter(|(_, p)| p.with.as_ref().is_some_and(|l| !self.peers.reachable(l)))
+            .map(|(r, _)| *r)
+            .collect();
+        for req in lost {
+            self.answer(now, req, Answer::later("the leader is out of reach", 1));
+        }
         self.redirected.retain(|_, t| now - *t < Span::secs(60.0));
         let ok = self.can_serve(now);
         if ok != self.healthy.swap(ok, Ordering::Relaxed) {
--- /dev/null
+++ b/tests/safety.rs
@@ -0,0 +1,498 @@
+//! One story or more for each point that keeps the rules.
+
+mod world;
+
+use hookworks::ids::*;
+use hookworks::lead::{Elect, Elector};
+use hookworks::sched::job::{Final, Job};
+use hookworks::sched::{DirectResult, Effect, Event, HireResult, Key, Sched};
+use hookworks::store::client::State;
+use hookworks::store::commit::{Committer, Step};
+use hookworks::store::{LEADER, Outcome};
+use hookworks::time::{Span, Time, Wall};
+use hookworks::wire::peer::Ask;
+use hookworks::wire::user::JobState;
+use hookworks::wire::worker::*;
+use world::desk::{Desk, ended, report, task};
+use world::store::Handle;
+use world::{job, settings};
+
+const JOB: &str = "job-000001";
+
+fn runs(orders: &[Order]) -> usize {
+    let run = |o: &&Order| matches!(o, Order::Run { .. });
+    orders.iter().filter(run).count()
+}
+
+fn clears(orders: &[Order]) -> usize {
+    let clear = |o: &&Order| matches!(o, Order::Clear { .. });
+    orders.iter().filter(clear).count()
+}
+
+/// A desk with one machine up and one task placed there, not told yet.
+fn one_task(direct: bool) -> (Desk, Attempt) {
+    let mut d = Desk::new(5);
+    if direct {
+        d.beat(&report(1, 1, Token(0)));
+    } else {
+        // Without an address there are no direct calls.
+        let r = Report {
+            addr: None,
+            ..report(1, 1, Token(0))
+        };
+        d.beat(&r);
+    }
+    d.submit(&job(1, 1));
+    let a = d.attempt(JOB, 0).expect("placed");
+    (d, a)
+}
+
+// 1. One leader.
+
+fn elector(s: &Handle, name: &str) -> Elector<Handle> {
+    Elector::new(s.clone(), name.into(), 1, Span::secs(2.0))
+}
+
+#[test]
+fn each_term_has_a_larger_epoch_and_one_leader() {
+    let s = Handle::default();
+    let (mut a, mut b) = (elector(&s, "a"), elector(&s, "b"));
+    let won = |e: Elect| match e {
+        Elect::Won { epoch, .. } => epoch,
+        e => panic!("{e:?}"),
+    };
+    assert_eq!(won(a.step(|| Time(0))), Epoch(1));
+    assert!(matches!(b.step(|| Time(0)), Elect::Seen(Some(_))));
+    s.at(1_900_000);
+    assert_eq!(a.step(|| Time(7)), Elect::Proven(Time(7)));
+    s.at(4_000_000);
+    assert_eq!(won(b.step(|| Time(0))), Epoch(2));
+    assert_eq!(a.step(|| Time(0)), Elect::Lost);
+    b.resign();
+    assert_eq!(won(a.step(|| Time(0))), Epoch(3));
+}
+
+#[test]
+fn an_election_whose_answer_is_lost_is_read_back() {
+    let s = Handle::default();
+    let mut a = elector(&s, "a");
+    s.lose_next_answer();
+    assert!(matches!(a.step(|| Time(0)), Elect::Won { .. }));
+    assert!(s.read(LEADER).unwrap().is_some());
+}
+
+/// A new job through scheduler and committer, up to its transaction.
+fn submitted(stamp: Stamp) -> (Desk, Committer, hookworks::wire::state::Txn, TxnId) {
+    let mut d = Desk::new(1);
+    d.stores = false;
+    d.submit(&job(1, 2));
+    let mut c = Committer::new(stamp, &settings("x").platform.params.state);
+    let (id, txn) = c.next(Time(d.now), &mut d.s).expect("something to write");
+    (d, c, txn, id)
+}
+
+#[test]
+fn a_deposed_leader_writes_nothing() {
+    let s = Handle::default();
+    let mut a = elector(&s, "a");
+    let Elect::Won { stamp, .. } = a.step(|| Time(0)) else {
+        panic!()
+    };
+    let (mut d, mut c, txn, id) = submitted(stamp);
+    s.at(5_000_000);
+    assert!(matches!(
+        elector(&s, "b").step(|| Time(0)),
+        Elect::Won { .. }
+    ));
+    // The late transaction arrives: even a new key is not written.
+    let o = s.apply(&txn);
+    assert!(!s.keys().iter().any(|k| k.contains(JOB)));
+    let (events, steps) = c.finished(Time(d.now), id, o, &mut d.s);
+    assert!(events.is_empty());
+    assert_eq!(steps, vec![Step::Deposed]);
+}
+
+#[test]
+fn a_write_whose_answer_is_lost_is_read_back_not_taken_for_granted() {
+    let s = Handle::default();
+    let mut a = elector(&s, "a");
+    let Elect::Won { stamp, .. } = a.step(|| Time(0)) else {
+        panic!()
+    };
+    let (mut d, mut c, txn, id) = submitted(stamp);
+    s.apply(&txn);
+    let (events, _) = c.finished(Time(d.now), id, Outcome::Unclear, &mut d.s);
+    assert!(events.is_empty(), "an unclear outcome told as stored");
+    d.now += 500_000;
+    let (id, txn) = c.next(Time(d.now), &mut d.s).unwrap();
+    let o = s.apply(&txn);
+    assert!(matches!(o, Outcome::Conflict(_)));
+    let (_, steps) = c.finished(Time(d.now), id, o, &mut d.s);
+    for step in steps {
+        let Step::Read(key) = step else { panic!() };
+        let item = s.read(&key).unwrap();
+        c.read_back(key, Ok(item), &mut d.s);
+    }
+    let (id, txn) = c.next(Time(d.now), &mut d.s).unwrap();
+    let o = s.apply(&txn);
+    let (events, _) = c.finished(Time(d.now), id, o, &mut d.s);
+    assert!(matches!(&events[..], [Event::Stored(Key::Part(j, 0), _)] if j.as_str() == JOB));
+}
+
+#[test]
+fn transactions_stay_within_the_limits() {
+    let mut d = Desk::new(1);
+    d.stores = false;
+    for n in 0..200 {
+        d.submit(&job(n, 1));
+    }
+    let limits = settings("x").platform.params.state;
+    let mut c = Committer::new(Stamp(1), &limits);
+    let mut changes = 0;
+    for step in 0..40 {
+        let now = Time(d.now + step * 25_000);
+        while let Some((id, txn)) = c.next(now, &mut d.s) {
+            assert!(txn.changes.len() <= limits.txn_ops);
+            assert!(txn.conditions.len() <= 4 * limits.txn_ops);
+            changes += txn.changes.len();
+            c.finished(now, id, Outcome::Ok(Stamp(9)), &mut d.s);
+        }
+    }
+    // A second's worth and the burst that the service allows.
+    assert!(changes as f64 <= 2.0 * limits.write_rps, "{changes}");
+    assert!(changes as f64 > 0.8 * limits.write_rps, "{changes}");
+}
+
+// 2. Write ahead.
+
+#[test]
+fn nothing_is_told_or_started_before_it_is_stored() {
+    let mut d = Desk::new(5);
+    d.beat(&report(1, 1, Token(0)));
+    d.stores = false;
+    let req = d.submit(&job(1, 1));
+    d.wait(1.0);
+    assert_eq!(d.status(req), None, "201 before the job was stored");
+    d.store_one();
+    assert_eq!(d.status(req), Some(201));
+    // Placed, but the attempt is not stored: no way sends `run`.
+    d.wait(0.5);
+    assert!(d.attempt(JOB, 0).is_some());
+    let a = d.beat(&report(1, 2, Token(0))).unwrap();
+    assert_eq!(runs(&a.orders), 0, "run before its attempt was stored");
+    assert!(d.direct().is_empty());
+    d.store();
+    assert_eq!(runs(&d.direct()[0].2.orders), 1);
+}
+
+#[test]
+fn the_record_of_a_done_task_precedes_its_clear_and_the_word_done() {
+    let (mut d, a) = one_task(false);
+    d.beat(&report(1, 2, Token(0)));
+    d.stores = false;
+    let mut r = report(1, 3, Token(0));
+    r.tasks = vec![ended(JOB, 0, a, Cause::Done)];
+    assert_eq!(clears(&d.beat(&r).unwrap().orders), 0);
+    let poll = d.ask(Ask::Poll(JOB.into()));
+    assert!(!d.answer(poll).unwrap().body.contains("done\","));
+    d.store();
+    let poll = d.ask(Ask::Poll(JOB.into()));
+    assert!(d.answer(poll).unwrap().body.contains("\"Status\":\"done\""));
+    r.seq = Seq(4);
+    assert_eq!(clears(&d.beat(&r).unwrap().orders), 1);
+}
+
+#[test]
+fn a_cancellation_is_told_only_once_stored_even_if_the_store_refuses_first() {
+    let (mut d, _) = one_task(false);
+    d.beat(&report(1, 2, Token(0)));
+    d.stores = false;
+    let cancel = d.ask(Ask::Cancel(JOB.into()));
+    assert_eq!(d.status(cancel), None);
+    d.event(Event::NotStored(JOB.into()));
+    assert_eq!(d.status(cancel), Some(503), "the user waits in vain");
+    assert_eq!(d.answer(cancel).unwrap().retry_after, Some(1));
+    let poll = d.ask(Ask::Poll(JOB.into()));
+    assert_eq!(d.status(poll), Some(503), "told before it was stored");
+    d.store();
+    let poll = d.ask(Ask::Poll(JOB.into()));
+    assert!(d.answer(poll).unwrap().body.contains("cancelled"));
+}
+
+// 3. An attempt holds its place until proven gone.
+
+#[test]
+fn a_silent_machine_is_released_and_its_tasks_wait_for_the_answer() {
+    let (mut d, a) = one_task(false);
+    let mut r = report(1, 2, Token(0));
+    d.beat(&r);
+    r.seq = Seq(3);
+    r.token = Token(Epoch(5).base());
+    r.tasks = vec![task(JOB, 0, a, TaskState::Running)];
+    d.beat(&r);
+    d.wait(15.0);
+    assert_eq!(d.released(), vec![r.host.clone()]);
+    assert_eq!(d.attempt(JOB, 0), Some(a), "restarted before it was gone");
+    d.event(Event::Released(vec![r.host.clone()], false));
+    assert_eq!(
+        d.attempt(JOB, 0),
+        Some(a),
+        "a failed release proves nothing"
+    );
+    d.event(Event::Released(vec![r.host.clone()], true));
+    assert_eq!(d.attempt(JOB, 0), None);
+    // Whatever still arrives from there is a ghost.
+    r.seq = Seq(9);
+    assert!(d.beat(&r).is_none());
+}
+
+#[test]
+fn without_the_cloud_only_the_lease_by_any_clock_proves_it() {
+    let (mut d, a) = one_task(false);
+    let mut r = report(1, 2, Token(Epoch(5).base()));
+    d.beat(&r);
+    r.seq = Seq(3);
+    r.tasks = vec![task(JOB, 0, a, TaskState::Running)];
+    d.beat(&r);
+    d.wait(20.0);
+    assert_eq!(d.attempt(JOB, 0), Some(a), "before the lease ran out");
+    d.wait(2.0);
+    assert_eq!(d.attempt(JOB, 0), None);
+}
+
+#[test]
+fn an_older_report_says_nothing() {
+    let (mut d, a) = one_task(false);
+    let mut r = report(1, 3, Token(0));
+    d.beat(&r);
+    r.seq = Seq(5);
+    r.tasks = vec![task(JOB, 0, a, TaskState::Running)];
+    d.beat(&r);
+    d.beat(&report(1, 4, Token(0)));
+    assert_eq!(d.attempt(JOB, 0), Some(a));
+    // A newer one without the task does say that it is gone.
+    d.beat(&report(1, 6, Token(0)));
+    assert_ne!(d.attempt(JOB, 0), Some(a));
+}
+
+// 4. Direct commands that were not answered.
+
+#[test]
+fn an_unanswered_run_counts_as_there_until_a_higher_token_is_confirmed() {
+    let (mut d, a) = one_task(true);
+    let (call, host, orders) = d.direct().remove(0);
+    assert_eq!(runs(&orders.orders), 1);
+    d.event(Event::Direct(call, host, DirectResult::Unclear));
+    d.ask(Ask::Cancel(JOB.into()));
+    let old = orders.token;
+    let next = d.beat(&report(1, 2, old)).unwrap();
+    assert!(next.token > old, "the late run could still be carried out");
+    assert_eq!(d.attempt(JOB, 0), Some(a), "it may start at any time");
+    d.beat(&report(1, 3, old));
+    assert_eq!(d.attempt(JOB, 0), Some(a));
+    d.beat(&report(1, 4, next.token));
+    assert_eq!(d.attempt(JOB, 0), None);
+}
+
+#[test]
+fn nothing_is_cleared_while_its_run_may_be_under_way() {
+    let (mut d, a) = one_task(true);
+    let (call, host, orders) = d.direct().remove(0);
+    d.event(Event::Direct(call, host, DirectResult::Unclear));
+    let mut r = report(1, 2, orders.token);
+    r.tasks = vec![ended(JOB, 0, a, Cause::Done)];
+    let next = d.beat(&r).unwrap();
+    assert_eq!(clears(&next.orders), 0, "the late run would start it again");
+    r.seq = Seq(3);
+    r.token = next.token;
+    assert_eq!(clears(&d.beat(&r).unwrap().orders), 1);
+}
+
+// 5. The lease of leadership.
+
+#[test]
+fn without_proof_nothing_starts_and_no_poll_is_answered_but_reports_are() {
+    let mut d = Desk::new(5);
+    d.submit(&job(1, 1));
+    d.beat(&report(1, 1, Token(0)));
+    d.proves = false;
+    d.wait(4.0);
+    d.submit(&job(2, 1));
+    let poll = d.ask(Ask::Poll(JOB.into()));
+    assert_eq!(d.status(poll), Some(503));
+    let before = d.attempt(JOB, 0);
+    let mut r = report(2, 1, Token(0));
+    assert!(d.beat(&r).is_some(), "workers keep their leases");
+    assert_eq!(d.attempt(JOB, 0), before);
+    assert!(!d.s.jobs.contains_key(&JobId::from("job-000002")));
+    // Beyond the grace a cancelled task could outlive what users were told.
+    d.wait(18.0);
+    r.seq = Seq(2);
+    assert!(d.beat(&r).is_none());
+}
+
+fn loaded_job() -> Job {
+    let (mut d, a) = one_task(false);
+    let mut r = report(1, 2, Token(0));
+    d.beat(&r);
+    r.seq = Seq(3);
+    r.tasks = vec![task(JOB, 0, a, TaskState::Running)];
+    d.beat(&r);
+    let j = &d.s.jobs[&JobId::from(JOB)];
+    let mut j = Job::decode(&j.encode(0), Time(d.now), Wall(d.now / 1000)).unwrap();
+    (j.parts[0].ver, j.parts[0].stored) = (1, 1);
+    j
+}
+
+#[test]
+fn a_successor_allows_for_what_the_old_leader_may_keep_alive() {
+    let mut d = Desk::with(6, vec![loaded_job()]);
+    let a = d.attempt(JOB, 0).unwrap();
+    // 20 s of grace and 20 s of lease, and some margin.
+    d.wait(39.0);
+    assert_eq!(d.attempt(JOB, 0), Some(a), "restarted too early");
+    d.wait(5.0);
+    assert_eq!(d.attempt(JOB, 0), None);
+}
+
+#[test]
+fn a_first_report_after_a_take_over_is_no_new_session() {
+    let mut d = Desk::with(6, vec![loaded_job()]);
+    let a = d.attempt(JOB, 0).unwrap();
+    d.beat(&report(2, 1, Token(0)));
+    let mut r = report(1, 9, Token(Epoch(5).base()));
+    r.session = Session(3);
+    r.tasks = vec![task(JOB, 0, a, TaskState::Running)];
+    d.beat(&r);
+    assert_eq!(d.attempt(JOB, 0), Some(a));
+}
+
+#[test]
+fn a_leader_that_was_overtaken_does_not_answer_reports() {
+    let mut d = Desk::new(5);
+    assert!(d.beat(&report(1, 1, Token(Epoch(6).base()))).is_none());
+}
+
+// 6. What users are told.
+
+#[test]
+fn not_found_needs_a_consistent_read() {
+    let mut d = Desk::new(5);
+    let poll = d.ask(Ask::Poll(JOB.into()));
+    assert_eq!(d.status(poll), None);
+    assert!(d.fx.contains(&Effect::ReadFinal(JOB.into())));
+    d.event(Event::FinalRead(JOB.into(), Err(())));
+    assert_eq!(d.status(poll), Some(503));
+    let poll = d.ask(Ask::Poll(JOB.into()));
+    d.event(Event::FinalRead(JOB.into(), Ok(None)));
+    assert_eq!(d.status(poll), Some(404));
+}
+
+#[test]
+fn a_late_retry_of_a_job_that_is_over_gets_its_state() {
+    let mut d = Desk::new(5);
+    let done = Final {
+        state: JobState::Done,
+        done: 3,
+    };
+    d.stores = false;
+    let req = d.submit(&job(1, 3));
+    // The store says that it knows the job as done.
+    d.event(Event::AlreadyFinal(JOB.into(), done));
+    assert_eq!(d.status(req), Some(200));
+    assert!(d.answer(req).unwrap().body.contains("done"));
+    assert!(d.s.jobs.is_empty(), "it must not run again");
+    // Even when it could no longer be accepted: never 422.
+    let mut other = job(2, 1);
+    other.cpus = 64.0;
+    let req = d.submit(&other);
+    d.event(Event::FinalRead(other.id.clone(), Ok(Some(done))));
+    assert_eq!(d.status(req), Some(200));
+}
+
+#[test]
+fn what_can_never_run_is_refused_and_what_is_unknown_yet_waits() {
+    let mut d = Desk::new(5);
+    let mut unknown = job(1, 1);
+    unknown.team = "nobody".into();
+    let mut large = job(2, 1);
+    large.memory_gb = 500.0;
+    let mut gang = job(3, 9);
+    gang.kind = hookworks::wire::user::Kind::Gang;
+    for j in [unknown, large, gang] {
+        let req = d.submit(&j);
+        d.event(Event::FinalRead(j.id.clone(), Ok(None)));
+        assert_eq!(d.status(req), Some(422), "{}", j.id);
+    }
+    let cfg = hookworks::sched::Config::from(&settings("x"));
+    let now = Time(d.now);
+    let mut s = Sched::new(cfg, Epoch(1), now, now, Wall(1));
+    let body = serde_json::to_vec(&job(4, 1)).unwrap();
+    let fx = s.handle(now, Event::Ask(ReqId(1), Ask::Submit(body)));
+    assert!(matches!(&fx[..], [Effect::Answer(_, a)] if a.status == 503));
+}
+
+// 7. Rentals.
+
+#[test]
+fn request_names_are_never_used_twice_and_repeated_only_when_unclear() {
+    let mut names = std::collections::BTreeSet::new();
+    for epoch in [5, 6] {
+        let mut d = Desk::new(epoch);
+        d.submit(&job(1, 3));
+        d.wait(1.0);
+        let hires = |d: &Desk| -> Vec<_> {
+            let h = |f: &Effect| match f {
+                Effect::Hire(h) => Some(h.clone()),
+                _ => None,
+            };
+            d.fx.iter().filter_map(h).collect()
+        };
+        let first = hires(&d).remove(0);
+        assert!(names.insert(first.name.clone()));
+        d.event(Event::Hired(first.clone(), HireResult::Unclear));
+        d.wait(2.0);
+        assert_eq!(hires(&d).last(), Some(&first), "the same, again");
+        d.event(Event::Hired(first.clone(), HireResult::NoCapacity));
+        d.wait(1.0);
+        let next = hires(&d).pop().unwrap();
+        assert!(names.insert(next.name.clone()));
+        assert_ne!((next.zone, next.spot), (first.zone, first.spot));
+    }
+}
+
+#[test]
+fn a_machine_that_nobody_expected_is_used_or_given_back() {
+    let mut d = Desk::new(5);
+    d.beat(&report(7, 1, Token(0)));
+    for seq in 2..45 {
+        d.wait(3.0);
+        d.beat(&report(7, seq, Token(0)));
+    }
+    assert!(d.released().contains(&Host::from("n-000007")));
+}
+
+#[test]
+fn a_record_that_cant_be_read_stops_nobody_and_is_left_alone() {
+    let s = Handle::default();
+    let mut other = Desk::new(1);
+    other.submit(&job(2, 1));
+    let good = other.s.jobs[&JobId::from("job-000002")].encode(0);
+    s.put("hookworks/live/job-000001", serde_json::json!({"spec": 7}));
+    s.put("hookworks/live/job-000002", good);
+    s.put("hookworks/part/job-000009/000001", serde_json::json!({}));
+    let l = hookworks::node::load::load(&s, Epoch(2), Stamp(1), Time(1), Wall(1)).unwrap();
+    assert_eq!(l.jobs.len(), 1);
+    assert_eq!(l.unreadable, vec![JobId::from(JOB)]);
+    assert_eq!(l.litter, vec!["hookworks/part/job-000009/000001"]);
+    let mut d = Desk::new(2);
+    let now = Time(d.now);
+    d.s.load(now, l.jobs, l.unreadable);
+    for ask in [Ask::Poll(JOB.into()), Ask::Cancel(JOB.into())] {
+        let req = d.ask(ask);
+        assert_eq!(d.status(req), Some(503));
+    }
+    let req = d.submit(&job(1, 1));
+    assert_eq!(d.status(req), Some(503));
+    assert!(s.get("hookworks/live/job-000001").unwrap().is_some());
+}
--- /dev/null
+++ b/tests/world/desk.rs
@@ -0,0 +1,181 @@
+//! A scheduler on its own, with its store written by hand: for stories in
+//! which every step counts.
+
+use super::{flavor, settings};
+use hookworks::ids::*;
+use hookworks::sched::job::Job;
+use hookworks::sched::{Config, Effect, Event, Key, Sched};
+use hookworks::time::{Time, Wall};
+use hookworks::wire::peer::{Answer, Ask};
+use hookworks::wire::user::JobSpec;
+use hookworks::wire::worker::*;
+
+pub struct Desk {
+    pub s: Sched,
+    pub now: u64,
+    pub fx: Vec<Effect>,
+    /// The state service accepts at once.
+    pub stores: bool,
+    /// Leadership is proven all the time.
+    pub proves: bool,
+    next_req: u64,
+}
+
+impl Desk {
+    pub fn new(epoch: u64) -> Desk {
+        Desk::with(epoch, vec![])
+    }
+
+    pub fn with(epoch: u64, jobs: Vec<Job>) -> Desk {
+        let now = 4_000_000_000;
+        let cfg = Config::from(&settings("x"));
+        let mut s = Sched::new(cfg, Epoch(epoch), Time(now), Time(now), Wall(1_000_000));
+        s.load(Time(now), jobs, vec![]);
+        let mut d = Desk {
+            s,
+            now,
+            fx: vec![],
+            stores: true,
+            proves: true,
+            next_req: 1,
+        };
+        d.event(Event::Flavors(vec![flavor()]));
+        d
+    }
+
+    pub fn event(&mut self, e: Event) {
+        if self.proves {
+            self.s.handle(Time(self.now), Event::Proven(Time(self.now)));
+        }
+        let fx = self.s.handle(Time(self.now), e);
+        self.fx.extend(fx);
+        if self.stores {
+            self.store();
+        }
+    }
+
+    /// Everything that waits to be written is.
+    pub fn store(&mut self) {
+        while self.store_one() {}
+    }
+
+    /// Only what waits first, not what that leads to.
+    pub fn store_one(&mut self) -> bool {
+        if let Some((id, part)) = self.s.dirty.pop() {
+            let Some(j) = self.s.jobs.get_mut(&id) else {
+                return true;
+            };
+            j.parts[part].queued = false;
+            let ver = j.parts[part].ver;
+            let key = match j.closing {
+                Some(_) => Key::Final(id),
+                None => Key::Part(id, part),
+            };
+            let fx = self.s.handle(Time(self.now), Event::Stored(key, ver));
+            self.fx.extend(fx);
+            return true;
+        }
+        false
+    }
+
+    pub fn wait(&mut self, seconds: f64) {
+        let end = self.now + (seconds * 1e6) as u64;
+        while self.now < end {
+            self.now = (self.now + 250_000).min(end);
+            self.event(Event::Tick(Wall(self.now / 1000)));
+        }
+    }
+
+    pub fn ask(&mut self, ask: Ask) -> ReqId {
+        let req = ReqId(self.next_req);
+        self.next_req += 1;
+        self.event(Event::Ask(req, ask));
+        req
+    }
+
+    pub fn submit(&mut self, j: &JobSpec) -> ReqId {
+        self.ask(Ask::Submit(serde_json::to_vec(j).unwrap()))
+    }
+
+    pub fn answer(&self, req: ReqId) -> Option<&Answer> {
+        self.fx.iter().find_map(|f| match f {
+            Effect::Answer(r, a) if *r == req => Some(a),
+            _ => None,
+        })
+    }
+
+    pub fn status(&self, req: ReqId) -> Option<u16> {
+        self.answer(req).map(|a| a.status)
+    }
+
+    /// A worker's report; the answer's orders, or none if it was refused.
+    pub fn beat(&mut self, r: &Report) -> Option<ReportAnswer> {
+        let req = self.ask(Ask::Report(serde_json::to_vec(r).unwrap()));
+        let a = self.answer(req)?;
+        (a.status == 200).then(|| serde_json::from_str(&a.body).unwrap())
+    }
+
+    /// Direct commands under way, which this takes out.
+    pub fn direct(&mut self) -> Vec<(CallId, Host, Orders)> {
+        let mut out = vec![];
+        self.fx.retain(|f| match f {
+            Effect::Orders {
+                call, host, orders, ..
+            } => {
+                out.push((*call, host.clone(), orders.clone()));
+                false
+            }
+            _ => true,
+        });
+        out
+    }
+
+    pub fn released(&self) -> Vec<Host> {
+        let gone = |f: &Effect| match f {
+            Effect::Release(h) => Some(h.clone()),
+            _ => None,
+        };
+        self.fx.iter().filter_map(gone).flatten().collect()
+    }
+
+    pub fn attempt(&self, job: &str, ix: u32) -> Option<Attempt> {
+        let j = self.s.jobs.get(&JobId::from(job))?;
+        j.live.get(&TaskIx(ix)).map(|l| l.attempt)
+    }
+}
+
+/// A report of machine `n` with nothing on it; tests add to it.
+pub fn report(n: u32, seq: u64, token: Token) -> Report {
+    Report {
+        host: Host::from(format!("n-{n:06}").as_str()),
+        addr: Some("x:1".into()),
+        build: "m8".into(),
+        zone: if n % 2 == 1 { "a".into() } else { "b".into() },
+        spot: false,
+        session: Session(1),
+        seq: Seq(seq),
+        token,
+        notice_s: None,
+        tasks: vec![],
+    }
+}
+
+pub fn task(job: &str, ix: u32, attempt: Attempt, state: TaskState) -> TaskReport {
+    TaskReport {
+        task: TaskId {
+            job: job.into(),
+            ix: TaskIx(ix),
+        },
+        attempt,
+        state,
+        cause: None,
+        kept: false,
+    }
+}
+
+pub fn ended(job: &str, ix: u32, attempt: Attempt, cause: Cause) -> TaskReport {
+    TaskReport {
+        cause: Some(cause),
+        ..task(job, ix, attempt, TaskState::Ended)
+    }
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -4,6 +4,7 @@
 
 #![allow(dead_code)]
 
+pub mod desk;
 pub mod store;
 pub mod worker;
 
