--- /dev/null
+++ b/tests/scheduling.rs
@@ -0,0 +1,448 @@
+//! Where tasks go, what runs together, who makes room, and what is left alone.
+
+mod world;
+
+use hookworks::ids::*;
+use hookworks::sched::job::part_size;
+use hookworks::sched::{Effect, Event};
+use hookworks::settings::{Platform, Tuning};
+use hookworks::store::client::Outcome;
+use hookworks::store::commit::Committer;
+use hookworks::time::Time;
+use hookworks::wire::peer::Ask;
+use hookworks::wire::user::{JobSpec, Kind, Priority};
+use hookworks::wire::worker::*;
+use std::collections::BTreeSet;
+use world::desk::{Desk, ended, report, task};
+use world::{World, job, settings};
+
+fn host(n: u32) -> Host {
+    Host::from(format!("n-{n:06}").as_str())
+}
+
+fn hosts_of(d: &Desk, j: &str) -> Vec<Host> {
+    let j = &d.s.jobs[&JobId::from(j)];
+    j.live.values().map(|l| l.host.clone()).collect()
+}
+
+/// Tells the scheduler that everything placed on the machine now runs there.
+fn all_run(d: &mut Desk, n: u32, seq: u64) {
+    let mut r = report(n, seq, Token(0));
+    for j in d.s.jobs.values() {
+        for (t, l) in j.live.iter().filter(|(_, l)| l.host == r.host) {
+            let name = j.id().to_string();
+            r.tasks
+                .push(task(&name, t.0, l.attempt, TaskState::Running));
+        }
+    }
+    d.beat(&r);
+}
+
+#[test]
+fn spread_check_then_best_fit_then_free_join_then_empty_machine() {
+    let mut d = Desk::new(1);
+    d.s.cfg.tuning.delta_floor_s = 10.0;
+    for n in 1..=3 {
+        d.beat(&report(n, 1, Token(0)));
+    }
+    let place = |d: &mut Desk, n: u64, estimate: f64, cpus: f64| {
+        let mut j = job(n, 1);
+        (j.estimate_s, j.cpus) = (estimate, cpus);
+        j.team = "blue".into();
+        d.submit(&j);
+        hosts_of(d, j.id.as_str())[0].clone()
+    };
+    let first = place(&mut d, 1, 100.0, 2.0);
+    // Within δ of the first (50 s): joins it.
+    assert_eq!(place(&mut d, 2, 120.0, 1.0), first);
+    // Far longer than what runs there: not a balanced join, nor a free one.
+    let second = place(&mut d, 3, 2000.0, 3.0);
+    assert_ne!(second, first);
+    // δ of a short task is 10 s: it fails on both, but joins the one that stays
+    // up anyway, by best fit the one that is left with less.
+    assert_eq!(place(&mut d, 4, 5.0, 1.0), first);
+    // Balanced on the second machine only.
+    assert_eq!(place(&mut d, 5, 1500.0, 1.0), second);
+    let empty = place(&mut d, 6, 90_000.0, 1.0);
+    assert!(empty != first && empty != second);
+}
+
+#[test]
+fn the_median_of_three_finished_tasks_replaces_the_estimate() {
+    let mut d = Desk::new(1);
+    let mut j = job(1, 4);
+    j.estimate_s = 500.0;
+    d.submit(&j);
+    d.beat(&report(1, 1, Token(0)));
+    all_run(&mut d, 1, 2);
+    let slot = |d: &Desk| {
+        let m = &d.s.machines[&host(1)];
+        m.slots.values().next().unwrap().estimate.as_secs()
+    };
+    let attempts: Vec<_> = (0..4)
+        .map(|t| d.attempt("job-000001", t).unwrap())
+        .collect();
+    let mut seq = 3;
+    for t in 0..3 {
+        assert_eq!(slot(&d), 500.0);
+        d.wait(10.0);
+        let mut r = report(1, seq, Token(0));
+        for k in 0..4u32 {
+            let a = attempts[k as usize];
+            r.tasks.push(if k <= t {
+                ended("job-000001", k, a, Cause::Done)
+            } else {
+                task("job-000001", k, a, TaskState::Running)
+            });
+        }
+        d.beat(&r);
+        seq += 1;
+    }
+    assert_eq!(slot(&d), 20.0);
+}
+
+#[test]
+fn a_team_stays_under_its_limit_counting_what_may_still_be_there() {
+    let mut d = Desk::new(1);
+    d.refuses = true;
+    for n in 1..=3 {
+        d.beat(&report(n, 1, Token(0)));
+    }
+    d.submit(&job(1, 10));
+    assert_eq!(d.s.jobs[&JobId::from("job-000001")].live.len(), 6);
+    // Cancelled, told to stop, but not gone: the next job waits.
+    for n in 1..=2 {
+        all_run(&mut d, n, 2);
+    }
+    d.ask(Ask::Cancel("job-000001".into()));
+    d.submit(&job(2, 1));
+    assert!(d.s.jobs[&JobId::from("job-000002")].live.is_empty());
+    for n in 1..=2 {
+        d.beat(&report(n, 3, Token(0)));
+    }
+    assert_eq!(d.s.jobs[&JobId::from("job-000002")].live.len(), 1);
+}
+
+fn gang(n: u64, tasks: u32) -> JobSpec {
+    let mut j = job(n, tasks);
+    j.kind = Kind::Gang;
+    j.team = "blue".into();
+    j
+}
+
+#[test]
+fn a_gang_starts_whole_with_one_number_and_restarts_whole_with_another() {
+    let mut d = Desk::new(1);
+    d.refuses = true;
+    d.beat(&report(1, 1, Token(0)));
+    d.submit(&gang(1, 6));
+    let id = JobId::from("job-000001");
+    assert!(d.s.jobs[&id].live.is_empty(), "room for four of six only");
+    d.beat(&report(2, 1, Token(0)));
+    let numbers: BTreeSet<_> = d.s.jobs[&id].live.values().map(|l| l.attempt).collect();
+    assert_eq!((d.s.jobs[&id].live.len(), numbers.len()), (6, 1));
+    all_run(&mut d, 1, 2);
+    all_run(&mut d, 2, 2);
+    // One fails: the others are told to stop, and none restarts before all
+    // are gone.
+    let mut r = report(1, 3, Token(0));
+    let mine: Vec<_> = d.s.jobs[&id]
+        .live
+        .iter()
+        .filter(|(_, l)| l.host == host(1))
+        .map(|(t, l)| (t.0, l.attempt))
+        .collect();
+    for (k, (t, a)) in mine.iter().enumerate() {
+        r.tasks.push(if k == 0 {
+            ended("job-000001", *t, *a, Cause::PeersGone)
+        } else {
+            task("job-000001", *t, *a, TaskState::Running)
+        });
+    }
+    let a = d.beat(&r).unwrap();
+    let kills = a
+        .orders
+        .iter()
+        .filter(|o| matches!(o, Order::Kill { .. }))
+        .count();
+    assert!(kills > 0);
+    assert_eq!(d.s.jobs[&id].live.len(), 5);
+    d.beat(&report(1, 4, Token(0)));
+    assert!(d.s.jobs[&id].live.values().all(|l| l.stop.is_some()));
+    d.beat(&report(2, 3, Token(0)));
+    let again: BTreeSet<_> = d.s.jobs[&id].live.values().map(|l| l.attempt).collect();
+    assert_eq!((d.s.jobs[&id].live.len(), again.len()), (6, 1));
+    assert!(again.is_disjoint(&numbers));
+}
+
+#[test]
+fn a_waiting_gang_takes_a_replacement_with_its_number() {
+    let mut d = Desk::new(1);
+    d.beat(&report(1, 1, Token(0)));
+    d.submit(&gang(1, 3));
+    let a = d.attempt("job-000001", 0).unwrap();
+    let mut r = report(1, 2, Token(0));
+    r.tasks = vec![
+        ended("job-000001", 0, a, Cause::Alone),
+        task("job-000001", 1, a, TaskState::Waiting),
+        task("job-000001", 2, a, TaskState::Waiting),
+    ];
+    d.beat(&r);
+    assert_eq!(d.attempt("job-000001", 0), Some(a));
+}
+
+#[test]
+fn one_zone_and_scatter_count_what_may_still_be_there() {
+    let mut d = Desk::new(1);
+    d.beat(&report(1, 1, Token(0)));
+    let mut near = job(1, 6);
+    near.one_zone = true;
+    d.submit(&near);
+    d.beat(&report(2, 1, Token(0)));
+    assert!(hosts_of(&d, "job-000001").iter().all(|h| *h == host(1)));
+    let mut d = Desk::new(1);
+    for n in 1..=2 {
+        d.beat(&report(n, 1, Token(0)));
+    }
+    let mut wide = job(2, 5);
+    wide.spread = true;
+    wide.cpus = 1.0;
+    d.submit(&wide);
+    let on = hosts_of(&d, "job-000002");
+    assert_eq!(on.len(), 5);
+    assert_eq!(on.iter().filter(|h| **h == on[0]).count(), 3);
+}
+
+#[test]
+fn urgent_work_stops_the_cheapest_low_work_and_nothing_of_its_own_rank() {
+    let mut d = Desk::new(1);
+    d.beat(&report(1, 1, Token(0)));
+    let mut low = job(1, 4);
+    low.priority = Priority::Low;
+    d.submit(&low);
+    all_run(&mut d, 1, 2);
+    let mut urgent = job(2, 1);
+    (urgent.priority, urgent.team) = (Priority::High, "blue".into());
+    d.submit(&urgent);
+    d.wait(0.5);
+    let stopped = |d: &Desk, id: &str| {
+        let j = &d.s.jobs[&JobId::from(id)];
+        j.live.values().filter(|l| l.stop.is_some()).count()
+    };
+    assert_eq!(stopped(&d, "job-000001"), 1, "as many as are needed");
+    let mut same = job(3, 1);
+    (same.priority, same.team) = (Priority::Low, "red".into());
+    d.submit(&same);
+    d.wait(0.5);
+    assert_eq!(stopped(&d, "job-000001"), 1);
+}
+
+/// Reports errors for whatever was placed on the machine; answers how many.
+fn all_fail(d: &mut Desk, n: u32, seq: u64) -> usize {
+    let mut r = report(n, seq, Token(0));
+    for j in d.s.jobs.values() {
+        for (t, l) in j.live.iter().filter(|(_, l)| l.host == r.host) {
+            let name = j.id().to_string();
+            r.tasks.push(ended(&name, t.0, l.attempt, Cause::Error));
+        }
+    }
+    d.beat(&r);
+    r.tasks.len()
+}
+
+#[test]
+fn a_machine_that_fails_what_others_do_is_put_aside() {
+    let mut d = Desk::new(1);
+    d.beat(&report(1, 1, Token(0)));
+    for n in 1..=2 {
+        d.submit(&job(n, 2));
+    }
+    assert_eq!(all_fail(&mut d, 1, 2), 4);
+    assert!(d.s.machines[&host(1)].quarantined);
+    // Its tasks go elsewhere, and it goes back.
+    d.beat(&report(2, 1, Token(0)));
+    assert!(hosts_of(&d, "job-000001").iter().all(|h| *h == host(2)));
+    d.wait(1.0);
+    let back = |f: &Effect| matches!(f, Effect::Release(h) if h.contains(&host(1)));
+    assert!(d.fx.iter().any(back));
+}
+
+#[test]
+fn a_job_that_fails_everywhere_backs_off_and_its_machines_are_forgiven() {
+    let mut d = Desk::new(1);
+    for n in 1..=4 {
+        d.beat(&report(n, 1, Token(0)));
+    }
+    d.submit(&job(1, 1));
+    for round in 0..3u64 {
+        for n in 1..=4 {
+            all_fail(&mut d, n, 2 + round);
+        }
+    }
+    let j = &d.s.jobs[&JobId::from("job-000001")];
+    assert!(j.live.is_empty() && j.backoff_until > Time(d.now));
+    assert!(d.s.machines.values().all(|m| !m.quarantined));
+}
+
+#[test]
+fn a_service_runs_until_cancelled_and_moves_before_its_machine_goes() {
+    let mut d = Desk::new(1);
+    d.refuses = true;
+    d.beat(&report(1, 1, Token(0)));
+    let mut s = job(1, 1);
+    (s.kind, s.estimate_s) = (Kind::Service, 0.0);
+    d.submit(&s);
+    all_run(&mut d, 1, 2);
+    d.beat(&report(2, 1, Token(0)));
+    let a = d.attempt("job-000001", 0).unwrap();
+    let mut r = report(1, 3, Token(0));
+    r.notice_s = Some(20.0);
+    r.tasks = vec![task("job-000001", 0, a, TaskState::Running)];
+    d.beat(&r);
+    d.wait(0.5);
+    r.seq = Seq(4);
+    r.tasks = vec![ended("job-000001", 0, a, Cause::Stopped)];
+    d.beat(&r);
+    assert_eq!(hosts_of(&d, "job-000001"), vec![host(2)]);
+    d.ask(Ask::Cancel("job-000001".into()));
+    d.beat(&report(2, 2, Token(0)));
+    assert!(d.s.jobs.is_empty());
+}
+
+#[test]
+fn a_job_of_100_000_tasks_is_taken_at_once_and_its_records_stay_small() {
+    let mut d = Desk::new(1);
+    d.stores = false;
+    let req = d.submit(&job(1, 100_000));
+    let limits = settings("x").platform.params.state;
+    let mut c = Committer::new(Stamp(1), &limits);
+    let (id, txn) = c.next(Time(d.now), &mut d.s).unwrap();
+    assert_eq!(txn.changes.len(), 1, "one record makes it accepted");
+    let (events, _) = c.finished(Time(d.now), id, Outcome::Ok(Stamp(2)), &mut d.s);
+    for e in events {
+        d.event(e);
+    }
+    assert_eq!(d.status(req), Some(201));
+    d.stores = true;
+    for n in 1..=3 {
+        d.beat(&report(n, 1, Token(0)));
+    }
+    let j = &d.s.jobs[&JobId::from("job-000001")];
+    assert_eq!(j.live.len(), 6, "as many as the team may run");
+    // Even a full record of the smallest kind of store fits.
+    let mut small = hookworks::sched::job::Job::new(
+        job(2, 100),
+        1,
+        Time(1),
+        hookworks::time::Wall(1_700_000_000_000),
+        part_size(4.0),
+    );
+    for t in 0..small.part_size {
+        let mut l = j.live.values().next().unwrap().clone();
+        l.attempt = Attempt(Epoch(900).base() + 77);
+        l.placed_wall = hookworks::time::Wall(1_700_000_000_000);
+        small.live.insert(TaskIx(t), l);
+    }
+    let size = small.encode(0).to_string().len();
+    assert!(size <= 4096, "{size}");
+}
+
+#[test]
+fn records_come_back_as_they_were() {
+    let mut j = hookworks::sched::job::Job::new(
+        job(1, 300),
+        3,
+        Time(5_000_000),
+        hookworks::time::Wall(5),
+        128,
+    );
+    for t in [0, 63, 64, 127, 128, 299] {
+        j.set_done(TaskIx(t));
+    }
+    let (now, wall) = (Time(9_000_000), hookworks::time::Wall(9));
+    let mut back = hookworks::sched::job::Job::decode(&j.encode(0), now, wall).unwrap();
+    for p in 1..3 {
+        back.decode_part(p, &j.encode(p), now, wall).unwrap();
+    }
+    assert_eq!(back.done_count, 6);
+    assert!((0..300).all(|t| back.is_done(TaskIx(t)) == j.is_done(TaskIx(t))));
+}
+
+#[test]
+fn bad_submissions_name_the_field() {
+    let good = serde_json::to_value(job(1, 1)).unwrap();
+    let with = |k: &str, v: serde_json::Value| {
+        let mut j = good.clone();
+        j[k] = v;
+        JobSpec::parse(j.to_string().as_bytes())
+    };
+    assert!(with("Extra", 1.into()).is_ok());
+    for (k, v) in [
+        ("Pieces", serde_json::json!(0)),
+        ("Pieces", serde_json::json!(100_001)),
+        ("Pieces", serde_json::json!(1.5)),
+        ("Vcpus", serde_json::json!(-1)),
+        ("RamGb", serde_json::json!("much")),
+        ("Id", serde_json::json!("task-1")),
+        ("Shape", serde_json::json!("round")),
+        ("Builds", serde_json::json!([7])),
+        ("Crew", serde_json::json!(null)),
+    ] {
+        let e = with(k, v.clone()).expect_err(k);
+        assert!(e.contains(k), "{k} {v}: {e}");
+    }
+    let mut short = good.clone();
+    short.as_object_mut().unwrap().remove("GuessS");
+    assert!(
+        JobSpec::parse(short.to_string().as_bytes())
+            .expect_err("missing")
+            .contains("GuessS")
+    );
+    for body in ["", "nonsense", "[]", "{} {}", "7"] {
+        assert!(JobSpec::parse(body.as_bytes()).is_err(), "{body}");
+    }
+}
+
+#[test]
+fn settings_errors_name_file_and_field() {
+    let t = Tuning::parse(
+        "t.xml",
+        "<hookworks><delta-factor>0.25</delta-factor></hookworks>",
+    )
+    .unwrap();
+    assert_eq!((t.delta_factor, t.delta_floor_s), (0.25, 600.0));
+    let bad = |x: &str| Tuning::parse("t.xml", x).unwrap_err().to_string();
+    let e = bad("<hookworks><headroom>-3</headroom></hookworks>");
+    assert!(e.contains("t.xml") && e.contains("headroom"), "{e}");
+    assert!(bad("<hookworks><headroom>x</headroom></hookworks>").contains("t.xml"));
+    let e = Platform::parse("p.json", "{}").unwrap_err().to_string();
+    assert!(e.contains("p.json") && e.contains("label"), "{e}");
+}
+
+#[test]
+fn a_leader_that_dies_is_followed_and_all_work_ends() {
+    let mut w = World::new(3, 3);
+    w.run(2.0);
+    for n in 0..4 {
+        w.submit(job(n, 4));
+    }
+    w.run(14.0);
+    let first = w.leader().unwrap();
+    w.at(0.0, world::Ev::Kill(first));
+    w.run(6.0);
+    assert_ne!(w.leader(), Some(first));
+    w.run(120.0);
+    for n in 0..4 {
+        let state = w.state_of(&format!("job-{n:06}"));
+        assert_eq!(state, Some(hookworks::wire::user::JobState::Done));
+    }
+    w.assert_rules();
+}
+
+#[test]
+fn a_released_event_of_nobody_changes_nothing() {
+    let mut d = Desk::new(1);
+    d.beat(&report(1, 1, Token(0)));
+    d.event(Event::Released(vec![host(1), host(9)], true));
+    assert!(d.s.machines.contains_key(&host(1)));
+}
--- a/tests/world/desk.rs
+++ b/tests/world/desk.rs
@@ -4,7 +4,7 @@
 use super::{flavor, settings};
 use hookworks::ids::*;
 use hookworks::sched::job::Job;
-use hookworks::sched::{Config, Effect, Event, Key, Sched};
+use hookworks::sched::{Config, DirectResult, Effect, Event, Key, Sched};
 use hookworks::time::{Time, Wall};
 use hookworks::wire::peer::{Answer, Ask};
 use hookworks::wire::user::JobSpec;
@@ -18,6 +18,8 @@
     pub stores: bool,
     /// Leadership is proven all the time.
     pub proves: bool,
+    /// Workers refuse connections, so all goes by reports.
+    pub refuses: bool,
     next_req: u64,
 }
 
@@ -37,6 +39,7 @@
             fx: vec![],
             stores: true,
             proves: true,
+            refuses: false,
             next_req: 1,
         };
         d.event(Event::Flavors(vec![flavor()]));
@@ -52,6 +55,11 @@
         if self.stores {
             self.store();
         }
+        if self.refuses {
+            for (call, host, _) in self.direct() {
+                self.event(Event::Direct(call, host, DirectResult::Refused));
+            }
+        }
     }
 
     /// Everything that waits to be written is.
