--- /dev/null
+++ b/src/node/asks.rs
@@ -0,0 +1,142 @@
+//! Requests of users and workers: answered as the leader, or passed on to it.
+
+use super::{Node, Origin, Pending, Role, StoreJob};
+use crate::ids::{JobId, ReqId};
+use crate::sched::Event;
+use crate::time::{Span, Time};
+use crate::wire::peer::{Answer, Ask, PeerMsg};
+use crate::wire::worker::{Redirect, Report};
+
+/// More open requests are turned away at once.
+const MAX_PENDING: usize = 1500;
+
+impl Node {
+    pub(super) fn new_req(&mut self, now: Time, origin: Origin, ask: &Ask) -> ReqId {
+        let req = ReqId(self.next_req);
+        self.next_req += 1;
+        let since = now;
+        self.pending.insert(
+            req,
+            Pending {
+                origin,
+                since,
+                limit: limit_of(ask),
+                submits: matches!(ask, Ask::Submit(_)),
+                with: None,
+            },
+        );
+        req
+    }
+
+    pub(super) fn ask_from_peer(&mut self, now: Time, origin: Origin, ask: Ask) {
+        let req = self.new_req(now, origin, &ask);
+        if matches!(self.role, Role::Leader(_)) {
+            self.lead_ask(now, req, ask);
+        } else {
+            self.answer(now, req, Answer::later("not the leader", 1));
+        }
+    }
+
+    pub(super) fn ask(&mut self, now: Time, origin: Origin, ask: Ask) {
+        let full = self.pending.len() >= MAX_PENDING;
+        let req = self.new_req(now, origin, &ask);
+        if self.stopping.is_some() {
+            return self.answer(now, req, Answer::later("stopping", 1));
+        }
+        if full {
+            return self.answer(now, req, Answer::later("too many requests", 2));
+        }
+        match &self.role {
+            Role::Leader(_) => self.lead_ask(now, req, ask),
+            Role::Loading(_) => self.answer(now, req, Answer::later("taking over", 1)),
+            Role::Follower => self.pass_on(now, req, ask),
+        }
+    }
+
+    pub(super) fn lead_ask(&mut self, now: Time, req: ReqId, ask: Ask) {
+        if let Role::Leader(t) = &mut self.role {
+            let epoch = t.epoch;
+            self.event(now, epoch, Event::Ask(req, ask));
+        }
+    }
+
+    /// A follower passes everything on to the leader.
+    pub(super) fn pass_on(&mut self, now: Time, req: ReqId, ask: Ask) {
+        let me = &self.settings.platform.label;
+        let leader = self.peers.best_leader().map(|l| l.0).filter(|l| l != me);
+        let Some(leader) = leader else {
+            return self.no_leader(now, req, ask);
+        };
+        if let Ask::Report(body) = &ask
+            && self.peers.direct(&leader)
+            && let Ok(r) = serde_json::from_slice::<Report>(body)
+        {
+            // Sent to the leader; one that is soon back could not get there,
+            // and its reports are passed on from here.
+            let again = self
+                .redirected
+                .get(&r.host)
+                .is_some_and(|t| now - *t < Span::secs(20.0));
+            if !again {
+                self.redirected.insert(r.host, now);
+                let leader = Some(leader);
+                let body = serde_json::to_string(&Redirect { leader }).unwrap_or_default();
+                return self.answer(now, req, Answer::new(421, body));
+            }
+        }
+        let msg = PeerMsg::Ask {
+            id: req.0,
+            from: me.to_string(),
+            to: leader.to_string(),
+            ask: ask.clone(),
+        };
+        if !self.peers.send(&leader, msg) {
+            self.no_leader(now, req, ask);
+        } else if let Some(p) = self.pending.get_mut(&req) {
+            p.with = Some(leader);
+        }
+    }
+
+    pub(super) fn no_leader(&mut self, now: Time, req: ReqId, ask: Ask) {
+        match ask {
+            Ask::Poll(id) if JobId::well_formed(&id) => {
+                // What is final may be told by anyone who has read it.
+                let _ = self.store.send(StoreJob::Look(req, id.as_str().into()));
+            }
+            _ => self.answer(now, req, Answer::later("no leader in reach", 1)),
+        }
+    }
+
+    pub(super) fn answer(&mut self, now: Time, req: ReqId, answer: Answer) {
+        let Some(p) = self.pending.remove(&req) else {
+            return;
+        };
+        self.latency.saturating_record((now - p.since).0);
+        if answer.status >= 429 && p.submits {
+            let after_ms = (now - p.since).0 / 1000;
+            tracing::info!(status = answer.status, after_ms, why = %answer.body, "submission refused");
+        }
+        if p.submits && answer.status < 429 {
+            let after_ms = (now - p.since).0 / 1000;
+            tracing::debug!(status = answer.status, after_ms, "submission answered");
+        }
+        match p.origin {
+            Origin::Http(request) => {
+                let _ = self.answers.send((request, answer));
+            }
+            Origin::Peer { from, id } => {
+                let to = from.to_string();
+                self.peers.send(&from, PeerMsg::Tell { id, to, answer });
+            }
+        }
+    }
+}
+
+/// How long an asker waits, less some for the way back.
+pub(super) fn limit_of(ask: &Ask) -> Span {
+    match ask {
+        Ask::Poll(_) => Span::millis(1600),
+        Ask::Report(_) => Span::millis(3500),
+        Ask::Submit(_) | Ask::Cancel(_) => Span::millis(4200),
+    }
+}
--- a/src/node/duties.rs
+++ b/src/node/duties.rs
@@ -61,7 +61,10 @@
     tx
 }
 
-pub fn election(settings: &Settings, clock: Clock, inbox: Sender<Msg>) {
+/// Whoever sends into the returned channel makes the controller resign, and
+/// hears when that is done.
+pub fn election(settings: &Settings, clock: Clock, inbox: Sender<Msg>) -> Sender<Sender<()>> {
+    let (stop, stopped) = unbounded::<Sender<()>>();
     let p = &settings.platform;
     let ttl = Span::secs(settings.tuning.leader_lease_s);
     let timeout = Duration::from_millis(1200);
@@ -77,9 +80,14 @@
             }
             // Not all at the same moment.
             let jitter = Duration::from_millis(rand::random_range(0..60));
-            std::thread::sleep(elector.pause().std() + jitter);
+            if let Ok(done) = stopped.recv_timeout(elector.pause().std() + jitter) {
+                elector.resign();
+                let _ = done.send(());
+                return;
+            }
         }
     });
+    stop
 }
 
 pub enum CloudJob {
--- /dev/null
+++ b/src/node/health.rs
@@ -0,0 +1,53 @@
+//! Whether this controller can serve, and numbers for operators.
+
+use super::{Node, Role};
+use crate::time::{Span, Time};
+
+impl Node {
+    /// Healthy unless this controller is cut off while others may not be.
+    pub(super) fn can_serve(&mut self, now: Time) -> bool {
+        let me = &self.settings.platform.label;
+        let led = match &self.role {
+            Role::Leader(t) => t.sched.may_start(now),
+            Role::Loading(_) => true,
+            Role::Follower => {
+                let l = self.peers.best_leader().map(|l| l.0);
+                l.is_some_and(|l| l != *me && self.peers.reachable(&l))
+            }
+        };
+        if led {
+            self.led_at = now;
+            return true;
+        }
+        if now - self.started < Span::secs(4.0) {
+            return false;
+        }
+        // Between two leaders, or while the state service is down for all,
+        // being taken out of the balancing would only make it last longer.
+        let lately = now - self.led_at < Span::secs(40.0);
+        lately && (self.peers.any() || now - self.state_ok_at < Span::secs(2.0))
+    }
+
+    pub(super) fn overview(&mut self, now: Time) -> serde_json::Value {
+        let role = match &self.role {
+            Role::Follower => "follower",
+            Role::Loading(_) => "taking over",
+            Role::Leader(_) => "leader",
+        };
+        let mut v = serde_json::json!({
+            "label": self.settings.platform.label,
+            "role": role,
+            "leader": self.peers.best_leader().map(|l| l.0),
+            "waiting": self.pending.len(),
+            "answers": self.latency.len(),
+            "answer_ms": {
+                "p50": self.latency.value_at_quantile(0.5) as f64 / 1000.0,
+                "p99": self.latency.value_at_quantile(0.99) as f64 / 1000.0,
+            },
+        });
+        if let Role::Leader(t) = &self.role {
+            v["scheduler"] = t.sched.overview(now);
+        }
+        v
+    }
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,6 +1,8 @@
 //! A controller: its threads, and the loop that holds everything together.
 
+mod asks;
 mod duties;
+mod health;
 pub mod load;
 
 use crate::api::{self, Incoming};
@@ -14,9 +16,8 @@
 use crate::store::{Outcome, final_key};
 use crate::time::{Clock, Span, Time, wall};
 use crate::wire::cloud::Flavor;
-use crate::wire::peer::{Answer, Ask, PeerMsg};
+use crate::wire::peer::{Answer, PeerMsg};
 use crate::wire::state::{Item, Txn};
-use crate::wire::worker::{Redirect, Report};
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, unbounded};
 use hdrhistogram::Histogram;
 use load::Loaded;
@@ -29,8 +30,6 @@
 /// Small stacks: the machine is small, and nothing here recurses deeply.
 const STACK: usize = 256 * 1024;
 const TICK: Span = Span(250_000);
-/// Requests that await an answer; more are turned away at once.
-const MAX_PENDING: usize = 1500;
 
 pub fn spawn(name: &str, f: impl FnOnce() + Send + 'static) {
     let b = std::thread::Builder::new()
@@ -49,6 +48,8 @@
     Loaded(Box<Loaded>),
     /// Machine types, which every controller keeps at hand.
     Flavors(Vec<Flavor>),
+    /// The process is to end in good order.
+    Stop,
     /// An event of a term; those of earlier terms are dropped.
     Event(Epoch, Event),
     Txn(Epoch, TxnId, Outcome),
@@ -114,6 +115,8 @@
     flavors: Vec<Flavor>,
     latency: Histogram<u64>,
     started: Time,
+    stopping: Option<Time>,
+    election: Sender<Sender<()>>,
 }
 
 /// Runs a controller until the process ends.
@@ -140,7 +143,13 @@
     let store = duties::store(&settings, inbox.clone());
     let cloud = duties::cloud(&settings, clock, term.clone(), inbox.clone());
     let agents = duties::agents(inbox.clone());
-    duties::election(&settings, clock, inbox.clone());
+    let election = duties::election(&settings, clock, inbox.clone());
+    let tx = inbox.clone();
+    if let Err(e) = ctrlc::set_handler(move || {
+        let _ = tx.send(Msg::Stop);
+    }) {
+        tracing::warn!(error = %e, "an interrupt will end the process at once");
+    }
     tracing::info!(label = %p.label, zone = %p.zone, listen = %p.listen, "started");
     let now = clock.now();
     let node = Node {
@@ -165,6 +174,8 @@
         flavors: vec![],
         latency: Histogram::new_with_bounds(1, 60_000_000, 2).map_err(std::io::Error::other)?,
         started: now,
+        stopping: None,
+        election,
     };
     node.run(rx);
     Ok(())
@@ -186,7 +197,22 @@
                 self.tick(now);
             }
             self.flush(now);
+            if let Some(since) = self.stopping
+                && (self.pending.is_empty() || now - since > Span::secs(3.0))
+            {
+                self.resign();
+                return;
+            }
+        }
+    }
+
+    /// Gives up the leadership, so that the next leader takes over at once.
+    fn resign(&mut self) {
+        let (done, resigned) = crossbeam_channel::bounded(1);
+        if self.election.send(done).is_ok() {
+            let _ = resigned.recv_timeout(Duration::from_secs(3));
         }
+        tracing::info!("stopped");
     }
 
     fn take(&mut self, m: Msg) {
@@ -228,6 +254,11 @@
                     self.after_commit(now, events, steps);
                 }
             }
+            Msg::Stop => {
+                tracing::info!(open = self.pending.len(), "stopping");
+                self.stopping = Some(now);
+                self.healthy.store(false, Ordering::Relaxed);
+            }
             Msg::Look(req, id, r) => {
                 let a = match r {
                     Ok(Some(f)) => crate::sched::answer_final(&id, f),
@@ -245,123 +276,6 @@
         }
     }
 
-    fn new_req(&mut self, now: Time, origin: Origin, ask: &Ask) -> ReqId {
-        let req = ReqId(self.next_req);
-        self.next_req += 1;
-        let since = now;
-        self.pending.insert(
-            req,
-            Pending {
-                origin,
-                since,
-                limit: limit_of(ask),
-                submits: matches!(ask, Ask::Submit(_)),
-                with: None,
-            },
-        );
-        req
-    }
-
-    fn ask_from_peer(&mut self, now: Time, origin: Origin, ask: Ask) {
-        let req = self.new_req(now, origin, &ask);
-        if matches!(self.role, Role::Leader(_)) {
-            self.lead_ask(now, req, ask);
-        } else {
-            self.answer(now, req, Answer::later("not the leader", 1));
-        }
-    }
-
-    fn ask(&mut self, now: Time, origin: Origin, ask: Ask) {
-        let full = self.pending.len() >= MAX_PENDING;
-        let req = self.new_req(now, origin, &ask);
-        if full {
-            return self.answer(now, req, Answer::later("too many requests", 2));
-        }
-        match &self.role {
-            Role::Leader(_) => self.lead_ask(now, req, ask),
-            Role::Loading(_) => self.answer(now, req, Answer::later("taking over", 1)),
-            Role::Follower => self.pass_on(now, req, ask),
-        }
-    }
-
-    fn lead_ask(&mut self, now: Time, req: ReqId, ask: Ask) {
-        if let Role::Leader(t) = &mut self.role {
-            let epoch = t.epoch;
-            self.event(now, epoch, Event::Ask(req, ask));
-        }
-    }
-
-    /// A follower passes everything on to the leader.
-    fn pass_on(&mut self, now: Time, req: ReqId, ask: Ask) {
-        let me = &self.settings.platform.label;
-        let leader = self.peers.best_leader().map(|l| l.0).filter(|l| l != me);
-        let Some(leader) = leader else {
-            return self.no_leader(now, req, ask);
-        };
-        if let Ask::Report(body) = &ask
-            && self.peers.direct(&leader)
-            && let Ok(r) = serde_json::from_slice::<Report>(body)
-        {
-            // Sent to the leader; one that is soon back could not get there,
-            // and its reports are passed on from here.
-            let again = self
-                .redirected
-                .get(&r.host)
-                .is_some_and(|t| now - *t < Span::secs(20.0));
-            if !again {
-                self.redirected.insert(r.host, now);
-                let leader = Some(leader);
-                let body = serde_json::to_string(&Redirect { leader }).unwrap_or_default();
-                return self.answer(now, req, Answer::new(421, body));
-            }
-        }
-        let msg = PeerMsg::Ask {
-            id: req.0,
-            from: me.to_string(),
-            to: leader.to_string(),
-            ask: ask.clone(),
-        };
-        if !self.peers.send(&leader, msg) {
-            self.no_leader(now, req, ask);
-        } else if let Some(p) = self.pending.get_mut(&req) {
-            p.with = Some(leader);
-        }
-    }
-
-    fn no_leader(&mut self, now: Time, req: ReqId, ask: Ask) {
-        match ask {
-            Ask::Poll(id) if JobId::well_formed(&id) => {
-                // What is final may be told by anyone who has read it.
-                let _ = self.store.send(StoreJob::Look(req, id.as_str().into()));
-            }
-            _ => self.answer(now, req, Answer::later("no leader in reach", 1)),
-        }
-    }
-
-    fn answer(&mut self, now: Time, req: ReqId, answer: Answer) {
-        let Some(p) = self.pending.remove(&req) else {
-            return;
-        };
-        self.latency.saturating_record((now - p.since).0);
-        if answer.status >= 429 && p.submits {
-            let after_ms = (now - p.since).0 / 1000;
-            tracing::info!(status = answer.status, after_ms, why = %answer.body, "submission refused");
-        }
-        if p.submits && answer.status < 429 {
-            let after_ms = (now - p.since).0 / 1000;
-            tracing::debug!(status = answer.status, after_ms, "submission answered");
-        }
-        match p.origin {
-            Origin::Http(request) => {
-                let _ = self.answers.send((request, answer));
-            }
-            Origin::Peer { from, id } => {
-                let to = from.to_string();
-                self.peers.send(&from, PeerMsg::Tell { id, to, answer });
-            }
-        }
-    }
-
     fn event(&mut self, now: Time, epoch: Epoch, e: Event) {
         let Some(t) = self.term(epoch) else { return };
         let effects = t.sched.handle(now, e);
@@ -551,67 +465,11 @@
             self.answer(now, req, Answer::later("the leader is out of reach", 1));
         }
         self.redirected.retain(|_, t| now - *t < Span::secs(60.0));
-        let ok = self.can_serve(now);
+        let ok = self.stopping.is_none() && self.can_serve(now);
         if ok != self.healthy.swap(ok, Ordering::Relaxed) {
             tracing::info!(healthy = ok, "health changed");
         }
     }
-
-    /// Healthy unless this controller is cut off while others may not be.
-    fn can_serve(&mut self, now: Time) -> bool {
-        let me = &self.settings.platform.label;
-        let led = match &self.role {
-            Role::Leader(t) => t.sched.may_start(now),
-            Role::Loading(_) => true,
-            Role::Follower => {
-                let l = self.peers.best_leader().map(|l| l.0);
-                l.is_some_and(|l| l != *me && self.peers.reachable(&l))
-            }
-        };
-        if led {
-            self.led_at = now;
-            return true;
-        }
-        if now - self.started < Span::secs(4.0) {
-            return false;
-        }
-        // Between two leaders, or while the state service is down for all,
-        // being taken out of the balancing would only make it last longer.
-        let lately = now - self.led_at < Span::secs(40.0);
-        lately && (self.peers.any() || now - self.state_ok_at < Span::secs(2.0))
-    }
-
-    fn overview(&mut self, now: Time) -> serde_json::Value {
-        let role = match &self.role {
-            Role::Follower => "follower",
-            Role::Loading(_) => "taking over",
-            Role::Leader(_) => "leader",
-        };
-        let mut v = serde_json::json!({
-            "label": self.settings.platform.label,
-            "role": role,
-            "leader": self.peers.best_leader().map(|l| l.0),
-            "waiting": self.pending.len(),
-            "answers": self.latency.len(),
-            "answer_ms": {
-                "p50": self.latency.value_at_quantile(0.5) as f64 / 1000.0,
-                "p99": self.latency.value_at_quantile(0.99) as f64 / 1000.0,
-            },
-        });
-        if let Role::Leader(t) = &self.role {
-            v["scheduler"] = t.sched.overview(now);
-        }
-        v
-    }
-}
-
-/// How long an asker waits, less some for the way back.
-fn limit_of(ask: &Ask) -> Span {
-    match ask {
-        Ask::Poll(_) => Span::millis(1600),
-        Ask::Report(_) => Span::millis(3500),
-        Ask::Submit(_) | Ask::Cancel(_) => Span::millis(4200),
-    }
 }
 
 /// Where final states are looked up.
--- a/src/sched/gang.rs
+++ b/src/sched/gang.rs
@@ -138,15 +138,7 @@
         if j.live.is_empty() {
             j.gang_ran = false;
         } else if j.gang_ran {
-            let rest: Vec<_> = j
-                .live
-                .iter()
-                .filter(|(_, l)| l.stop.is_none())
-                .map(|(t, _)| *t)
-                .collect();
-            for t in rest {
-                self.stop(now, id, t, 0.0);
-            }
+            self.stop_members(now, id, 0.0);
         }
     }
 
@@ -154,14 +146,15 @@
     pub(super) fn stop_gang(&mut self, now: Time, id: &JobId) {
         let Some(j) = self.jobs.get(id) else { return };
         let leeway = j.spec.save_s + 1.0;
-        let rest: Vec<_> = j
-            .live
-            .iter()
-            .filter(|(_, l)| l.stop.is_none())
-            .map(|(t, _)| *t)
-            .collect();
+        self.stop_members(now, id, leeway);
+    }
+
+    fn stop_members(&mut self, now: Time, id: &JobId, leeway_s: f64) {
+        let Some(j) = self.jobs.get(id) else { return };
+        let going_on = j.live.iter().filter(|(_, l)| l.stop.is_none());
+        let rest: Vec<_> = going_on.map(|(t, _)| *t).collect();
         for t in rest {
-            self.stop(now, id, t, leeway);
+            self.stop(now, id, t, leeway_s);
         }
     }
 }
--- a/src/sched/users.rs
+++ b/src/sched/users.rs
@@ -137,16 +137,24 @@
         }
     }
 
-    fn poll(&mut self, now: Time, req: ReqId, id: JobId) {
-        if let Some(f) = self.finals.get(&id) {
+    /// What is final is told by any leader; the rest needs proof.
+    fn answered_early(&mut self, now: Time, req: ReqId, id: &JobId) -> bool {
+        if let Some(f) = self.finals.get(id) {
             let f = *f;
-            return self.answer(req, final_answer(&id, f));
-        }
-        if !self.may_start(now) {
-            return self.no_proof(req);
+            self.answer(req, final_answer(id, f));
+        } else if !self.may_start(now) {
+            self.no_proof(req);
+        } else if self.unreadable.contains(id) {
+            self.answer(req, Answer::later("the job's record can't be read", 30));
+        } else {
+            return false;
         }
-        if self.unreadable.contains(&id) {
-            return self.answer(req, Answer::later("the job's record can't be read", 30));
+        true
+    }
+
+    fn poll(&mut self, now: Time, req: ReqId, id: JobId) {
+        if self.answered_early(now, req, &id) {
+            return;
         }
         match self.jobs.get(&id) {
             Some(j) if j.parts[0].stored == 0 && j.parts[0].ver > 0 => {
@@ -158,15 +166,8 @@
     }
 
     fn cancel(&mut self, now: Time, req: ReqId, id: JobId) {
-        if let Some(f) = self.finals.get(&id) {
-            let f = *f;
-            return self.answer(req, final_answer(&id, f));
-        }
-        if !self.may_start(now) {
-            return self.no_proof(req);
-        }
-        if self.unreadable.contains(&id) {
-            return self.answer(req, Answer::later("the job's record can't be read", 30));
+        if self.answered_early(now, req, &id) {
+            return;
         }
         let Some(j) = self.jobs.get_mut(&id) else {
             return self.look_up(req, id.clone(), Ask::Cancel(id.to_string()));
@@ -254,7 +255,8 @@
                 Waiting::Known => (200, JobState::Queued),
                 Waiting::Cancel => (200, JobState::Cancelled),
             };
-            let cancelled = self.jobs.get(id).is_some_and(|j| j.cancelled);
+            let stored = |j: &Job| j.cancelled && j.parts[0].stored >= j.cancel_ver;
+            let cancelled = self.jobs.get(id).is_some_and(stored);
             let state = if cancelled {
                 JobState::Cancelled
             } else {
--- a/src/store/commit.rs
+++ b/src/store/commit.rs
@@ -220,16 +220,20 @@
     fn requeue(&mut self, sched: &mut Sched, works: Vec<Work>) {
         for w in works.into_iter().rev() {
             self.busy.remove(&w.job);
-            let part = match w.what {
-                What::Part(p, _) => p,
-                What::End => 0,
-            };
-            if let Some(j) = sched.jobs.get_mut(&w.job)
-                && !j.parts[part].queued
-            {
-                j.parts[part].queued = true;
-                sched.dirty.push_front(w.job, part);
-            }
+            Self::queue_again(sched, w);
+        }
+    }
+
+    fn queue_again(sched: &mut Sched, w: Work) {
+        let part = match w.what {
+            What::Part(p, _) => p,
+            What::End => 0,
+        };
+        if let Some(j) = sched.jobs.get_mut(&w.job)
+            && !j.parts[part].queued
+        {
+            j.parts[part].queued = true;
+            sched.dirty.push_front(w.job, part);
         }
     }
 
@@ -288,16 +292,7 @@
                             steps.push(Step::Read(k));
                         }
                     }
-                    let part = match w.what {
-                        What::Part(p, _) => p,
-                        What::End => 0,
-                    };
-                    if let Some(j) = sched.jobs.get_mut(&w.job)
-                        && !j.parts[part].queued
-                    {
-                        j.parts[part].queued = true;
-                        sched.dirty.push_front(w.job, part);
-                    }
+                    Self::queue_again(sched, w);
                 }
             }
             Outcome::NotDone | Outcome::NoLease => {
--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -496,3 +496,17 @@
     assert_eq!(d.status(req), Some(503));
     assert!(s.get("hookworks/live/job-000001").unwrap().is_some());
 }
+
+#[test]
+fn a_write_that_was_under_way_before_the_cancellation_does_not_confirm_it() {
+    let mut d = Desk::new(5);
+    d.stores = false;
+    let submit = d.submit(&job(1, 1));
+    let cancel = d.ask(Ask::Cancel(JOB.into()));
+    d.event(Event::Stored(Key::Part(JOB.into(), 0), 1));
+    assert_eq!(d.status(submit), Some(201));
+    assert!(d.answer(submit).unwrap().body.contains("queued"));
+    assert_eq!(d.status(cancel), None, "told before it was stored");
+    d.store();
+    assert_eq!(d.status(cancel), Some(200));
+}
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -82,8 +82,7 @@
     let attempts: Vec<_> = (0..4)
         .map(|t| d.attempt("job-000001", t).unwrap())
         .collect();
-    let mut seq = 3;
-    for t in 0..3 {
+    for (seq, t) in (3..).zip(0..3) {
         assert_eq!(slot(&d), 500.0);
         d.wait(10.0);
         let mut r = report(1, seq, Token(0));
@@ -96,7 +95,6 @@
             });
         }
         d.beat(&r);
-        seq += 1;
     }
     assert_eq!(slot(&d), 20.0);
 }
