--- a/src/sched/fleet.rs
+++ b/src/sched/fleet.rs
@@ -311,6 +311,7 @@
 
     pub(super) fn listed(&mut self, now: Time, list: Vec<Listed>) {
         let token = self.base_token();
+        let renewed = self.maybe_renewed(now);
         for l in list {
             if self.fleet.is_gone(&l.host) {
                 continue;
@@ -319,7 +320,10 @@
             let m = self.machines.entry(l.host.clone()).or_insert_with(|| {
                 tracing::info!(host = %l.host, status = %l.status, "a machine that was not expected is listed");
                 let hired = Time(now.0.saturating_sub(Span::secs(l.age_s).0));
-                Machine::new(l.host.clone(), l.build.clone(), l.zone.clone(), l.spot, hired, token)
+                let (b, z) = (l.build.clone(), l.zone.clone());
+                let mut m = Machine::new(l.host.clone(), b, z, l.spot, hired, token);
+                m.answered = renewed;
+                m
             });
             if !m.reported {
                 // Loaded attempts name a machine, but not its type and zone.
@@ -360,6 +364,12 @@
         }
     }
 
+    /// Until when the lease of a worker that we have just met may have been
+    /// renewed: an earlier leader may go on for a while after our beginning.
+    pub(super) fn maybe_renewed(&self, now: Time) -> Time {
+        now.max(self.began + self.cfg.report_grace())
+    }
+
     /// Machines that fell silent, never came up or are about to be taken.
     pub(super) fn watch_machines(&mut self, now: Time) {
         let w = &self.cfg.workers;
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -257,7 +257,7 @@
                 m.life = Life::Up;
                 // Earlier leaders may have answered its reports until now, and
                 // one that doesn't know of us yet may for some time to come.
-                m.answered = now + self.cfg.report_grace();
+                m.answered = now.max(self.began + self.cfg.report_grace());
                 m.doubt = Some(token);
                 m.used += job.need;
                 let task = TaskId {
--- a/src/sched/place.rs
+++ b/src/sched/place.rs
@@ -66,7 +66,11 @@
                 _ => {}
             }
         }
-        best
+        // Of two that are pressed alike, the one that needs less of the fleet:
+        // more jobs meet their aims that way.
+        let whole: i64 = self.machines.values().map(|m| m.capacity.cpu).sum();
+        let work = j.need.cpu as f64 * j.unfinished() as f64 * run;
+        best + WORK_WEIGHT * work / (whole.max(1) as f64)
     }
 
     pub(super) fn ranked(&self, now: Time) -> Vec<(Rank, JobId)> {
@@ -271,6 +275,9 @@
     }
 }
 
+/// How much the time for which a job would fill the fleet counts against it.
+const WORK_WEIGHT: f64 = 3.0;
+
 const LAST_RESORT: u8 = 3;
 
 /// Smaller is better; fields count in this order.
--- a/src/sched/report.rs
+++ b/src/sched/report.rs
@@ -59,16 +59,13 @@
     fn take_report(&mut self, now: Time, r: &Report, beat: bool) -> bool {
         let token = self.base_token();
         let capacity = self.flavors.get(&r.build).map(super::Room::of_flavor);
+        let renewed = self.maybe_renewed(now);
         let m = self.machines.entry(r.host.clone()).or_insert_with(|| {
             tracing::info!(host = %r.host, "a machine that was not expected reports");
-            Machine::new(
-                r.host.clone(),
-                r.build.clone(),
-                r.zone.clone(),
-                r.spot,
-                now,
-                token,
-            )
+            let (b, z) = (r.build.clone(), r.zone.clone());
+            let mut m = Machine::new(r.host.clone(), b, z, r.spot, now, token);
+            m.answered = renewed;
+            m
         });
         if (r.session, r.seq) <= (m.session, m.seq) {
             return false;
@@ -90,6 +87,11 @@
         if m.life == Life::Booting {
             m.life = Life::Up;
         }
+        if !m.reported || new_session {
+            // Its session may have begun as late as now, long after it was rented,
+            // and its lease with it.
+            m.answered = m.answered.max(now);
+        }
         if !m.reported {
             m.reported = true;
             m.idle_since = now;
--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -515,3 +515,50 @@
     d.store();
     assert_eq!(d.status(cancel), Some(200));
 }
+
+#[test]
+fn the_lease_of_a_machine_found_late_counts_from_when_it_was_met() {
+    // A machine that had been up for long was listed, answered a probe, got a
+    // task and was taken for expired at once: the task ran twice.
+    let mut d = Desk::new(5);
+    d.submit(&job(1, 1));
+    let listed = serde_json::from_value(serde_json::json!({
+        "Id": "n-000001", "Endpoint": "x:1", "Build": "m8", "Yard": "a",
+        "Lendable": false, "Status": "running", "HeldS": 300.0
+    }));
+    d.event(Event::Listed(vec![listed.unwrap()]));
+    let (call, host, _) = d.direct().remove(0);
+    let r = Box::new(report(1, 50, Token(0)));
+    d.event(Event::Direct(call, host, DirectResult::Conflict(r)));
+    let a = d.attempt(JOB, 0).expect("placed");
+    d.wait(10.0);
+    assert_eq!(d.attempt(JOB, 0), Some(a));
+    // The same for one that we rented and that took long to come up.
+    let mut d = Desk::new(5);
+    d.submit(&job(1, 1));
+    d.wait(0.5);
+    let hire = d.fx.iter().find_map(|f| match f {
+        Effect::Hire(h) => Some(h.clone()),
+        _ => None,
+    });
+    let host = Host::from("n-000001");
+    let got = HireResult::Ok(vec![host.clone()]);
+    d.event(Event::Hired(hire.unwrap(), got));
+    d.wait(28.0);
+    let listed = serde_json::from_value(serde_json::json!({
+        "Id": host, "Endpoint": "x:1", "Build": "m8", "Yard": "a",
+        "Lendable": true, "Status": "running", "HeldS": 28.0
+    }));
+    d.event(Event::Listed(vec![listed.unwrap()]));
+    let (call, host, _) = d.direct().remove(0);
+    let mut r = report(1, 2, Token(0));
+    r.spot = true;
+    d.event(Event::Direct(
+        call,
+        host,
+        DirectResult::Conflict(Box::new(r)),
+    ));
+    let a = d.attempt(JOB, 0).expect("placed");
+    d.wait(8.0);
+    assert_eq!(d.attempt(JOB, 0), Some(a));
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -591,10 +591,11 @@
     }
 
     fn list(&self) -> Vec<Listed> {
+        let age = |w: &Worker| (self.now - w.born) as f64 / 1e6;
         let one = |w: &Worker| {
             serde_json::from_value(serde_json::json!({
                 "Id": w.host, "Endpoint": "x:1", "Build": "m8", "Yard": w.zone,
-                "Lendable": w.spot, "Status": "running", "HeldS": 1.0
+                "Lendable": w.spot, "Status": "running", "HeldS": age(w)
             }))
             .unwrap()
         };
