Of two jobs pressed alike the one that needs less of the fleet goes first

Cause: on full fleets arrays of 75 and more tasks took the room of many small jobs and were late all the same.

--- a/src/sched/place.rs
+++ b/src/sched/place.rs
@@ -276,7 +276,7 @@
 }
 
 /// How much the time for which a job would fill the fleet counts against it.
-const WORK_WEIGHT: f64 = 3.0;
+const WORK_WEIGHT: f64 = 12.0;
 
 const LAST_RESORT: u8 = 3;
 
