--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -14,6 +14,8 @@
 
 /// Work that a task may lose to make room for what is not urgent.
 const CHEAP_S: f64 = 6.0;
+/// The same for borrowed room that its owner wants back.
+const BORROWED_S: f64 = 12.0;
 /// A start that is undone sooner was in vain.
 const SETTLED_S: f64 = 31.0;
 
@@ -113,7 +115,8 @@
                 // For what is not urgent only those stop that lose little, and
                 // whose start has counted.
                 let cheap = v.spec.checkpoint_s > 0.0 && lost < CHEAP_S && ran > SETTLED_S;
-                if !(borrowed || urgent || cheap) {
+                let gives_back = borrowed && lost < BORROWED_S;
+                if !(gives_back || urgent && lower || cheap && lower) {
                     continue;
                 }
                 victims.push(Victim {
