--- a/src/sched/place.rs
+++ b/src/sched/place.rs
@@ -73,24 +73,27 @@
         best + WORK_WEIGHT * work / (whole.max(1) as f64)
     }
 
+    pub(super) fn rank(&self, now: Time, j: &Job, within: &BTreeSet<JobId>) -> Rank {
+        let within = within.contains(j.id());
+        let tier = match j.spec.priority {
+            Priority::Production => 0,
+            Priority::High => 1,
+            _ if within => 2,
+            Priority::Normal => 3,
+            Priority::Low => 4,
+        };
+        let due = self.latest_start(now, j, within);
+        let seq = j.seq;
+        Rank { tier, due, seq }
+    }
+
     pub(super) fn ranked(&self, now: Time) -> Vec<(Rank, JobId)> {
         let within = self.within_guarantee();
         let mut v: Vec<(Rank, JobId)> = self
             .jobs
             .values()
             .filter(|j| j.pending() > 0 && now >= j.backoff_until && j.parts[0].stored > 0)
-            .map(|j| {
-                let tier = match j.spec.priority {
-                    Priority::Production => 0,
-                    Priority::High => 1,
-                    _ if within.contains(j.id()) => 2,
-                    Priority::Normal => 3,
-                    Priority::Low => 4,
-                };
-                let due = self.latest_start(now, j, within.contains(j.id()));
-                let seq = j.seq;
-                (Rank { tier, due, seq }, j.id().clone())
-            })
+            .map(|j| (self.rank(now, j, &within), j.id().clone()))
             .collect();
         v.sort_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(std::cmp::Ordering::Equal));
         v
@@ -209,7 +212,7 @@
     }
 
     /// Free CPUs above what is kept for classes that want quick starts.
-    fn spare_cpu(&self, now: Time, fresh: Span) -> i64 {
+    pub(super) fn spare_cpu(&self, now: Time, fresh: Span) -> i64 {
         let open = self.machines.values().filter(|m| m.open(now, fresh));
         let free: i64 = open.map(|m| m.free().cpu.max(0)).sum();
         free - self.fleet.headroom(&self.cfg.tuning)
--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -4,7 +4,7 @@
 use super::place::allowed;
 use super::{Sched, estimate};
 use crate::ids::{Host, JobId, TaskIx};
-use crate::time::Time;
+use crate::time::{Span, Time};
 use crate::wire::user::{Kind, Priority};
 
 /// Tasks stopped in one go; the next pass sees what came of it.
@@ -16,6 +16,8 @@
 const CHEAP_S: f64 = 6.0;
 /// The same for borrowed room that its owner wants back.
 const BORROWED_S: f64 = 12.0;
+/// A job that made room waits so long before it starts anything.
+const YIELD: Span = Span(1_000_000);
 /// A start that is undone sooner was in vain.
 const SETTLED_S: f64 = 31.0;
 
@@ -37,6 +39,7 @@
         }
         let mut stops: Vec<Victim> = vec![];
         let within = self.within_guarantee();
+        let spare = self.spare_cpu(now, self.heard_within());
         for (id, wanted) in self.fleet.short.clone() {
             let Some(j) = self.jobs.get(&id) else {
                 continue;
@@ -45,6 +48,11 @@
             if j.spec.priority == Priority::Low && !within.contains(&id) {
                 continue;
             }
+            // Room that is kept for quick classes is not for these; stopping
+            // others would only fill it up.
+            if !self.fleet.is_quick(&j.spec.class, &self.cfg.objectives) && spare < 0 {
+                continue;
+            }
             // What is being stopped already makes room for the first of them.
             let asked = j.need.cpu * wanted;
             let mut need = (asked - stopping).max(0);
@@ -68,6 +76,10 @@
             }
         }
         for v in stops {
+            if let Some(j) = self.jobs.get_mut(&v.job) {
+                // Others first, or it takes the same room again.
+                j.backoff_until = j.backoff_until.max(now + YIELD);
+            }
             self.stop(now, &v.job, v.task, 0.0);
         }
     }
@@ -83,7 +95,13 @@
     ) -> Vec<Victim> {
         let fresh = self.heard_within();
         let mut victims = vec![];
+        let mine = self.rank(now, j, within);
         for v in self.jobs.values() {
+            // Room left by one that is served earlier would go back to it: tasks
+            // were stopped and placed anew many times a second.
+            if self.rank(now, v, within) <= mine {
+                continue;
+            }
             let lower = v.spec.priority > j.spec.priority;
             let borrowed = within.contains(j.id())
                 && !within.contains(v.id())
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -444,3 +444,28 @@
     d.event(Event::Released(vec![host(1), host(9)], true));
     assert!(d.s.machines.contains_key(&host(1)));
 }
+
+#[test]
+fn work_that_is_served_earlier_is_not_stopped_for_later_work() {
+    // Low work within its team's guarantee was stopped for normal work beyond
+    // its own, took the room back and was stopped again, many times a second.
+    let mut d = Desk::new(1);
+    d.refuses = true;
+    d.beat(&report(1, 1, Token(0)));
+    let mut low = job(1, 4);
+    (low.priority, low.checkpoint_s, low.save_s) = (Priority::Low, 15.0, 1.0);
+    low.estimate_s = 300.0;
+    d.submit(&low);
+    all_run(&mut d, 1, 2);
+    for seq in 3..14 {
+        d.wait(3.0);
+        all_run(&mut d, 1, seq);
+    }
+    let mut normal = job(2, 9);
+    normal.team = "blue".into();
+    d.submit(&normal);
+    d.wait(2.0);
+    let j = &d.s.jobs[&JobId::from("job-000001")];
+    assert!(j.live.values().all(|l| l.stop.is_none()));
+    assert_eq!(j.live.len(), 4);
+}
