--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -30,6 +30,8 @@
 /// Small stacks: the machine is small, and nothing here recurses deeply.
 const STACK: usize = 256 * 1024;
 const TICK: Span = Span(250_000);
+/// Messages taken before the loop looks at its other duties.
+const AT_ONCE: usize = 50;
 
 pub fn spawn(name: &str, f: impl FnOnce() + Send + 'static) {
     let b = std::thread::Builder::new()
@@ -185,13 +187,31 @@
     fn run(mut self, rx: Receiver<Msg>) {
         let mut tick = self.clock.now();
         loop {
-            let wait = (tick + TICK) - self.clock.now();
-            match rx.recv_timeout(wait.std().max(Duration::from_millis(1))) {
-                Ok(m) => self.take(m),
+            let now = self.clock.now();
+            let mut until = tick + TICK;
+            if let Role::Leader(t) = &self.role
+                && let Some(pass) = t.sched.wake_at()
+            {
+                until = until.min(pass.max(now + Span::millis(3)));
+            }
+            match rx.recv_timeout((until - now).std().max(Duration::from_millis(1))) {
+                Ok(m) => {
+                    self.take(m);
+                    // What has come meanwhile is seen before anything is written.
+                    for m in rx.try_iter().take(AT_ONCE) {
+                        self.take(m);
+                    }
+                }
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
             }
             let now = self.clock.now();
+            if let Role::Leader(t) = &self.role
+                && t.sched.wake_at().is_some_and(|at| now >= at)
+            {
+                let epoch = t.epoch;
+                self.event(now, epoch, Event::Wake);
+            }
             if now - tick >= TICK {
                 tick = now;
                 self.tick(now);
--- a/src/sched/estimate.rs
+++ b/src/sched/estimate.rs
@@ -13,13 +13,14 @@
     if job.spec.kind == Kind::Service {
         return ENDLESS;
     }
-    if job.runtimes.len() >= ENOUGH {
-        let mut v = job.runtimes.clone();
-        v.sort_by(f64::total_cmp);
-        Span::secs(v[v.len() / 2])
-    } else {
-        Span::secs(job.spec.estimate_s)
-    }
+    Span::secs(job.median.unwrap_or(job.spec.estimate_s))
+}
+
+/// The median that replaces the owner's estimate, once there are enough.
+pub fn median(runtimes: &[f64]) -> Option<f64> {
+    let mut v = runtimes.to_vec();
+    v.sort_by(f64::total_cmp);
+    (v.len() >= ENOUGH).then(|| v[v.len() / 2])
 }
 
 /// δ: how far apart the remaining runtimes on a machine may be.
--- a/src/sched/fleet.rs
+++ b/src/sched/fleet.rs
@@ -122,7 +122,13 @@
     }
 
     /// Kinds of machine that could serve the job, the cheapest first.
-    fn kinds_for(&self, now: Time, need: &Room, j: Option<&Job>) -> Vec<(f64, Flavoured)> {
+    fn kinds_for(
+        &self,
+        now: Time,
+        need: &Room,
+        j: Option<&Job>,
+        in_zone: &BTreeMap<Zone, usize>,
+    ) -> Vec<(f64, Flavoured)> {
         let mut v = vec![];
         for f in self.flavors.values() {
             let per = Room::of_flavor(f).times(need);
@@ -150,7 +156,7 @@
         }
         // Among equals the zone with the fewest machines, so that the loss of
         // one zone hurts less.
-        let in_zone = |z: &Zone| self.machines.values().filter(|m| m.zone == *z).count();
+        let in_zone = |z: &Zone| in_zone.get(z).copied().unwrap_or(0);
         v.sort_by(|a, b| {
             a.0.total_cmp(&b.0)
                 .then_with(|| in_zone(&a.1.1).cmp(&in_zone(&b.1.1)))
@@ -158,6 +164,14 @@
         v
     }
 
+    fn machines_by_zone(&self) -> BTreeMap<Zone, usize> {
+        let mut n = BTreeMap::new();
+        for m in self.machines.values() {
+            *n.entry(m.zone.clone()).or_default() += 1;
+        }
+        n
+    }
+
     fn rent(&mut self, now: Time) {
         if self.fleet.pending.values().any(|p| p.next.is_none()) {
             return; // One request at a time; its answer says what is left.
@@ -174,6 +188,7 @@
             .map(|p| p.hire.count as f64)
             .sum::<f64>();
         coming += self.freed_soon(now);
+        let zones = self.machines_by_zone();
         let mut left: BTreeMap<_, Room> = BTreeMap::new();
         let mut wanted: BTreeMap<Flavoured, f64> = BTreeMap::new();
         for (id, n) in &self.fleet.short {
@@ -187,7 +202,7 @@
                 continue;
             }
             *left -= j.need.scaled(n);
-            let Some((_, kind)) = self.kinds_for(now, &j.need, Some(j)).into_iter().next() else {
+            let Some((_, kind)) = self.kinds_for(now, &j.need, Some(j), &zones).into_iter().next() else {
                 continue;
             };
             let Some(f) = self.flavors.get(&kind.0) else {
@@ -260,7 +275,8 @@
             gpu: 0,
             mem: 1000,
         };
-        let (_, kind) = self.kinds_for(now, &need, None).into_iter().next()?;
+        let zones = self.machines_by_zone();
+        let (_, kind) = self.kinds_for(now, &need, None, &zones).into_iter().next()?;
         let whole = Room::of_flavor(self.flavors.get(&kind.0)?);
         Some((kind, (keep - free) as f64 / whole.cpu.max(1) as f64))
     }
--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -78,6 +78,8 @@
     pub parts: Vec<Part>,
     pub part_size: u32,
     pub runtimes: Vec<f64>,
+    /// Of the runtimes; kept, since every pass asks for it.
+    pub median: Option<f64>,
     pub backoff_until: Time,
     pub errors: u32,
     pub error_hosts: BTreeSet<Host>,
@@ -138,6 +140,7 @@
             parts: vec![Part::default(); n.div_ceil(part_size) as usize],
             part_size,
             runtimes: vec![],
+            median: None,
             backoff_until: Time::default(),
             errors: 0,
             error_hosts: BTreeSet::new(),
@@ -305,6 +308,7 @@
         let mut job = Job::new(h.spec, h.seq, now, Wall(h.at), h.part_size);
         job.arrived = Time(now.0.saturating_sub(1000 * wall.0.saturating_sub(h.at)));
         job.cancelled = h.cancelled;
+        job.median = super::estimate::median(&h.runtimes);
         job.runtimes = h.runtimes;
         job.take_part(0, h.first, now, wall)?;
         Some(job)
@@ -328,6 +332,7 @@
         if self.runtimes.len() < RUNTIMES_KEPT {
             // Tenths will do, and keep the record small.
             self.runtimes.push((s * 10.0).round() / 10.0);
+            self.median = super::estimate::median(&self.runtimes);
         }
     }
 }
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -6,6 +6,7 @@
 mod gang;
 pub mod job;
 pub mod machine;
+mod order;
 mod place;
 mod preempt;
 mod records;
@@ -48,6 +49,8 @@
     /// Leadership is proven as of this moment, when the renewal was sent.
     Proven(Time),
     Tick(Wall),
+    /// The moment that `wake_at` named.
+    Wake,
 }
 
 #[derive(Debug)]
@@ -96,6 +99,7 @@
     pub objectives: Vec<crate::settings::Objective>,
     pub value_kb: f64,
     pub leader_lease: Span,
+    pub pass_every: Span,
 }
 
 impl Config {
@@ -107,6 +111,7 @@
             objectives: s.platform.params.objectives.clone(),
             value_kb: s.platform.params.state.value_kb,
             leader_lease: Span::secs(s.tuning.leader_lease_s),
+            pass_every: Span::secs(s.tuning.pass_ms / 1000.0),
         }
     }
     /// For this long after its last proof a leader may go on answering
@@ -135,7 +140,15 @@
     proven: Time,
     began: Time,
     wall: Wall,
+    /// Something has changed that the next pass over the jobs should see.
     replan: bool,
+    /// Passes gather what happens meanwhile: no next one before this moment.
+    pass_at: Time,
+    preempt_at: Time,
+    /// Jobs just taken; written after the next pass, along with what it starts.
+    taken: Vec<JobId>,
+    /// Machines with attempts whose `run` has not left yet.
+    unsent: std::collections::BTreeSet<Host>,
     out: Vec<Effect>,
     /// Jobs whose records could not be read: asked about, they get no answer.
     unreadable: std::collections::BTreeSet<JobId>,
@@ -165,6 +178,10 @@
             began: now,
             wall,
             replan: false,
+            pass_at: now,
+            preempt_at: now,
+            taken: vec![],
+            unsent: Default::default(),
             out: vec![],
             unreadable: Default::default(),
         }
@@ -184,18 +201,30 @@
             Event::Hired(h, r) => self.hired(now, h, r),
             Event::Released(hosts, ok) => self.released(now, hosts, ok),
             Event::Proven(t) => self.proven = self.proven.max(t),
+            Event::Wake => {}
             Event::Tick(wall) => {
                 self.wall = wall;
                 self.tick(now);
             }
         }
-        if self.replan && self.may_start(now) {
+        if self.replan && now >= self.pass_at && self.may_start(now) {
             self.replan = false;
+            self.pass_at = now + self.cfg.pass_every;
             self.place(now);
+            for id in std::mem::take(&mut self.taken) {
+                if let Some(j) = self.jobs.get_mut(&id).filter(|j| j.parts[0].stored == 0) {
+                    j.queue(0, &mut self.dirty, true);
+                }
+            }
         }
         std::mem::take(&mut self.out)
     }
 
+    /// When the next pass is due, if there is anything for it to do.
+    pub fn wake_at(&self) -> Option<Time> {
+        self.replan.then_some(self.pass_at)
+    }
+
     /// Leadership is proven at this moment; anything new needs that.
     pub fn may_start(&self, now: Time) -> bool {
         let lease = self.cfg.leader_lease.shrunk() - Span::millis(50);
--- /dev/null
+++ b/src/sched/order.rs
@@ -0,0 +1,123 @@
+//! The order in which jobs are served, worked out once for each pass.
+
+use super::job::Job;
+use super::{Room, Sched, estimate};
+use crate::ids::{JobId, Team};
+use crate::time::Time;
+use crate::wire::user::Priority;
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+/// How much the time for which a job would fill the fleet counts against it.
+const WORK_WEIGHT: f64 = 12.0;
+
+/// A job's place in the order; the smaller is served first.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+pub(super) struct Rank {
+    tier: u8,
+    due: f64,
+    seq: u64,
+}
+
+/// The ranks of all jobs at one moment.
+pub(super) struct Order {
+    within: HashSet<JobId>,
+    ranks: HashMap<JobId, Rank>,
+}
+
+impl Order {
+    /// Fits within its team's guarantee, with the team's earlier jobs.
+    pub fn within(&self, id: &JobId) -> bool {
+        self.within.contains(id)
+    }
+
+    pub fn rank(&self, id: &JobId) -> Option<&Rank> {
+        self.ranks.get(id)
+    }
+
+    /// Jobs with tasks to start, those first that are served first.
+    pub fn served(&self, s: &Sched, now: Time) -> Vec<JobId> {
+        let waits = |j: &&Job| j.pending() > 0 && now >= j.backoff_until;
+        let waiting = s.jobs.values().filter(waits);
+        let mut v: Vec<(&Rank, &JobId)> = waiting
+            .filter_map(|j| Some((self.ranks.get(j.id())?, j.id())))
+            .collect();
+        v.sort_by(|a, b| a.0.partial_cmp(b.0).unwrap_or(std::cmp::Ordering::Equal));
+        v.into_iter().map(|(_, id)| id.clone()).collect()
+    }
+}
+
+impl Sched {
+    pub(super) fn order(&self, now: Time) -> Order {
+        let within = self.within_guarantee();
+        let whole: i64 = self.machines.values().map(|m| m.capacity.cpu).sum();
+        let rank = |j: &Job| {
+            let within = within.contains(j.id());
+            let tier = match j.spec.priority {
+                Priority::Production => 0,
+                Priority::High => 1,
+                _ if within => 2,
+                Priority::Normal => 3,
+                Priority::Low => 4,
+            };
+            let due = self.latest_start(now, j, within, whole);
+            let seq = j.seq;
+            (j.id().clone(), Rank { tier, due, seq })
+        };
+        let ranks = self.jobs.values().map(rank).collect();
+        Order { within, ranks }
+    }
+
+    /// Jobs that fit within their team's guarantee along with the team's
+    /// earlier unfinished ones.
+    fn within_guarantee(&self) -> HashSet<JobId> {
+        let mut by_seq: Vec<_> = self.jobs.values().filter(|j| !j.cancelled).collect();
+        by_seq.sort_by_key(|j| j.seq);
+        let mut used: BTreeMap<&Team, (Room, Room)> = BTreeMap::new();
+        let mut within = HashSet::new();
+        for j in by_seq {
+            let team = &j.spec.team;
+            let Some(g) = self.teams.guarantee(team) else {
+                continue;
+            };
+            let (sum, g) = used.entry(team).or_insert((Room::default(), g));
+            *sum += j.need.scaled(j.unfinished() as i64);
+            if sum.cpu <= g.cpu && sum.gpu <= g.gpu {
+                within.insert(j.id().clone());
+            }
+        }
+        within
+    }
+
+    /// When the job must start for the next of its aims that it can still
+    /// meet; those that can meet none come last.
+    fn latest_start(&self, now: Time, j: &Job, within: bool, whole: i64) -> f64 {
+        let run = estimate::of(j).as_secs();
+        let run = if run > 1e9 { 0.0 } else { run };
+        let arrived = j.arrived.0 as f64 / 1e6;
+        let now = now.0 as f64 / 1e6;
+        let mut best = f64::INFINITY;
+        let mut take = |start: f64| {
+            if start >= now && start < best {
+                best = start;
+            }
+        };
+        if let Some(d) = j.spec.deadline_s {
+            take(arrived + d - run);
+            take(arrived + 1.5 * d - run);
+        }
+        for o in &self.cfg.objectives {
+            let mine = o.class.as_ref() == Some(&j.spec.class);
+            let Some(s) = o.within_s else { continue };
+            match o.kind.as_str() {
+                "finished" if mine => take(arrived + s - run),
+                "wait" if mine => take(arrived + s),
+                "guarantee" if within => take(arrived + s),
+                _ => {}
+            }
+        }
+        // Of two that are pressed alike, the one that needs less of the fleet:
+        // more jobs meet their aims that way.
+        let work = j.need.cpu as f64 * j.unfinished() as f64 * run;
+        best + WORK_WEIGHT * work / (whole.max(1) as f64)
+    }
+}
--- a/src/sched/place.rs
+++ b/src/sched/place.rs
@@ -1,183 +1,153 @@
 //! Where a task starts, in the order of the design: machines that pass the
 //! spread check, by best fit; then a join that costs nothing; then renting;
 //! then, when nothing is ready or rentable, any machine with room.
+//!
+//! All pending jobs are served in one pass, which gathers the machines with
+//! room once and judges each of them once for each job. `choose` is the same
+//! decision for a single task, made from scratch: it serves jobs whose tasks
+//! bear on each other's zones, and the tests hold the pass against it.
 
 use super::job::{Job, Live, Phase};
 use super::machine::{ENDLESS, Machine, Slot};
-use super::{Sched, estimate};
-use crate::ids::{Attempt, Host, JobId, TaskId, TaskIx, Zone};
+use super::{Room, Sched, estimate};
+use crate::ids::{Attempt, Host, JobId, TaskId, TaskIx, Team, Zone};
 use crate::time::{Span, Time};
-use crate::wire::user::{JobSpec, Kind, Priority};
-use std::collections::{BTreeMap, BTreeSet};
+use crate::wire::user::{JobSpec, Kind};
+use std::cmp::{Ordering, Reverse};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
-/// Jobs in the order in which they are served.
-#[derive(Clone, Debug, PartialEq, PartialOrd)]
-pub(super) struct Rank {
-    tier: u8,
-    due: f64,
-    seq: u64,
+/// What a pass found: where tasks start, and which jobs lack room for how many.
+type Planned = (Vec<(JobId, Host)>, Vec<(JobId, i64)>);
+
+/// A machine with room, as it will be once what is planned has started.
+struct Candidate<'a> {
+    m: &'a Machine,
+    free: Room,
+    /// Remaining runtimes on it, the smallest and the largest.
+    span: Option<(Span, Span)>,
 }
 
 impl Sched {
-    /// Jobs that fit within their team's guarantee along with the team's
-    /// earlier unfinished ones.
-    pub(super) fn within_guarantee(&self) -> BTreeSet<JobId> {
-        let mut by_seq: Vec<_> = self.jobs.values().filter(|j| !j.cancelled).collect();
-        by_seq.sort_by_key(|j| j.seq);
-        let mut used = BTreeMap::new();
-        let mut within = BTreeSet::new();
-        for j in by_seq {
-            let Some(g) = self.teams.guarantee(&j.spec.team) else {
-                continue;
-            };
-            let sum: &mut super::Room = used.entry(j.spec.team.clone()).or_default();
-            *sum += j.need.scaled(j.unfinished() as i64);
-            if sum.cpu <= g.cpu && sum.gpu <= g.gpu {
-                within.insert(j.id().clone());
+    pub(super) fn place(&mut self, now: Time) {
+        let order = self.order(now);
+        let served: Vec<JobId> = order.served(self, now);
+        let mut short = vec![];
+        let mut held = BTreeSet::new();
+        let mut rest = &served[..];
+        while !rest.is_empty() {
+            // What must be settled before the next is looked at goes by itself.
+            let alone = |id: &JobId| self.jobs.get(id).is_some_and(by_itself);
+            let n = rest.iter().position(alone).unwrap_or(rest.len());
+            let (starts, lack) = self.plan(now, &rest[..n], &held);
+            for (id, host) in starts {
+                self.start(now, &id, &host, None);
+            }
+            short.extend(lack);
+            if let Some(id) = rest.get(n) {
+                let lacks = self.place_alone(now, id, &mut held);
+                if lacks > 0 {
+                    short.push((id.clone(), lacks));
+                }
             }
+            rest = rest.get(n + 1..).unwrap_or(&[]);
+        }
+        self.fleet.short = short;
+        if now >= self.preempt_at {
+            self.preempt_at = now + PREEMPT_EVERY;
+            self.preempt(now, &order);
         }
-        within
     }
 
-    /// When the job must start for the next of its aims that it can still
-    /// meet; those that can meet none come last.
-    fn latest_start(&self, now: Time, j: &Job, within: bool) -> f64 {
-        let run = estimate::of(j).as_secs();
-        let run = if run > 1e9 { 0.0 } else { run };
-        let arrived = j.arrived.0 as f64 / 1e6;
-        let now = now.0 as f64 / 1e6;
-        let mut best = f64::INFINITY;
-        let mut take = |start: f64| {
-            if start >= now && start < best {
-                best = start;
-            }
-        };
-        if let Some(d) = j.spec.deadline_s {
-            take(arrived + d - run);
-            take(arrived + 1.5 * d - run);
+    /// Gangs, and jobs whose tasks bear on each other's zones.
+    fn place_alone(&mut self, now: Time, id: &JobId, held: &mut BTreeSet<Host>) -> i64 {
+        let gang = |j: &Job| j.spec.kind == Kind::Gang;
+        if self.jobs.get(id).is_some_and(gang) {
+            return self.place_gang(now, id, held);
         }
-        for o in &self.cfg.objectives {
-            let mine = o.class.as_ref() == Some(&j.spec.class);
-            let Some(s) = o.within_s else { continue };
-            match o.kind.as_str() {
-                "finished" if mine => take(arrived + s - run),
-                "wait" if mine => take(arrived + s),
-                "guarantee" if within => take(arrived + s),
-                _ => {}
+        while let Some(j) = self.jobs.get(id) {
+            let left = (j.pending() as i64).min(self.teams.left(&j.spec.team).times(&j.need));
+            if left == 0 {
+                break;
             }
+            let Some(host) = self.choose(now, id, held) else {
+                return left;
+            };
+            self.start(now, id, &host, None);
         }
-        // Of two that are pressed alike, the one that needs less of the fleet:
-        // more jobs meet their aims that way.
-        let whole: i64 = self.machines.values().map(|m| m.capacity.cpu).sum();
-        let work = j.need.cpu as f64 * j.unfinished() as f64 * run;
-        best + WORK_WEIGHT * work / (whole.max(1) as f64)
-    }
-
-    pub(super) fn rank(&self, now: Time, j: &Job, within: &BTreeSet<JobId>) -> Rank {
-        let within = within.contains(j.id());
-        let tier = match j.spec.priority {
-            Priority::Production => 0,
-            Priority::High => 1,
-            _ if within => 2,
-            Priority::Normal => 3,
-            Priority::Low => 4,
-        };
-        let due = self.latest_start(now, j, within);
-        let seq = j.seq;
-        Rank { tier, due, seq }
-    }
-
-    pub(super) fn ranked(&self, now: Time) -> Vec<(Rank, JobId)> {
-        let within = self.within_guarantee();
-        let mut v: Vec<(Rank, JobId)> = self
-            .jobs
-            .values()
-            .filter(|j| j.pending() > 0 && now >= j.backoff_until && j.parts[0].stored > 0)
-            .map(|j| (self.rank(now, j, &within), j.id().clone()))
-            .collect();
-        v.sort_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(std::cmp::Ordering::Equal));
-        v
+        0
     }
 
-    pub(super) fn place(&mut self, now: Time) {
-        let mut short = vec![];
-        let mut held = BTreeSet::new();
-        for (_, id) in self.ranked(now) {
-            let mut wanted = 0;
-            if self
-                .jobs
-                .get(&id)
-                .is_some_and(|j| j.spec.kind == Kind::Gang)
-            {
-                let n = self.place_gang(now, &id, &mut held);
-                if n > 0 {
-                    short.push((id, n));
-                }
-                continue;
+    /// Serves the jobs in this order, as far as room and quota go.
+    fn plan(&self, now: Time, jobs: &[JobId], held: &BTreeSet<Host>) -> Planned {
+        let fresh = self.heard_within();
+        let mut room: Vec<Candidate> = vec![];
+        let mut spare = -self.fleet.headroom(&self.cfg.tuning);
+        for m in self.machines.values().filter(|m| m.open(now, fresh)) {
+            let free = m.free();
+            spare += free.cpu.max(0);
+            if free.cpu > 0 && !held.contains(&m.host) {
+                let span = m.remaining(now);
+                room.push(Candidate { m, free, span });
             }
-            while let Some(j) = self.jobs.get(&id) {
-                let left = j.pending() as i64;
-                if left == 0 {
-                    break;
-                }
-                let quota = self.teams.left(&j.spec.team).times(&j.need);
-                if quota == 0 {
-                    break;
+        }
+        let can_rent = self.fleet.can_rent(now);
+        let mut quota: BTreeMap<&Team, Room> = BTreeMap::new();
+        let (mut starts, mut short) = (vec![], vec![]);
+        for id in jobs {
+            let Some(j) = self.jobs.get(id) else { continue };
+            let team = &j.spec.team;
+            let left = quota.entry(team).or_insert_with(|| self.teams.left(team));
+            let want = (j.pending() as i64).min(left.times(&j.need));
+            let view = View::of(self, j, can_rent);
+            let mut heap: BinaryHeap<Reverse<(Score, usize)>> = BinaryHeap::new();
+            if want > 0 && (view.quick || spare >= j.need.cpu) {
+                let scores = room.iter().enumerate();
+                let scores = scores.filter_map(|(i, c)| Some(Reverse((view.score(c)?, i))));
+                heap = scores.collect::<Vec<_>>().into();
+            }
+            let mut got = 0;
+            while got < want && (view.quick || spare >= j.need.cpu) {
+                let Some(Reverse((_, i))) = heap.pop() else { break };
+                let c = &mut room[i];
+                c.free -= j.need;
+                c.span = Some(match c.span {
+                    None => (view.est, view.est),
+                    Some((low, high)) => (low.min(view.est), high.max(view.est)),
+                });
+                spare -= j.need.cpu;
+                got += 1;
+                starts.push((id.clone(), c.m.host.clone()));
+                if let Some(s) = view.score(c) {
+                    heap.push(Reverse((s, i)));
                 }
-                let Some(host) = self.choose(now, &id, &held) else {
-                    wanted = left.min(quota);
-                    break;
-                };
-                self.start(now, &id, &host, None);
             }
-            if wanted > 0 {
-                short.push((id, wanted));
+            *left -= j.need.scaled(got);
+            if got < want {
+                short.push((id.clone(), want - got));
             }
         }
-        self.fleet.short = short;
-        self.preempt(now);
+        (starts, short)
     }
 
+    /// The machine for one task, judged from scratch.
     pub(super) fn choose(&self, now: Time, id: &JobId, held: &BTreeSet<Host>) -> Option<Host> {
         let j = self.jobs.get(id)?;
-        let est = estimate::of(j);
-        let t = &self.cfg.tuning;
-        let delta = estimate::delta(est, t.delta_factor, t.delta_floor_s);
         let fresh = self.heard_within();
-        let quick = self.fleet.is_quick(&j.spec.class, &self.cfg.objectives);
-        let spare = if quick {
-            i64::MAX
-        } else {
-            self.spare_cpu(now, fresh)
-        };
-        if spare < j.need.cpu {
+        let view = View::of(self, j, self.fleet.can_rent(now));
+        if !view.quick && self.spare_cpu(now, fresh) < j.need.cpu {
             return None;
         }
         let mut best: Option<(Score, &Machine)> = None;
         for m in self.machines.values() {
-            if !m.open(now, fresh) || !allowed(&j.spec, m) || !m.free().fits(&j.need) {
-                continue;
-            }
-            if held.contains(&m.host) {
+            if !m.open(now, fresh) || held.contains(&m.host) {
                 continue;
             }
             if (j.spec.one_zone || j.spec.spread) && !self.zone_suits(j, &m.zone) {
                 continue;
             }
-            // A machine that failed this job is not tried again soon.
-            if j.error_hosts.contains(&m.host) && j.error_hosts.len() < self.machines.len() {
-                continue;
-            }
-            let class = class(m, now, est, delta);
-            if class == LAST_RESORT && self.fleet.can_rent(now) {
+            let (free, span) = (m.free(), m.remaining(now));
+            let Some(score) = view.score(&Candidate { m, free, span }) else {
                 continue;
-            }
-            let left = m.free().minus(&j.need).share_of(&m.capacity);
-            let score = Score {
-                class,
-                image: quick && !m.images.contains(&j.spec.image),
-                left,
-                no_image: !m.images.contains(&j.spec.image),
             };
             if best.as_ref().is_none_or(|(b, _)| score < *b) {
                 best = Some((score, m));
@@ -254,6 +224,7 @@
             };
             m.slots.insert(task_id(id, ix), slot);
         }
+        self.unsent.insert(host.clone());
         tracing::debug!(job = %id, task = %ix, %host, "placed");
     }
 }
@@ -265,9 +236,66 @@
     }
 }
 
+/// What is the same for all tasks of a job in one pass.
+struct View<'a> {
+    j: &'a Job,
+    est: Span,
+    delta: Span,
+    quick: bool,
+    can_rent: bool,
+    /// Every machine there is has failed the job: none is avoided.
+    failed_all: bool,
+}
+
+impl<'a> View<'a> {
+    fn of(s: &Sched, j: &'a Job, can_rent: bool) -> View<'a> {
+        let t = &s.cfg.tuning;
+        let est = estimate::of(j);
+        View {
+            j,
+            est,
+            delta: estimate::delta(est, t.delta_factor, t.delta_floor_s),
+            quick: s.fleet.is_quick(&j.spec.class, &s.cfg.objectives),
+            can_rent,
+            failed_all: j.error_hosts.len() >= s.machines.len(),
+        }
+    }
+
+    /// How well the machine suits, if it may be taken at all.
+    fn score(&self, c: &Candidate) -> Option<Score> {
+        let j = self.j;
+        if !c.free.fits(&j.need) || !allowed(&j.spec, c.m) {
+            return None;
+        }
+        // A machine that failed this job is not tried again soon.
+        if !self.failed_all && j.error_hosts.contains(&c.m.host) {
+            return None;
+        }
+        let class = class_of(c.span, self.est, self.delta);
+        if class == LAST_RESORT && self.can_rent {
+            return None;
+        }
+        let no_image = !c.m.images.contains(&j.spec.image);
+        Some(Score {
+            class,
+            image: self.quick && no_image,
+            left: c.free.minus(&j.need).share_of(&c.m.capacity),
+            no_image,
+        })
+    }
+}
+
+fn by_itself(j: &Job) -> bool {
+    j.spec.kind == Kind::Gang || j.spec.one_zone || j.spec.spread
+}
+
 /// In which step of the design the machine takes a task of this estimate.
 pub(super) fn class(m: &Machine, now: Time, est: Span, delta: Span) -> u8 {
-    match m.remaining(now) {
+    class_of(m.remaining(now), est, delta)
+}
+
+fn class_of(span: Option<(Span, Span)>, est: Span, delta: Span) -> u8 {
+    match span {
         Some((low, high)) if high.max(est) - low.min(est) <= delta => 0,
         // It stays up for so long anyway.
         Some((_, high)) if high >= est => 1,
@@ -278,13 +306,12 @@
     }
 }
 
-/// How much the time for which a job would fill the fleet counts against it.
-const WORK_WEIGHT: f64 = 12.0;
-
 const LAST_RESORT: u8 = 3;
+/// Making room for others is looked into so often.
+const PREEMPT_EVERY: Span = Span(200_000);
 
 /// Smaller is better; fields count in this order.
-#[derive(Clone, Debug, PartialEq, PartialOrd)]
+#[derive(Clone, Debug)]
 struct Score {
     class: u8,
     image: bool,
@@ -292,6 +319,25 @@
     no_image: bool,
 }
 
+impl Ord for Score {
+    fn cmp(&self, o: &Score) -> Ordering {
+        let first = (self.class, self.image).cmp(&(o.class, o.image));
+        let then = first.then_with(|| self.left.total_cmp(&o.left));
+        then.then_with(|| self.no_image.cmp(&o.no_image))
+    }
+}
+impl PartialOrd for Score {
+    fn partial_cmp(&self, o: &Score) -> Option<Ordering> {
+        Some(self.cmp(o))
+    }
+}
+impl PartialEq for Score {
+    fn eq(&self, o: &Score) -> bool {
+        self.cmp(o) == Ordering::Equal
+    }
+}
+impl Eq for Score {}
+
 /// The job may run on this machine.
 pub(super) fn allowed(s: &JobSpec, m: &Machine) -> bool {
     s.builds.as_ref().is_none_or(|b| b.contains(&m.build))
--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -1,9 +1,11 @@
 //! Who has to make room, in the cases that the protocol allows.
 
 use super::job::{Job, Phase};
+use super::machine::Machine;
+use super::order::{Order, Rank};
 use super::place::allowed;
 use super::{Sched, estimate};
-use crate::ids::{Host, JobId, TaskIx};
+use crate::ids::{JobId, TaskIx};
 use crate::time::{Span, Time};
 use crate::wire::user::{Kind, Priority};
 
@@ -21,131 +23,170 @@
 /// A start that is undone sooner was in vain.
 const SETTLED_S: f64 = 31.0;
 
-struct Victim {
+/// A task that might be stopped for some job.
+struct Victim<'a> {
     cost: f64,
-    host: Host,
-    job: JobId,
+    lost: f64,
+    /// Its start has counted, it saves, and little is lost.
+    cheap: bool,
+    rank: &'a Rank,
+    job: &'a Job,
     task: TaskIx,
-    cpu: i64,
+    machine: &'a Machine,
+    taken: bool,
+}
+
+/// A job that found no room and may have some made.
+struct Claim<'a> {
+    job: &'a Job,
+    rank: &'a Rank,
+    within: bool,
+    tasks: i64,
 }
 
 impl Sched {
     /// Stops tasks for those that found no room and have a right to it.
-    pub(super) fn preempt(&mut self, now: Time) {
-        let mut stopping: i64 = 0;
-        for j in self.jobs.values() {
-            let s = j.live.values().filter(|l| l.stop.is_some()).count() as i64;
-            stopping += s * j.need.cpu;
-        }
-        let mut stops: Vec<Victim> = vec![];
-        let within = self.within_guarantee();
-        let spare = self.spare_cpu(now, self.heard_within());
-        for (id, wanted) in self.fleet.short.clone() {
-            let Some(j) = self.jobs.get(&id) else {
-                continue;
-            };
-            let urgent = j.spec.priority <= Priority::High;
-            if j.spec.priority == Priority::Low && !within.contains(&id) {
-                continue;
-            }
-            // Room that is kept for quick classes is not for these; stopping
-            // others would only fill it up.
-            if !self.fleet.is_quick(&j.spec.class, &self.cfg.objectives) && spare < 0 {
-                continue;
+    pub(super) fn preempt(&mut self, now: Time, order: &Order) {
+        let stops = self.chosen_stops(now, order);
+        for (id, t) in stops {
+            if let Some(j) = self.jobs.get_mut(&id) {
+                // Others first, or it takes the same room again.
+                j.backoff_until = j.backoff_until.max(now + YIELD);
             }
+            self.stop(now, &id, t, 0.0);
+        }
+    }
+
+    fn chosen_stops(&self, now: Time, order: &Order) -> Vec<(JobId, TaskIx)> {
+        let claims = self.claims(now, order);
+        if claims.is_empty() {
+            return vec![];
+        }
+        let (mut stopping, mut all) = self.stoppable(now, order);
+        // The cheapest first: what would lose least.
+        all.sort_by(|a, b| a.cost.total_cmp(&b.cost));
+        let little = |v: &Victim| v.cheap || v.lost < BORROWED_S;
+        let little: Vec<usize> = (0..all.len()).filter(|i| little(&all[*i])).collect();
+        let any: Vec<usize> = (0..all.len()).collect();
+        let mut stops = vec![];
+        for c in claims {
             // What is being stopped already makes room for the first of them.
-            let asked = j.need.cpu * wanted;
+            let asked = c.job.need.cpu * c.tasks;
             let mut need = (asked - stopping).max(0);
             stopping = (stopping - asked).max(0);
-            if need == 0 {
-                continue;
-            }
-            let mut victims = self.victims(now, j, urgent, &within);
-            // The cheapest first: what would lose least.
-            victims.sort_by(|a, b| a.cost.total_cmp(&b.cost));
-            for v in victims {
+            let urgent = c.job.spec.priority <= Priority::High;
+            for i in if urgent { &any } else { &little } {
                 if need <= 0 || stops.len() >= MAX_STOPS {
                     break;
                 }
-                if stops.iter().any(|s| s.job == v.job && s.task == v.task) {
+                let v = &mut all[*i];
+                if v.taken || !self.gives_way(v, &c, order) {
                     continue;
                 }
-                tracing::info!(job = %v.job, task = %v.task, host = %v.host, for_job = %id, "preempted");
-                need -= v.cpu;
-                stops.push(v);
+                tracing::info!(job = %v.job.id(), task = %v.task, host = %v.machine.host,
+                    for_job = %c.job.id(), "preempted");
+                v.taken = true;
+                need -= v.job.need.cpu;
+                stops.push((v.job.id().clone(), v.task));
             }
-        }
-        for v in stops {
-            if let Some(j) = self.jobs.get_mut(&v.job) {
-                // Others first, or it takes the same room again.
-                j.backoff_until = j.backoff_until.max(now + YIELD);
+            if stops.len() >= MAX_STOPS {
+                break;
             }
-            self.stop(now, &v.job, v.task, 0.0);
         }
+        stops
     }
 
-    /// Tasks that may be stopped for this job: those of lower priority, and
-    /// what other teams run beyond their guarantee while this one is within.
-    fn victims(
-        &self,
-        now: Time,
-        j: &Job,
-        urgent: bool,
-        within: &std::collections::BTreeSet<JobId>,
-    ) -> Vec<Victim> {
+    fn claims<'a>(&'a self, now: Time, order: &'a Order) -> Vec<Claim<'a>> {
+        if self.fleet.short.is_empty() {
+            return vec![];
+        }
+        let spare = self.spare_cpu(now, self.heard_within());
+        let claim = |(id, tasks): &(JobId, i64)| {
+            let job = self.jobs.get(id)?;
+            let within = order.within(id);
+            // Room that is kept for quick classes is not for the others;
+            // stopping tasks would only fill it up.
+            let quick = self.fleet.is_quick(&job.spec.class, &self.cfg.objectives);
+            let may = job.spec.priority != Priority::Low || within;
+            let rank = order.rank(id)?;
+            (may && (quick || spare >= 0)).then_some(Claim {
+                job,
+                rank,
+                within,
+                tasks: *tasks,
+            })
+        };
+        self.fleet.short.iter().filter_map(claim).collect()
+    }
+
+    /// Every task that could be stopped for anyone, and the CPUs of those that
+    /// are being stopped already.
+    fn stoppable<'a>(&'a self, now: Time, order: &'a Order) -> (i64, Vec<Victim<'a>>) {
         let fresh = self.heard_within();
+        let mut stopping = 0;
         let mut victims = vec![];
-        let mine = self.rank(now, j, within);
-        for v in self.jobs.values() {
-            // Room left by one that is served earlier would go back to it: tasks
-            // were stopped and placed anew many times a second.
-            if self.rank(now, v, within) <= mine {
-                continue;
-            }
-            let lower = v.spec.priority > j.spec.priority;
-            let borrowed = within.contains(j.id())
-                && !within.contains(v.id())
-                && v.spec.team != j.spec.team
-                && v.spec.priority >= j.spec.priority
-                && self.teams.beyond_guarantee(&v.spec.team);
-            if !(borrowed || lower) || v.spec.kind != Kind::Array {
-                continue;
-            }
-            for (t, l) in &v.live {
-                let Some(m) = self.machines.get(&l.host) else {
-                    continue;
-                };
-                if l.stop.is_some() || !m.open(now, fresh) || !allowed(&j.spec, m) {
+        for job in self.jobs.values().filter(|j| !j.live.is_empty()) {
+            let est = estimate::of(job).as_secs();
+            let rank = order.rank(job.id());
+            for (t, l) in &job.live {
+                if l.stop.is_some() {
+                    stopping += job.need.cpu;
                     continue;
                 }
+                let (Some(machine), Some(rank)) = (self.machines.get(&l.host), rank) else {
+                    continue;
+                };
                 let ran = match (l.phase, l.running_since) {
                     (Phase::Running, Some(s)) => (now - s).as_secs(),
                     _ => 0.0,
                 };
-                if ran > NEARLY_DONE * estimate::of(v).as_secs() {
+                let array = job.spec.kind == Kind::Array;
+                if !array || ran > NEARLY_DONE * est || !machine.open(now, fresh) {
                     continue;
                 }
-                let lost = if v.spec.checkpoint_s > 0.0 {
-                    ran % v.spec.checkpoint_s
+                let saves = job.spec.checkpoint_s > 0.0;
+                let lost = if saves {
+                    ran % job.spec.checkpoint_s
                 } else {
                     ran
                 };
-                // For what is not urgent only those stop that lose little, and
-                // whose start has counted.
-                let cheap = v.spec.checkpoint_s > 0.0 && lost < CHEAP_S && ran > SETTLED_S;
-                let gives_back = borrowed && lost < BORROWED_S;
-                if !(gives_back || urgent && lower || cheap && lower) {
-                    continue;
-                }
                 victims.push(Victim {
-                    cost: lost * v.spec.cpus,
-                    host: l.host.clone(),
-                    job: v.id().clone(),
+                    cost: lost * job.spec.cpus,
+                    lost,
+                    // For what is not urgent only those stop that lose little,
+                    // and whose start has counted.
+                    cheap: saves && lost < CHEAP_S && ran > SETTLED_S,
+                    rank,
+                    job,
                     task: *t,
-                    cpu: v.need.cpu,
+                    machine,
+                    taken: false,
                 });
             }
         }
-        victims
+        (stopping, victims)
+    }
+
+    /// A task may be stopped for work of higher priority, or if its team has
+    /// borrowed beyond its guarantee and the other is within its own.
+    fn gives_way(&self, v: &Victim, c: &Claim, order: &Order) -> bool {
+        // Room left by one that is served earlier would go back to it: tasks
+        // were stopped and placed anew many times a second.
+        if v.rank <= c.rank {
+            return false;
+        }
+        let (theirs, ours) = (&v.job.spec, &c.job.spec);
+        let lower = theirs.priority > ours.priority;
+        let urgent = ours.priority <= Priority::High;
+        if lower && (urgent || v.cheap) {
+            return allowed(ours, v.machine);
+        }
+        c.within
+            && v.lost < BORROWED_S
+            && theirs.team != ours.team
+            && theirs.priority >= ours.priority
+            && !order.within(v.job.id())
+            && self.teams.beyond_guarantee(&theirs.team)
+            && allowed(ours, v.machine)
     }
 }
--- a/src/sched/records.rs
+++ b/src/sched/records.rs
@@ -43,18 +43,23 @@
 impl Job {
     /// Notes a change; answers the version that must be stored for it.
     pub fn touch(&mut self, part: usize, dirty: &mut DirtyQueue, urgent: bool) -> u64 {
-        let id = self.spec.id.clone();
+        self.parts[part].ver += 1;
+        self.queue(part, dirty, urgent);
+        self.parts[part].ver
+    }
+
+    /// The part is to be written, as it will be by then.
+    pub fn queue(&mut self, part: usize, dirty: &mut DirtyQueue, urgent: bool) {
         let p = &mut self.parts[part];
-        p.ver += 1;
         if !p.queued {
             p.queued = true;
+            let id = self.spec.id.clone();
             if urgent {
                 dirty.urgent.push_back((id, part));
             } else {
                 dirty.usual.push_back((id, part));
             }
         }
-        p.ver
     }
 }
 
@@ -155,7 +160,9 @@
         }
         // A very late retry of a job that is over: it never became live again.
         let waiters = std::mem::take(&mut j.waiters);
-        if j.live.is_empty() {
+        // What was placed meanwhile never left: its record was not stored.
+        self.stop_all(now, &id);
+        if self.jobs.get(&id).is_some_and(|j| j.live.is_empty()) {
             self.jobs.remove(&id);
         }
         self.remember_final(&id, f);
--- a/src/sched/report.rs
+++ b/src/sched/report.rs
@@ -461,14 +461,16 @@
     }
 
     pub(super) fn push_all(&mut self, now: Time) {
-        let hosts: Vec<Host> = self.machines.keys().cloned().collect();
-        for h in hosts {
-            let waits = self.machines[&h].slots.keys().any(|t| {
-                let live = self.jobs.get(&t.job).and_then(|j| j.live.get(&t.ix));
-                live.is_some_and(|l| l.phase == Phase::Placed && !l.sent)
-            });
-            if waits {
+        for h in std::mem::take(&mut self.unsent) {
+            let waits = |m: &Machine| {
+                m.slots.keys().any(|t| {
+                    let live = self.jobs.get(&t.job).and_then(|j| j.live.get(&t.ix));
+                    live.is_some_and(|l| l.phase == Phase::Placed && !l.sent)
+                })
+            };
+            if self.machines.get(&h).is_some_and(waits) {
                 self.push(now, &h);
+                self.unsent.insert(h);
             }
         }
     }
--- a/src/sched/users.rs
+++ b/src/sched/users.rs
@@ -120,9 +120,13 @@
         }
         self.next_seq += 1;
         self.fleet.seen(now, &job, &self.cfg.objectives);
-        let ver = job.touch(0, &mut self.dirty, true);
-        job.waiters.push((ver, req, Waiting::Accept));
+        // Written after the next pass, so that one write holds the job and
+        // what it starts with.
+        job.parts[0].ver = 1;
+        job.waiters.push((1, req, Waiting::Accept));
+        self.taken.push(id.clone());
         self.jobs.insert(id, job);
+        self.replan = true;
     }
 
     fn tell_live(&mut self, req: ReqId, id: &JobId) {
--- a/src/settings/tuning.rs
+++ b/src/settings/tuning.rs
@@ -21,6 +21,8 @@
     pub idle_spot_s: f64,
     /// How much of the seen arrivals is kept free for classes that want quick starts.
     pub headroom: f64,
+    /// Pending tasks are placed at most once in so many milliseconds.
+    pub pass_ms: f64,
     /// Room that tasks leave within this share of a boot time is waited for.
     pub wait_share: f64,
 }
@@ -35,6 +37,7 @@
             idle_s: 8.0,
             idle_spot_s: 40.0,
             headroom: 2.0,
+            pass_ms: 40.0,
             wait_share: 0.8,
         }
     }
@@ -54,6 +57,7 @@
             ("idle-s", t.idle_s, 0.0, 1e6),
             ("idle-spot-s", t.idle_spot_s, 0.0, 1e6),
             ("headroom", t.headroom, 0.0, 100.0),
+            ("pass-ms", t.pass_ms, 0.0, 1000.0),
             ("wait-share", t.wait_share, 0.0, 10.0),
         ];
         for (field, v, low, high) in all {
