--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -1,5 +1,6 @@
 //! A job, its tasks, and how both are kept in the store.
 
+use super::records::Purpose;
 use super::room::Room;
 use crate::ids::{Attempt, Host, JobId, ReqId, Seq, TaskIx};
 use crate::time::{Time, Wall};
@@ -48,7 +49,8 @@
 pub struct Part {
     pub ver: u64,
     pub stored: u64,
-    pub queued: bool,
+    /// It waits to be written, for this purpose.
+    pub queued: Option<Purpose>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -15,7 +15,7 @@
 mod team;
 mod users;
 
-pub use records::{DirtyQueue, Key};
+pub use records::{Dirty, DirtyQueue, Key, Purpose};
 pub use room::Room;
 pub use users::answer_final;
 
@@ -27,7 +27,7 @@
 use crate::wire::worker::{Orders, Report};
 use job::{Final, Job};
 use machine::{Life, Machine, Slot};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 /// What may happen to the scheduler.
 #[derive(Debug)]
@@ -100,6 +100,7 @@
     pub value_kb: f64,
     pub leader_lease: Span,
     pub pass_every: Span,
+    pub hold: Span,
 }
 
 impl Config {
@@ -112,6 +113,7 @@
             value_kb: s.platform.params.state.value_kb,
             leader_lease: Span::secs(s.tuning.leader_lease_s),
             pass_every: Span::secs(s.tuning.pass_ms / 1000.0),
+            hold: Span::secs(s.tuning.hold_ms / 1000.0),
         }
     }
     /// For this long after its last proof a leader may go on answering
@@ -148,10 +150,14 @@
     /// Jobs just taken; written after the next pass, along with what it starts.
     taken: Vec<JobId>,
     /// Machines with attempts whose `run` has not left yet.
-    unsent: std::collections::BTreeSet<Host>,
+    unsent: BTreeSet<Host>,
+    /// Machines for which something has been stored since commands last left.
+    ready: BTreeSet<Host>,
+    /// Reports whose answers wait for what is being stored.
+    held: BTreeMap<Host, report::Beat>,
     out: Vec<Effect>,
     /// Jobs whose records could not be read: asked about, they get no answer.
-    unreadable: std::collections::BTreeSet<JobId>,
+    unreadable: BTreeSet<JobId>,
 }
 
 /// Final states kept at hand; older ones are read from the store.
@@ -181,7 +187,9 @@
             pass_at: now,
             preempt_at: now,
             taken: vec![],
-            unsent: Default::default(),
+            unsent: BTreeSet::new(),
+            ready: BTreeSet::new(),
+            held: BTreeMap::new(),
             out: vec![],
             unreadable: Default::default(),
         }
@@ -189,9 +197,10 @@
 
     /// The only way in: an event at a time leads to effects.
     pub fn handle(&mut self, now: Time, event: Event) -> Vec<Effect> {
+        self.dirty.now = now;
         match event {
             Event::Ask(req, ask) => self.ask(now, req, ask),
-            Event::Stored(key, ver) => self.stored(now, key, ver),
+            Event::Stored(key, ver) => self.stored(key, ver),
             Event::NotStored(job) => self.not_stored(&job),
             Event::AlreadyFinal(job, f) => self.already_final(now, job, f),
             Event::FinalRead(job, r) => self.final_read(now, job, r),
@@ -201,7 +210,10 @@
             Event::Hired(h, r) => self.hired(now, h, r),
             Event::Released(hosts, ok) => self.released(now, hosts, ok),
             Event::Proven(t) => self.proven = self.proven.max(t),
-            Event::Wake => {}
+            Event::Wake => {
+                self.push_ready(now);
+                self.answer_held(now, false);
+            }
             Event::Tick(wall) => {
                 self.wall = wall;
                 self.tick(now);
@@ -213,16 +225,24 @@
             self.place(now);
             for id in std::mem::take(&mut self.taken) {
                 if let Some(j) = self.jobs.get_mut(&id).filter(|j| j.parts[0].stored == 0) {
-                    j.queue(0, &mut self.dirty, true);
+                    j.queue(0, &mut self.dirty, Purpose::Now);
                 }
             }
+            self.answer_held(now, true);
+        }
+        if self.cfg.pass_every == Span::ZERO {
+            self.push_ready(now);
         }
         std::mem::take(&mut self.out)
     }
 
-    /// When the next pass is due, if there is anything for it to do.
+    /// When `Wake` is due, if there is anything for it to do: the next pass,
+    /// commands that may leave, answers that have waited.
     pub fn wake_at(&self) -> Option<Time> {
-        self.replan.then_some(self.pass_at)
+        let pass = self.replan.then_some(self.pass_at);
+        let ready = (!self.ready.is_empty()).then_some(Time::default());
+        let due = [pass, ready, self.held_until()];
+        due.into_iter().flatten().min()
     }
 
     /// Leadership is proven at this moment; anything new needs that.
@@ -318,6 +338,8 @@
     }
 
     fn tick(&mut self, now: Time) {
+        self.push_ready(now);
+        self.answer_held(now, false);
         self.watch_machines(now);
         self.plan_fleet(now);
         self.push_all(now);
--- a/src/sched/place.rs
+++ b/src/sched/place.rs
@@ -9,6 +9,7 @@
 
 use super::job::{Job, Live, Phase};
 use super::machine::{ENDLESS, Machine, Slot};
+use super::records::Purpose;
 use super::{Room, Sched, estimate};
 use crate::ids::{Attempt, Host, JobId, TaskId, TaskIx, Team, Zone};
 use crate::time::{Span, Time};
@@ -197,7 +198,13 @@
         let Some(ix) = j.take_pending() else { return };
         let est = estimate::of(j);
         let part = j.part_of(ix);
-        let ver = j.touch(part, &mut self.dirty, true);
+        let quick = self.fleet.is_quick(&j.spec.class, &self.cfg.objectives);
+        let purpose = if quick {
+            Purpose::Now
+        } else {
+            Purpose::Start
+        };
+        let ver = j.touch(part, &mut self.dirty, purpose);
         j.live.insert(
             ix,
             Live {
--- a/src/sched/records.rs
+++ b/src/sched/records.rs
@@ -3,7 +3,7 @@
 use super::job::{Final, Job};
 use super::{Effect, Sched};
 use crate::ids::{JobId, TaskIx};
-use crate::time::Time;
+use crate::time::{Span, Time};
 use crate::wire::peer::Answer;
 use crate::wire::user::{JobState, Kind};
 use std::collections::VecDeque;
@@ -15,66 +15,130 @@
     Final(JobId),
 }
 
-/// Records to be written, the urgent ones first; each stands here once.
+/// What a write is for, in the order in which the few writes there are go out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Purpose {
+    /// A user waits for it, or a task that is to start quickly.
+    Now,
+    /// Tasks are to start.
+    Start,
+    /// A job is over.
+    End,
+    /// What tasks have come to; it can be written along with later changes.
+    Progress,
+}
+
+const PURPOSES: [Purpose; 4] = [
+    Purpose::Now,
+    Purpose::Start,
+    Purpose::End,
+    Purpose::Progress,
+];
+/// Share of the write budget that must be left for each purpose.
+const RESERVE: [f64; 4] = [0.0, 0.1, 0.2, 0.4];
+/// Progress waits so long, since more of the same record may come.
+const GATHER: Span = Span(1_000_000);
+/// The end of a job waits no longer than that for starts of others.
+const END_WITHIN: Span = Span(1_500_000);
+
+/// A record that is to be written.
+#[derive(Clone, Debug)]
+pub struct Dirty {
+    pub job: JobId,
+    pub part: usize,
+    pub purpose: Purpose,
+    since: Time,
+}
+
+/// Records to be written. A part may stand here for more than one purpose; it
+/// counts for the one that it names itself.
 #[derive(Default)]
 pub struct DirtyQueue {
-    urgent: VecDeque<(JobId, usize)>,
-    usual: VecDeque<(JobId, usize)>,
+    pub(super) now: Time,
+    queues: [VecDeque<Dirty>; 4],
 }
 
 impl DirtyQueue {
-    pub fn pop(&mut self) -> Option<(JobId, usize)> {
-        self.urgent.pop_front().or_else(|| self.usual.pop_front())
+    /// The next to be written, with this share of the write budget left.
+    pub fn next(&mut self, now: Time, left: f64) -> Option<Dirty> {
+        let old = |d: &Dirty| now - d.since > END_WITHIN;
+        let end = Purpose::End as usize;
+        if self.queues[end].front().is_some_and(old) {
+            return self.queues[end].pop_front();
+        }
+        for p in PURPOSES {
+            let q = &mut self.queues[p as usize];
+            let gathers = |d: &Dirty| p == Purpose::Progress && now - d.since < GATHER;
+            if left >= RESERVE[p as usize] && q.front().is_some_and(|d| !gathers(d)) {
+                return q.pop_front();
+            }
+        }
+        None
     }
-    pub fn push_back(&mut self, job: JobId, part: usize) {
-        self.usual.push_back((job, part));
+
+    /// Whatever comes next, without regard to any budget.
+    pub fn pop(&mut self) -> Option<Dirty> {
+        self.queues.iter_mut().find_map(|q| q.pop_front())
     }
-    pub fn push_front(&mut self, job: JobId, part: usize) {
-        self.urgent.push_front((job, part));
+
+    /// Could not be written now; it keeps its place.
+    pub fn put_back(&mut self, d: Dirty) {
+        self.queues[d.purpose as usize].push_front(d);
     }
+
     pub fn len(&self) -> usize {
-        self.urgent.len() + self.usual.len()
+        self.queues.iter().map(|q| q.len()).sum()
     }
     pub fn is_empty(&self) -> bool {
         self.len() == 0
     }
+
+    /// How many wait for each purpose, in their order.
+    pub fn lengths(&self) -> [usize; 4] {
+        self.queues.each_ref().map(|q| q.len())
+    }
 }
 
 impl Job {
     /// Notes a change; answers the version that must be stored for it.
-    pub fn touch(&mut self, part: usize, dirty: &mut DirtyQueue, urgent: bool) -> u64 {
+    pub fn touch(&mut self, part: usize, dirty: &mut DirtyQueue, purpose: Purpose) -> u64 {
         self.parts[part].ver += 1;
-        self.queue(part, dirty, urgent);
+        self.queue(part, dirty, purpose);
         self.parts[part].ver
     }
 
-    /// The part is to be written, as it will be by then.
-    pub fn queue(&mut self, part: usize, dirty: &mut DirtyQueue, urgent: bool) {
+    /// The part is to be written, as it will be by then. What waits for less
+    /// moves up: starts once waited behind the progress of all others.
+    pub fn queue(&mut self, part: usize, dirty: &mut DirtyQueue, purpose: Purpose) {
         let p = &mut self.parts[part];
-        if !p.queued {
-            p.queued = true;
-            let id = self.spec.id.clone();
-            if urgent {
-                dirty.urgent.push_back((id, part));
-            } else {
-                dirty.usual.push_back((id, part));
-            }
+        if p.queued.is_none_or(|q| purpose < q) {
+            p.queued = Some(purpose);
+            dirty.queues[purpose as usize].push_back(Dirty {
+                job: self.spec.id.clone(),
+                part,
+                purpose,
+                since: dirty.now,
+            });
         }
     }
-}
 
-impl Sched {
-    /// A user waits for it, or a task that should start.
-    pub(super) fn touch(&mut self, id: &JobId, part: usize, urgent: bool) -> u64 {
-        match self.jobs.get_mut(id) {
-            Some(j) => j.touch(part, &mut self.dirty, urgent),
-            None => 0,
+    /// Takes the part out of the queue; false if this entry is out of date.
+    pub fn unqueue(&mut self, part: usize, purpose: Purpose) -> bool {
+        let p = &mut self.parts[part];
+        let counts = p.queued == Some(purpose);
+        if counts {
+            p.queued = None;
         }
+        counts
     }
+}
 
-    pub(super) fn touch_task(&mut self, id: &JobId, t: TaskIx, urgent: bool) -> u64 {
-        let part = self.jobs.get(id).map(|j| j.part_of(t)).unwrap_or(0);
-        self.touch(id, part, urgent)
+impl Sched {
+    /// What has become of a task is to be written.
+    pub(super) fn note_progress(&mut self, id: &JobId, t: TaskIx) {
+        if let Some(j) = self.jobs.get_mut(id) {
+            j.touch(j.part_of(t), &mut self.dirty, Purpose::Progress);
+        }
     }
 
     /// Once nothing of a job is left to run, its final state gets stored.
@@ -98,7 +162,7 @@
         } else {
             return;
         }
-        j.touch(0, &mut self.dirty, true);
+        j.touch(0, &mut self.dirty, Purpose::End);
     }
 
     pub fn final_of(&self, id: &JobId) -> Option<Final> {
@@ -109,7 +173,7 @@
         })
     }
 
-    pub(super) fn stored(&mut self, now: Time, key: Key, ver: u64) {
+    pub(super) fn stored(&mut self, key: Key, ver: u64) {
         match key {
             Key::Part(id, part) => {
                 let Some(j) = self.jobs.get_mut(&id) else {
@@ -124,8 +188,7 @@
                     j.waiters = rest;
                     self.tell_waiters(&id, ready);
                 }
-                self.replan = true;
-                self.push_job(now, &id);
+                self.note_ready(&id);
             }
             Key::Final(id) => {
                 let Some(f) = self.final_of(&id) else {
@@ -156,7 +219,7 @@
         };
         if j.closing.is_some() {
             // Our own write, whose answer was lost.
-            return self.stored(now, Key::Final(id), 0);
+            return self.stored(Key::Final(id), 0);
         }
         // A very late retry of a job that is over: it never became live again.
         let waiters = std::mem::take(&mut j.waiters);
--- a/src/sched/report.rs
+++ b/src/sched/report.rs
@@ -13,9 +13,18 @@
 
 /// After a refused or unanswered direct call, the next report has to do.
 const PUSH_REST: Span = Span(4_000_000);
+/// Reports whose answers wait at a time.
+const MAX_HELD: usize = 400;
 /// Commands in one message.
 const MAX_ORDERS: usize = 200;
 
+/// A report that is being answered.
+pub(super) struct Beat {
+    req: ReqId,
+    since: Time,
+    ours: bool,
+}
+
 impl Sched {
     pub(super) fn beat(&mut self, now: Time, req: ReqId, body: &[u8]) {
         let report: Report = match serde_json::from_slice(body) {
@@ -31,28 +40,78 @@
         }
         let host = report.host.clone();
         let base = self.base_token();
+        let slots = |s: &Sched| s.machines.get(&host).map_or(0, |m| m.slots.len());
+        let before = slots(self);
         let newer = self.take_report(now, &report, true);
-        let (token, orders) = match self.machines.get_mut(&host) {
-            Some(m) => {
-                // Only a worker that has heard our token drops the answers of
-                // an earlier leader; until then its lease may be renewed there.
-                m.answered = if report.token >= base {
-                    now
-                } else {
-                    m.answered.max(now)
-                };
-                (m.token, newer)
-            }
-            None => return self.answer(req, Answer::later("unknown machine", 1)),
+        let freed = slots(self) < before;
+        // A worker has one report in flight, so it has given that one up.
+        if let Some(h) = self.held.remove(&host) {
+            self.answer(h.req, Answer::later("a newer report is here", 1));
+        }
+        let beat = Beat {
+            req,
+            since: now,
+            // Only a worker that has heard our token drops the answers of an
+            // earlier leader; until then its lease may be renewed there.
+            ours: report.token >= base,
         };
+        if newer && self.worth_holding(now, &host, freed) {
+            self.held.insert(host, beat);
+        } else {
+            self.answer_beat(now, &host, beat, newer);
+        }
+    }
+
+    fn answer_beat(&mut self, now: Time, host: &Host, b: Beat, orders: bool) {
+        if !self.may_report(now) {
+            return self.answer(b.req, Answer::later("not entitled to answer", 1));
+        }
+        let Some(m) = self.machines.get_mut(host) else {
+            return self.answer(b.req, Answer::later("unknown machine", 1));
+        };
+        m.answered = if b.ours { now } else { m.answered.max(now) };
+        let token = m.token;
         let orders = if orders {
-            self.orders_for(now, &host, true)
+            self.orders_for(now, host, true)
         } else {
             vec![]
         };
         let a = ReportAnswer { token, orders };
         let body = serde_json::to_string(&a).unwrap_or_default();
-        self.answer(req, Answer::new(200, body));
+        self.answer(b.req, Answer::new(200, body));
+    }
+
+    /// What the worker is to do next will be known in a moment: its answer can
+    /// wait for that, which saves a direct call and further reports.
+    fn worth_holding(&self, now: Time, host: &Host, freed: bool) -> bool {
+        if self.cfg.hold == Span::ZERO || !self.may_start(now) || self.held.len() >= MAX_HELD {
+            return false;
+        }
+        let able = |m: &Machine| m.life == Life::Up && m.direct.is_none();
+        let waits = self.unsent.contains(host) || freed && !self.fleet.short.is_empty();
+        waits && self.machines.get(host).is_some_and(able)
+    }
+
+    /// Answers to reports that need not, or may not, wait any longer.
+    pub(super) fn answer_held(&mut self, now: Time, passed: bool) {
+        let hold = self.cfg.hold;
+        let unsent = &self.unsent;
+        let over = |(h, b): (&Host, &Beat)| {
+            let idle = passed && !unsent.contains(h);
+            (idle || now - b.since >= hold).then(|| h.clone())
+        };
+        let hosts: Vec<Host> = self.held.iter().filter_map(over).collect();
+        for h in hosts {
+            if let Some(b) = self.held.remove(&h) {
+                self.answer_beat(now, &h, b, true);
+            }
+        }
+    }
+
+    /// When the next held answer is due.
+    pub(super) fn held_until(&self) -> Option<Time> {
+        let first = self.held.values().map(|b| b.since).min();
+        first.map(|t| t + self.cfg.hold)
     }
 
     /// Takes what a report says, unless a newer one was there before.
@@ -230,7 +289,7 @@
                 self.refresh_estimates(&t.job);
             }
         }
-        self.touch_task(&t.job, t.ix, false);
+        self.note_progress(&t.job, t.ix);
         self.finish_if_over(now, &t.job);
     }
 
@@ -283,7 +342,7 @@
             }
             j.put_back(t.ix);
             self.gang_lost_one(now, &t.job);
-            self.touch_task(&t.job, t.ix, false);
+            self.note_progress(&t.job, t.ix);
             self.finish_if_over(now, &t.job);
         }
     }
@@ -406,6 +465,9 @@
     /// Sends what waits for this worker straight to it, not to lose the time
     /// until its next report.
     pub(super) fn push(&mut self, now: Time, host: &Host) {
+        if let Some(b) = self.held.remove(host) {
+            return self.answer_beat(now, host, b, true);
+        }
         let Some(m) = self.machines.get(host) else {
             return;
         };
@@ -446,16 +508,17 @@
         });
     }
 
-    pub(super) fn push_job(&mut self, now: Time, id: &JobId) {
-        let hosts: BTreeSet<Host> = match self.jobs.get(id) {
-            Some(j) => {
-                let waits = |l: &&super::job::Live| l.phase == Phase::Placed && !l.sent;
-                let live = j.live.values().filter(waits);
-                live.map(|l| l.host.clone()).collect()
-            }
-            None => return,
-        };
-        for h in hosts {
+    /// Something of this job is stored: what waited for that may leave.
+    pub(super) fn note_ready(&mut self, id: &JobId) {
+        let Some(j) = self.jobs.get(id) else { return };
+        let waits = |l: &&super::job::Live| l.phase == Phase::Placed && !l.sent;
+        for l in j.live.values().filter(waits) {
+            self.ready.insert(l.host.clone());
+        }
+    }
+
+    pub(super) fn push_ready(&mut self, now: Time) {
+        for h in std::mem::take(&mut self.ready) {
             self.push(now, &h);
         }
     }
--- a/src/sched/users.rs
+++ b/src/sched/users.rs
@@ -1,6 +1,7 @@
 //! What users ask: submissions, polls and cancellations.
 
 use super::job::{Final, Job, Waiting, part_size};
+use super::records::Purpose;
 use super::{Room, Sched};
 use crate::ids::{JobId, ReqId};
 use crate::time::Time;
@@ -125,6 +126,9 @@
         job.parts[0].ver = 1;
         job.waiters.push((1, req, Waiting::Accept));
         self.taken.push(id.clone());
+        if self.fleet.is_quick(&job.spec.class, &self.cfg.objectives) {
+            self.pass_at = now;
+        }
         self.jobs.insert(id, job);
         self.replan = true;
     }
@@ -182,7 +186,7 @@
         }
         if !j.cancelled {
             j.cancelled = true;
-            let ver = j.touch(0, &mut self.dirty, true);
+            let ver = j.touch(0, &mut self.dirty, Purpose::Now);
             j.cancel_ver = ver;
             j.waiters.push((ver, req, Waiting::Cancel));
             self.stop_all(now, &id);
--- a/src/settings/tuning.rs
+++ b/src/settings/tuning.rs
@@ -23,6 +23,9 @@
     pub headroom: f64,
     /// Pending tasks are placed at most once in so many milliseconds.
     pub pass_ms: f64,
+    /// An answer to a report waits up to so many milliseconds for commands
+    /// that are about to be stored.
+    pub hold_ms: f64,
     /// Room that tasks leave within this share of a boot time is waited for.
     pub wait_share: f64,
 }
@@ -38,6 +41,7 @@
             idle_spot_s: 40.0,
             headroom: 2.0,
             pass_ms: 40.0,
+            hold_ms: 300.0,
             wait_share: 0.8,
         }
     }
@@ -58,6 +62,7 @@
             ("idle-spot-s", t.idle_spot_s, 0.0, 1e6),
             ("headroom", t.headroom, 0.0, 100.0),
             ("pass-ms", t.pass_ms, 0.0, 1000.0),
+            ("hold-ms", t.hold_ms, 0.0, 2000.0),
             ("wait-share", t.wait_share, 0.0, 10.0),
         ];
         for (field, v, low, high) in all {
--- a/src/store/commit.rs
+++ b/src/store/commit.rs
@@ -10,7 +10,7 @@
 use super::{LEADER, final_key, part_key};
 use crate::ids::{JobId, Stamp, TxnId};
 use crate::sched::job::Final;
-use crate::sched::{Event, Key, Sched};
+use crate::sched::{Dirty, Event, Key, Purpose, Sched};
 use crate::settings::StateLimits;
 use crate::time::{Span, Time};
 use crate::wire::state::{Change, Condition, Item, Txn};
@@ -23,6 +23,7 @@
 
 struct Work {
     job: JobId,
+    purpose: Purpose,
     /// The part and its version, or the end of the job.
     what: What,
     keys: Vec<(String, bool)>,
@@ -44,6 +45,7 @@
     reading: HashMap<String, JobId>,
     /// Records left over from large jobs that are done.
     litter: Vec<String>,
+    burst: f64,
     writes: Budget,
     requests: Budget,
     rest_until: Time,
@@ -71,6 +73,7 @@
             busy: HashSet::new(),
             reading: HashMap::new(),
             litter: vec![],
+            burst: limits.write_rps * 0.8,
             writes: Budget::new(writes, limits.write_rps * 0.8),
             requests: Budget::new(requests, requests * 0.5),
             rest_until: Time::default(),
@@ -97,7 +100,8 @@
     }
 
     /// Changes for one entry of the queue, or none if nothing is to be written.
-    fn work(&self, sched: &Sched, job: &JobId, part: usize) -> Option<(Work, Vec<Change>)> {
+    fn work(&self, sched: &Sched, d: &Dirty) -> Option<(Work, Vec<Change>)> {
+        let (job, part) = (&d.job, d.part);
         let j = sched.jobs.get(job)?;
         let put = |key: &str, value| Change::Put {
             key: key.into(),
@@ -124,8 +128,13 @@
             keys.push((key, true));
             What::Part(part, j.parts[part].ver)
         };
-        let job = job.clone();
-        Some((Work { job, what, keys }, changes))
+        let work = Work {
+            job: job.clone(),
+            purpose: d.purpose,
+            what,
+            keys,
+        };
+        Some((work, changes))
     }
 
     /// The next transaction to send, if any may be sent now.
@@ -142,19 +151,24 @@
         let mut works: Vec<Work> = vec![];
         let mut bytes = 0;
         let mut skipped = vec![];
-        while let Some((job, part)) = sched.dirty.pop() {
+        let share = |n: usize| (budget as f64 - n as f64) / self.burst;
+        while let Some(d) = sched.dirty.next(now, share(txn.changes.len())) {
             // Within one transaction a job may appear with several parts.
-            if self.busy.contains(&job) && !works.iter().any(|w| w.job == job) {
-                skipped.push((job, part));
+            if self.busy.contains(&d.job) && !works.iter().any(|w| w.job == d.job) {
+                skipped.push(d);
+                continue;
+            }
+            let Some(j) = sched.jobs.get_mut(&d.job) else {
+                continue;
+            };
+            if !j.unqueue(d.part, d.purpose) {
                 continue;
             }
+            let (job, part) = (d.job.clone(), d.part);
             let ended = works
                 .iter()
                 .any(|w| w.job == job && matches!(w.what, What::End));
-            let Some((work, changes)) = self.work(sched, &job, part).filter(|_| !ended) else {
-                if let Some(j) = sched.jobs.get_mut(&job) {
-                    j.parts[part].queued = false;
-                }
+            let Some((work, changes)) = self.work(sched, &d).filter(|_| !ended) else {
                 continue;
             };
             let mut size = 0;
@@ -165,13 +179,13 @@
                 }
             }
             if txn.changes.len() + changes.len() > most || bytes + size > MAX_BYTES {
-                sched.dirty.push_front(job, part);
+                if let Some(j) = sched.jobs.get_mut(&job) {
+                    j.parts[part].queued = Some(d.purpose);
+                }
+                sched.dirty.put_back(d);
                 break;
             }
             bytes += size;
-            if let Some(j) = sched.jobs.get_mut(&job) {
-                j.parts[part].queued = false;
-            }
             for (key, _) in &work.keys {
                 let stamp = self.stamp(key);
                 txn.conditions.push(Condition {
@@ -193,8 +207,8 @@
             self.busy.insert(job);
             works.push(work);
         }
-        for (job, part) in skipped {
-            sched.dirty.push_back(job, part);
+        for d in skipped.into_iter().rev() {
+            sched.dirty.put_back(d);
         }
         if works.is_empty() {
             while txn.changes.len() < most {
@@ -229,11 +243,8 @@
             What::Part(p, _) => p,
             What::End => 0,
         };
-        if let Some(j) = sched.jobs.get_mut(&w.job)
-            && !j.parts[part].queued
-        {
-            j.parts[part].queued = true;
-            sched.dirty.push_front(w.job, part);
+        if let Some(j) = sched.jobs.get_mut(&w.job) {
+            j.queue(part, &mut sched.dirty, w.purpose);
         }
     }
 
--- a/tests/world/desk.rs
+++ b/tests/world/desk.rs
@@ -33,6 +33,7 @@
         let mut cfg = Config::from(&settings("x"));
         // Each event leads to all that follows from it.
         cfg.pass_every = Span::ZERO;
+        cfg.hold = Span::ZERO;
         let mut s = Sched::new(cfg, Epoch(epoch), Time(now), Time(now), Wall(1_000_000));
         s.load(Time(now), jobs, vec![]);
         let mut d = Desk {
@@ -71,11 +72,14 @@
 
     /// Only what waits first, not what that leads to.
     pub fn store_one(&mut self) -> bool {
-        if let Some((id, part)) = self.s.dirty.pop() {
+        while let Some(d) = self.s.dirty.pop() {
+            let (id, part) = (d.job, d.part);
             let Some(j) = self.s.jobs.get_mut(&id) else {
-                return true;
+                continue;
             };
-            j.parts[part].queued = false;
+            if !j.unqueue(part, d.purpose) {
+                continue;
+            }
             let ver = j.parts[part].ver;
             let key = match j.closing {
                 Some(_) => Key::Final(id),
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -76,6 +76,7 @@
 pub enum Ev {
     Elect(usize),
     Tick(usize),
+    Wake(usize),
     Beat(Host),
     ToCtl(usize, Host, Vec<u8>),
     ToWorker(Host, u64, Answer),
@@ -109,6 +110,8 @@
     term: Option<Term>,
     pub up: bool,
     life: u64,
+    /// An event to wake it is under way.
+    wakes: bool,
 }
 
 /// Chances of trouble, each per message.
@@ -205,6 +208,7 @@
             term: None,
             up: true,
             life,
+            wakes: false,
         }
     }
 
@@ -309,10 +313,19 @@
         };
         let epoch = t.epoch;
         let fx = t.sched.handle(now, e);
+        let wake = t.sched.wake_at();
         for f in fx {
             self.effect(i, epoch, f);
         }
         self.flush(i);
+        // As the real loop does, with its own moment's delay.
+        if let Some(at) = wake
+            && !self.ctls[i].wakes
+        {
+            self.ctls[i].wakes = true;
+            let in_s = (at - now).as_secs().max(0.003);
+            self.at(in_s, Ev::Wake(i));
+        }
     }
 
     fn flush(&mut self, i: usize) {
@@ -414,6 +427,12 @@
                 }
                 self.at(0.25, Ev::Tick(i));
             }
+            Ev::Wake(i) => {
+                self.ctls[i].wakes = false;
+                if self.ctls[i].up {
+                    self.event(i, Event::Wake);
+                }
+            }
             Ev::List(i) => {
                 if self.ctls[i].up && self.ctls[i].term.is_some() {
                     let list = self.list();
