--- a/src/sched/fleet.rs
+++ b/src/sched/fleet.rs
@@ -202,7 +202,11 @@
                 continue;
             }
             *left -= j.need.scaled(n);
-            let Some((_, kind)) = self.kinds_for(now, &j.need, Some(j), &zones).into_iter().next() else {
+            let Some((_, kind)) = self
+                .kinds_for(now, &j.need, Some(j), &zones)
+                .into_iter()
+                .next()
+            else {
                 continue;
             };
             let Some(f) = self.flavors.get(&kind.0) else {
@@ -276,7 +280,10 @@
             mem: 1000,
         };
         let zones = self.machines_by_zone();
-        let (_, kind) = self.kinds_for(now, &need, None, &zones).into_iter().next()?;
+        let (_, kind) = self
+            .kinds_for(now, &need, None, &zones)
+            .into_iter()
+            .next()?;
         let whole = Room::of_flavor(self.flavors.get(&kind.0)?);
         Some((kind, (keep - free) as f64 / whole.cpu.max(1) as f64))
     }
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -317,7 +317,7 @@
                 self.teams.add(&job.spec.team, &job.need);
             }
             self.jobs.insert(id.clone(), job);
-            self.finish_if_over(now, &id);
+            self.finish_if_over(&id);
             // A cancelled job's tasks are to go; who told its user counts on it.
             if self.jobs.get(&id).is_some_and(|j| j.cancelled) {
                 self.stop_all(now, &id);
--- a/src/sched/place.rs
+++ b/src/sched/place.rs
@@ -108,7 +108,9 @@
             }
             let mut got = 0;
             while got < want && (view.quick || spare >= j.need.cpu) {
-                let Some(Reverse((_, i))) = heap.pop() else { break };
+                let Some(Reverse((_, i))) = heap.pop() else {
+                    break;
+                };
                 let c = &mut room[i];
                 c.free -= j.need;
                 c.span = Some(match c.span {
@@ -199,11 +201,7 @@
         let est = estimate::of(j);
         let part = j.part_of(ix);
         let quick = self.fleet.is_quick(&j.spec.class, &self.cfg.objectives);
-        let purpose = if quick {
-            Purpose::Now
-        } else {
-            Purpose::Start
-        };
+        let purpose = if quick { Purpose::Now } else { Purpose::Start };
         let ver = j.touch(part, &mut self.dirty, purpose);
         j.live.insert(
             ix,
--- a/src/sched/records.rs
+++ b/src/sched/records.rs
@@ -142,7 +142,7 @@
     }
 
     /// Once nothing of a job is left to run, its final state gets stored.
-    pub(super) fn finish_if_over(&mut self, _now: Time, id: &JobId) {
+    pub(super) fn finish_if_over(&mut self, id: &JobId) {
         let Some(j) = self.jobs.get_mut(id) else {
             return;
         };
--- a/src/sched/report.rs
+++ b/src/sched/report.rs
@@ -290,7 +290,7 @@
             }
         }
         self.note_progress(&t.job, t.ix);
-        self.finish_if_over(now, &t.job);
+        self.finish_if_over(&t.job);
     }
 
     fn refresh_estimates(&mut self, id: &JobId) {
@@ -343,7 +343,7 @@
             j.put_back(t.ix);
             self.gang_lost_one(now, &t.job);
             self.note_progress(&t.job, t.ix);
-            self.finish_if_over(now, &t.job);
+            self.finish_if_over(&t.job);
         }
     }
 
--- a/src/sched/users.rs
+++ b/src/sched/users.rs
@@ -190,7 +190,7 @@
             j.cancel_ver = ver;
             j.waiters.push((ver, req, Waiting::Cancel));
             self.stop_all(now, &id);
-            self.finish_if_over(now, &id);
+            self.finish_if_over(&id);
             self.replan = true;
         } else if j.parts[0].stored >= j.cancel_ver {
             let a = Answer::new(200, view(&id, JobState::Cancelled, j.done_count, 0));
