--- a/src/api.rs
+++ b/src/api.rs
@@ -17,6 +17,8 @@
 const WRITERS: usize = 2;
 /// Bodies being read at a time, beyond those that came along with the head.
 const MAX_SLOW: usize = 200;
+/// A thread that reads bodies waits so long for another one.
+const SPARE_FOR: Duration = Duration::from_secs(10);
 /// tiny_http reads bodies up to this length before it hands a request out.
 const READ_ALREADY: usize = 1024;
 const KEEP_ACCEPTING: Duration = Duration::from_secs(15);
@@ -64,6 +66,7 @@
     let first = open(&listener)?;
     let (broken, failures) = crossbeam_channel::bounded(64);
     let slow = Arc::new(AtomicUsize::new(0));
+    let bodies = crossbeam_channel::bounded::<Request>(0);
     let read = move |server: Arc<Server>| {
         for _ in 0..READERS {
             let r = Reader {
@@ -72,6 +75,7 @@
                 inbox: inbox.clone(),
                 broken: broken.clone(),
                 slow: slow.clone(),
+                bodies: bodies.clone(),
             };
             crate::node::spawn("http-read", move || r.run());
         }
@@ -109,8 +113,9 @@
     healthy: Arc<AtomicBool>,
     inbox: F,
     broken: Sender<()>,
-    /// Requests whose body is still being read.
+    /// Threads that read bodies, and the way to those that are free.
     slow: Arc<AtomicUsize>,
+    bodies: (Sender<Request>, Receiver<Request>),
 }
 
 impl<F> Reader<F>
@@ -127,20 +132,31 @@
             // have to wait, which must hold up nobody else.
             if body_is_here(&request) {
                 Self::take(request, &self.healthy, &self.inbox);
-            } else if self.slow.fetch_add(1, Ordering::SeqCst) >= MAX_SLOW {
-                self.slow.fetch_sub(1, Ordering::SeqCst);
-                respond(request, Answer::later("too many requests", 2));
-            } else {
-                let (healthy, inbox) = (self.healthy.clone(), self.inbox.clone());
-                let slow = self.slow.clone();
-                crate::node::spawn("http-body", move || {
-                    Self::take(request, &healthy, &inbox);
-                    slow.fetch_sub(1, Ordering::SeqCst);
-                });
+            } else if let Err(request) = self.bodies.0.try_send(request).map_err(|e| e.into_inner())
+            {
+                self.another_for(request);
             }
         }
     }
 
+    /// None that reads bodies is free: one more does, as long as there are not
+    /// too many. A thread for each body once cost more than its request.
+    fn another_for(&self, request: Request) {
+        if self.slow.fetch_add(1, Ordering::SeqCst) >= MAX_SLOW {
+            self.slow.fetch_sub(1, Ordering::SeqCst);
+            return respond(request, Answer::later("too many requests", 2));
+        }
+        let (healthy, inbox) = (self.healthy.clone(), self.inbox.clone());
+        let (slow, queue) = (self.slow.clone(), self.bodies.1.clone());
+        crate::node::spawn("http-body", move || {
+            Self::take(request, &healthy, &inbox);
+            while let Ok(request) = queue.recv_timeout(SPARE_FOR) {
+                Self::take(request, &healthy, &inbox);
+            }
+            slow.fetch_sub(1, Ordering::SeqCst);
+        });
+    }
+
     fn take(mut request: Request, healthy: &AtomicBool, inbox: &F) {
         match route(&mut request, healthy) {
             Ok(Routed::Ask(ask)) => {
--- a/src/node/asks.rs
+++ b/src/node/asks.rs
@@ -6,7 +6,7 @@
 use crate::time::{Span, Time};
 use crate::wire::peer::{Answer, Ask, PeerMsg};
 use crate::wire::user::JobSpec;
-use crate::wire::worker::{Redirect, Report};
+use crate::wire::worker::Redirect;
 
 /// More open requests are turned away at once.
 const MAX_PENDING: usize = 1500;
@@ -47,6 +47,13 @@
         if full {
             return self.answer(now, req, Answer::later("too many requests", 2));
         }
+        if let Ask::Report(body) = &ask
+            && let Some(other) = self.better_for(now, body)
+        {
+            let leader = Some(other);
+            let body = serde_json::to_string(&Redirect { leader }).unwrap_or_default();
+            return self.answer(now, req, Answer::new(421, body));
+        }
         match &self.role {
             Role::Leader(_) => self.lead_ask(now, req, ask),
             Role::Loading(_) => self.answer(now, req, Answer::later("taking over", 1)),
@@ -74,23 +81,6 @@
         let Some(leader) = leader else {
             return self.no_leader(now, req, ask);
         };
-        if let Ask::Report(body) = &ask
-            && self.peers.direct(&leader)
-            && let Ok(r) = serde_json::from_slice::<Report>(body)
-        {
-            // Sent to the leader; one that is soon back could not get there,
-            // and its reports are passed on from here.
-            let again = self
-                .redirected
-                .get(&r.host)
-                .is_some_and(|t| now - *t < Span::secs(20.0));
-            if !again {
-                self.redirected.insert(r.host, now);
-                let leader = Some(leader);
-                let body = serde_json::to_string(&Redirect { leader }).unwrap_or_default();
-                return self.answer(now, req, Answer::new(421, body));
-            }
-        }
         let msg = PeerMsg::Ask {
             id: req.0,
             from: me.to_string(),
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,12 +1,13 @@
 //! A controller: its threads, and the loop that holds everything together.
 
 mod asks;
+mod balance;
 mod duties;
 mod health;
 pub mod load;
 
 use crate::api::{self, Incoming};
-use crate::ids::{Epoch, Host, JobId, Label, ReqId, TxnId};
+use crate::ids::{Epoch, JobId, Label, ReqId, TxnId};
 use crate::lead::{Elect, Leader};
 use crate::peer::Peers;
 use crate::sched::job::Final;
@@ -113,7 +114,7 @@
     inbox: Sender<Msg>,
     pending: HashMap<ReqId, Pending>,
     next_req: u64,
-    redirected: HashMap<Host, Time>,
+    balance: balance::Balance,
     flavors: Vec<Flavor>,
     latency: Histogram<u64>,
     started: Time,
@@ -132,16 +133,9 @@
     let answers = api::start(p.listen, healthy.clone(), move |i| {
         tx.send(Msg::Http(i)).is_ok()
     })?;
-    let (peer_tx, peer_rx) = unbounded();
-    let peers = Peers::start(p.label.clone(), clock, p.cluster_listen, &p.seeds, peer_tx)?;
     let tx = inbox.clone();
-    spawn("peer-inbox", move || {
-        for m in peer_rx {
-            if tx.send(Msg::Peer(m)).is_err() {
-                return;
-            }
-        }
-    });
+    let to_inbox = move |m| tx.send(Msg::Peer(m)).is_ok();
+    let peers = Peers::start(p.label.clone(), clock, p.cluster_listen, &p.seeds, to_inbox)?;
     let store = duties::store(&settings, inbox.clone());
     let cloud = duties::cloud(&settings, clock, term.clone(), inbox.clone());
     let agents = duties::agents(inbox.clone());
@@ -172,7 +166,7 @@
         inbox,
         pending: HashMap::new(),
         next_req: 1,
-        redirected: HashMap::new(),
+        balance: balance::Balance::default(),
         flavors: vec![],
         latency: Histogram::new_with_bounds(1, 60_000_000, 2).map_err(std::io::Error::other)?,
         started: now,
@@ -484,7 +478,7 @@
         for req in lost {
             self.answer(now, req, Answer::later("the leader is out of reach", 1));
         }
-        self.redirected.retain(|_, t| now - *t < Span::secs(60.0));
+        self.balance(now);
         let ok = self.stopping.is_none() && self.can_serve(now);
         if ok != self.healthy.swap(ok, Ordering::Relaxed) {
             tracing::info!(healthy = ok, "health changed");
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -8,9 +8,9 @@
 use crate::wire::peer::PeerMsg;
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
 use std::collections::HashMap;
-use std::io::{Read, Write};
+use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -22,13 +22,16 @@
 const UNHEARD: Duration = Duration::from_millis(2500);
 const MAX_FRAME: usize = 128 * 1024;
 const MAX_INBOUND: usize = 32;
-const QUEUE: usize = 256;
+const QUEUE: usize = 1024;
+/// Messages that leave in one go.
+const BATCH: usize = 64;
 
 #[derive(Default)]
 struct Heard {
     at: Time,
     hears: Vec<String>,
     leader: Option<(Label, Epoch)>,
+    workers: u32,
 }
 
 /// Shared by the threads of this module and whoever sends.
@@ -38,17 +41,21 @@
     links: HashMap<Label, Sender<PeerMsg>>,
     heard: Mutex<HashMap<Label, Heard>>,
     leader: Mutex<Option<(Label, Epoch)>>,
+    workers: AtomicU32,
 }
 
 impl Peers {
     /// Starts the threads; what arrives for this controller goes to `inbox`.
-    pub fn start(
+    pub fn start<F>(
         me: Label,
         clock: Clock,
         listen: SocketAddr,
         seeds: &[Seed],
-        inbox: Sender<PeerMsg>,
-    ) -> std::io::Result<Arc<Peers>> {
+        inbox: F,
+    ) -> std::io::Result<Arc<Peers>>
+    where
+        F: Fn(PeerMsg) -> bool + Send + Clone + 'static,
+    {
         let listener = TcpListener::bind(listen)?;
         let mut links = HashMap::new();
         let mut queues = vec![];
@@ -63,6 +70,7 @@
             links,
             heard: Mutex::default(),
             leader: Mutex::new(None),
+            workers: AtomicU32::new(0),
         });
         for (to, addr, rx) in queues {
             let p = peers.clone();
@@ -88,9 +96,24 @@
             from: self.me.to_string(),
             leader,
             hears,
+            workers: self.workers.load(Ordering::Relaxed),
         }
     }
 
+    /// How many workers report to this controller; told to the others.
+    pub fn set_workers(&self, n: u32) {
+        self.workers.store(n, Ordering::Relaxed);
+    }
+
+    /// How many workers report to each controller that can be talked to.
+    pub fn workers(&self) -> Vec<(Label, u32)> {
+        let near = self.links.keys().filter(|l| self.both_ways(l));
+        let near: Vec<Label> = near.cloned().collect();
+        let heard = self.heard();
+        let load = |l: Label| heard.get(&l).map(|h| (l, h.workers));
+        near.into_iter().filter_map(load).collect()
+    }
+
     fn own_leader(&self) -> Option<(Label, Epoch)> {
         self.leader
             .lock()
@@ -121,10 +144,6 @@
             .is_some_and(|h| now - h.at < DOWN_AFTER && h.hears.iter().any(|x| x == me))
     }
 
-    pub fn direct(&self, to: &Label) -> bool {
-        self.both_ways(to)
-    }
-
     /// Any other controller can be talked to.
     pub fn any(&self) -> bool {
         self.links.keys().any(|l| self.both_ways(l))
@@ -170,27 +189,30 @@
             let _ = s.set_write_timeout(Some(CALL));
             let mut sent = std::time::Instant::now();
             let since = std::time::Instant::now();
-            let mut ok = write(&mut s, &self.ping()).is_ok();
+            let mut ok = write(&mut s, &self.ping(), &queue).is_ok();
             // A peer that came back after a crash may leave the old connection
             // unanswered for long; only its own word says that we are heard.
             while ok && (since.elapsed() < UNHEARD || self.both_ways(to)) {
                 match queue.recv_timeout(PING.saturating_sub(sent.elapsed())) {
-                    Ok(m) => ok = write(&mut s, &m).is_ok(),
+                    Ok(m) => ok = write(&mut s, &m, &queue).is_ok(),
                     Err(RecvTimeoutError::Timeout) => {
                         sent = std::time::Instant::now();
-                        ok = write(&mut s, &self.ping()).is_ok();
+                        ok = write(&mut s, &self.ping(), &queue).is_ok();
                     }
                     Err(RecvTimeoutError::Disconnected) => return,
                 }
                 if sent.elapsed() >= PING {
                     sent = std::time::Instant::now();
-                    ok = ok && write(&mut s, &self.ping()).is_ok();
+                    ok = ok && write(&mut s, &self.ping(), &queue).is_ok();
                 }
             }
         }
     }
 
-    fn accept(self: Arc<Self>, listener: TcpListener, inbox: Sender<PeerMsg>) {
+    fn accept<F>(self: Arc<Self>, listener: TcpListener, inbox: F)
+    where
+        F: Fn(PeerMsg) -> bool + Send + Clone + 'static,
+    {
         let open = Arc::new(AtomicUsize::new(0));
         for s in listener.incoming() {
             let Ok(s) = s else {
@@ -209,20 +231,26 @@
         }
     }
 
-    fn listen_to(&self, mut s: TcpStream, inbox: &Sender<PeerMsg>) {
+    fn listen_to(&self, s: TcpStream, inbox: &impl Fn(PeerMsg) -> bool) {
         // A live peer pings twice a second.
         let _ = s.set_read_timeout(Some(Duration::from_secs(10)));
+        let mut s = BufReader::with_capacity(32 * 1024, s);
         while let Ok(msg) = read(&mut s) {
             let msg = match msg {
                 PeerMsg::Ping {
                     from,
                     leader,
                     hears,
+                    workers,
                 } => {
                     let leader = leader.map(|(l, e)| (l.as_str().into(), Epoch(e)));
-                    let at = self.clock.now();
-                    self.heard()
-                        .insert(from.as_str().into(), Heard { at, hears, leader });
+                    let heard = Heard {
+                        at: self.clock.now(),
+                        hears,
+                        leader,
+                        workers,
+                    };
+                    self.heard().insert(from.as_str().into(), heard);
                     continue;
                 }
                 m => m,
@@ -232,7 +260,7 @@
                 PeerMsg::Ping { .. } => continue,
             };
             if to == self.me.as_str() {
-                if inbox.send(msg).is_err() {
+                if !inbox(msg) {
                     return;
                 }
             } else {
@@ -248,16 +276,29 @@
     }
 }
 
-fn write(s: &mut TcpStream, m: &PeerMsg) -> std::io::Result<()> {
-    let body = bincode::encode_to_vec(m, bincode::config::standard())
+/// Sends a message, along with some of what waits behind it.
+fn write(s: &mut TcpStream, m: &PeerMsg, queue: &Receiver<PeerMsg>) -> std::io::Result<()> {
+    let mut out = vec![];
+    frame(m, &mut out)?;
+    for m in queue.try_iter().take(BATCH) {
+        frame(&m, &mut out)?;
+        if out.len() > MAX_FRAME {
+            break;
+        }
+    }
+    s.write_all(&out)
+}
+
+fn frame(m: &PeerMsg, out: &mut Vec<u8>) -> std::io::Result<()> {
+    let start = out.len();
+    out.extend_from_slice(&[0; 4]);
+    let len = bincode::encode_into_std_write(m, out, bincode::config::standard())
         .map_err(|e| std::io::Error::other(e.to_string()))?;
-    let mut frame = Vec::with_capacity(body.len() + 4);
-    frame.extend_from_slice(&(body.len() as u32).to_be_bytes());
-    frame.extend_from_slice(&body);
-    s.write_all(&frame)
+    out[start..start + 4].copy_from_slice(&(len as u32).to_be_bytes());
+    Ok(())
 }
 
-fn read(s: &mut TcpStream) -> std::io::Result<PeerMsg> {
+fn read(s: &mut impl Read) -> std::io::Result<PeerMsg> {
     let mut len = [0; 4];
     s.read_exact(&mut len)?;
     let len = u32::from_be_bytes(len) as usize;
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -22,11 +22,13 @@
 
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub enum PeerMsg {
-    /// Sent twice a second: who leads, and whom the sender hears.
+    /// Sent twice a second: who leads, whom the sender hears, and how many
+    /// workers report to it.
     Ping {
         from: String,
         leader: Option<(String, u64)>,
         hears: Vec<String>,
+        workers: u32,
     },
     Ask {
         id: u64,
