--- a/src/agent.rs
+++ b/src/agent.rs
@@ -9,7 +9,8 @@
 
 impl AgentClient {
     pub fn new() -> AgentClient {
-        AgentClient(agent(Duration::from_millis(2500), 40))
+        // Hardly ever the same worker twice in a while: none is kept open.
+        AgentClient(agent(Duration::from_millis(2500), 0))
     }
 
     pub fn orders(&self, addr: &str, orders: &Orders) -> DirectResult {
@@ -17,7 +18,8 @@
             return DirectResult::Refused;
         };
         let r = self.0.post(format!("http://{addr}/orders"));
-        let r = r.header("Content-Type", "application/json").send(&body[..]);
+        let r = r.header("Content-Type", "application/json");
+        let r = r.header("Connection", "close").send(&body[..]);
         if let Err(ureq::Error::Io(e)) = &r
             && e.kind() == std::io::ErrorKind::ConnectionRefused
         {
--- a/src/node/asks.rs
+++ b/src/node/asks.rs
@@ -1,7 +1,7 @@
 //! Requests of users and workers: answered as the leader, or passed on to it.
 
 use super::{Node, Origin, Pending, Role, StoreJob};
-use crate::ids::{JobId, ReqId};
+use crate::ids::{JobId, Label, ReqId};
 use crate::sched::Event;
 use crate::time::{Span, Time};
 use crate::wire::peer::{Answer, Ask, PeerMsg};
@@ -87,13 +87,35 @@
             to: leader.to_string(),
             ask: ask.clone(),
         };
-        if !self.peers.send(&leader, msg) {
-            self.no_leader(now, req, ask);
-        } else if let Some(p) = self.pending.get_mut(&req) {
+        if !self.peers.reachable(&leader) {
+            return self.no_leader(now, req, ask);
+        }
+        self.tell(leader.clone(), msg);
+        if let Some(p) = self.pending.get_mut(&req) {
             p.with = Some(leader);
         }
     }
 
+    /// Leaves at the end of this turn of the loop, with all that goes there.
+    fn tell(&mut self, to: Label, msg: PeerMsg) {
+        self.outbox.entry(to).or_default().push(msg);
+    }
+
+    pub(super) fn send_outbox(&mut self, now: Time) {
+        for (to, msgs) in std::mem::take(&mut self.outbox) {
+            let asked = |m: &PeerMsg| match m {
+                PeerMsg::Ask { id, .. } => Some(ReqId(*id)),
+                _ => None,
+            };
+            let asks: Vec<ReqId> = msgs.iter().filter_map(asked).collect();
+            if !self.peers.send(&to, msgs) {
+                for req in asks {
+                    self.answer(now, req, Answer::later("the leader is out of reach", 1));
+                }
+            }
+        }
+    }
+
     pub(super) fn no_leader(&mut self, now: Time, req: ReqId, ask: Ask) {
         match ask {
             Ask::Poll(id) if JobId::well_formed(&id) => {
@@ -123,7 +145,7 @@
             }
             Origin::Peer { from, id } => {
                 let to = from.to_string();
-                self.peers.send(&from, PeerMsg::Tell { id, to, answer });
+                self.tell(from, PeerMsg::Tell { id, to, answer });
             }
         }
     }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -115,6 +115,8 @@
     pending: HashMap<ReqId, Pending>,
     next_req: u64,
     balance: balance::Balance,
+    /// What goes to other controllers at the end of this turn.
+    outbox: HashMap<Label, Vec<PeerMsg>>,
     flavors: Vec<Flavor>,
     latency: Histogram<u64>,
     started: Time,
@@ -167,6 +169,7 @@
         pending: HashMap::new(),
         next_req: 1,
         balance: balance::Balance::default(),
+        outbox: HashMap::new(),
         flavors: vec![],
         latency: Histogram::new_with_bounds(1, 60_000_000, 2).map_err(std::io::Error::other)?,
         started: now,
@@ -211,6 +214,7 @@
                 self.tick(now);
             }
             self.flush(now);
+            self.send_outbox(now);
             if let Some(since) = self.stopping
                 && (self.pending.is_empty() || now - since > Span::secs(3.0))
             {
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -38,7 +38,7 @@
 pub struct Peers {
     me: Label,
     clock: Clock,
-    links: HashMap<Label, Sender<PeerMsg>>,
+    links: HashMap<Label, Sender<Vec<PeerMsg>>>,
     heard: Mutex<HashMap<Label, Heard>>,
     leader: Mutex<Option<(Label, Epoch)>>,
     workers: AtomicU32,
@@ -169,16 +169,16 @@
     }
 
     /// False if there is no way at the moment; nothing is sent then.
-    pub fn send(&self, to: &Label, msg: PeerMsg) -> bool {
+    pub fn send(&self, to: &Label, msgs: Vec<PeerMsg>) -> bool {
         let Some(via) = self.route(to) else {
             return false;
         };
         self.links
             .get(&via)
-            .is_some_and(|q| q.try_send(msg).is_ok())
+            .is_some_and(|q| q.try_send(msgs).is_ok())
     }
 
-    fn keep_link(&self, to: &Label, addr: SocketAddr, queue: Receiver<PeerMsg>) {
+    fn keep_link(&self, to: &Label, addr: SocketAddr, queue: Receiver<Vec<PeerMsg>>) {
         loop {
             let Ok(mut s) = TcpStream::connect_timeout(&addr, CALL) else {
                 while queue.try_recv().is_ok() {}
@@ -189,21 +189,21 @@
             let _ = s.set_write_timeout(Some(CALL));
             let mut sent = std::time::Instant::now();
             let since = std::time::Instant::now();
-            let mut ok = write(&mut s, &self.ping(), &queue).is_ok();
+            let mut ok = write(&mut s, vec![self.ping()], &queue).is_ok();
             // A peer that came back after a crash may leave the old connection
             // unanswered for long; only its own word says that we are heard.
             while ok && (since.elapsed() < UNHEARD || self.both_ways(to)) {
                 match queue.recv_timeout(PING.saturating_sub(sent.elapsed())) {
-                    Ok(m) => ok = write(&mut s, &m, &queue).is_ok(),
+                    Ok(m) => ok = write(&mut s, m, &queue).is_ok(),
                     Err(RecvTimeoutError::Timeout) => {
                         sent = std::time::Instant::now();
-                        ok = write(&mut s, &self.ping(), &queue).is_ok();
+                        ok = write(&mut s, vec![self.ping()], &queue).is_ok();
                     }
                     Err(RecvTimeoutError::Disconnected) => return,
                 }
                 if sent.elapsed() >= PING {
                     sent = std::time::Instant::now();
-                    ok = ok && write(&mut s, &self.ping(), &queue).is_ok();
+                    ok = ok && write(&mut s, vec![self.ping()], &queue).is_ok();
                 }
             }
         }
@@ -269,21 +269,26 @@
                 if self.both_ways(&to)
                     && let Some(q) = self.links.get(&to)
                 {
-                    let _ = q.try_send(msg);
+                    let _ = q.try_send(vec![msg]);
                 }
             }
         }
     }
 }
 
-/// Sends a message, along with some of what waits behind it.
-fn write(s: &mut TcpStream, m: &PeerMsg, queue: &Receiver<PeerMsg>) -> std::io::Result<()> {
+/// Sends messages, along with some of what waits behind them.
+fn write(
+    s: &mut TcpStream,
+    msgs: Vec<PeerMsg>,
+    queue: &Receiver<Vec<PeerMsg>>,
+) -> std::io::Result<()> {
     let mut out = vec![];
-    frame(m, &mut out)?;
-    for m in queue.try_iter().take(BATCH) {
+    let more = queue.try_iter().take(BATCH);
+    for m in std::iter::once(msgs).chain(more).flatten() {
         frame(&m, &mut out)?;
         if out.len() > MAX_FRAME {
-            break;
+            s.write_all(&out)?;
+            out.clear();
         }
     }
     s.write_all(&out)
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -5,6 +5,9 @@
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
 use std::time::Duration;
+use ureq::config::Config;
+use ureq::unversioned::resolver::{ResolvedSocketAddrs, Resolver};
+use ureq::unversioned::transport::{DefaultConnector, NextTimeout};
 
 /// What became of a transaction.
 #[derive(Clone, Debug, PartialEq)]
@@ -44,18 +47,37 @@
     base: String,
 }
 
+/// Addresses are numbers here. The usual resolver starts a thread for each
+/// request, to look up what needs no looking up.
+#[derive(Debug)]
+struct Numbers;
+
+impl Resolver for Numbers {
+    fn resolve(
+        &self,
+        uri: &ureq::http::Uri,
+        _config: &Config,
+        _timeout: NextTimeout,
+    ) -> Result<ResolvedSocketAddrs, ureq::Error> {
+        let addr = uri.authority().and_then(|a| a.as_str().parse().ok());
+        let mut found = self.empty();
+        found.push(addr.ok_or(ureq::Error::HostNotFound)?);
+        Ok(found)
+    }
+}
+
 pub(crate) fn agent(timeout: Duration, idle: usize) -> ureq::Agent {
-    ureq::Agent::config_builder()
+    let config = ureq::Agent::config_builder()
         .timeout_global(Some(timeout))
         .http_status_as_error(false)
         .max_idle_connections(idle)
-        .max_idle_connections_per_host(2)
+        .max_idle_connections_per_host(idle.min(5))
         .max_idle_age(Duration::from_secs(20))
         .input_buffer_size(16 * 1024)
         .output_buffer_size(16 * 1024)
         .proxy(None)
-        .build()
-        .into()
+        .build();
+    ureq::Agent::with_parts(config, DefaultConnector::default(), Numbers)
 }
 
 type Reply = (u16, Vec<u8>);
@@ -63,7 +85,7 @@
 impl StateClient {
     pub fn new(addr: SocketAddr, timeout: Duration) -> StateClient {
         StateClient {
-            agent: agent(timeout, 4),
+            agent: agent(timeout, 5),
             base: format!("http://{addr}"),
         }
     }
