--- a/src/sched/place.rs
+++ b/src/sched/place.rs
@@ -111,6 +111,12 @@
                 let Some(Reverse((_, i))) = heap.pop() else {
                     break;
                 };
+                // The tests hold the pass against the plain computation.
+                debug_assert!(
+                    !starts.is_empty()
+                        || self.choose(now, id, held).as_ref() == Some(&room[i].m.host),
+                    "{id}: the pass and the plain choice differ"
+                );
                 let c = &mut room[i];
                 c.free -= j.need;
                 c.span = Some(match c.span {
