--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -147,6 +147,7 @@
     /// Passes gather what happens meanwhile: no next one before this moment.
     pass_at: Time,
     preempt_at: Time,
+    sum_up_at: Time,
     /// Jobs just taken; written after the next pass, along with what it starts.
     taken: Vec<JobId>,
     /// Machines with attempts whose `run` has not left yet.
@@ -160,6 +161,8 @@
     unreadable: BTreeSet<JobId>,
 }
 
+/// How full the fleet is goes to the log so often.
+const SUM_UP_EVERY: Span = Span(10_000_000);
 /// Final states kept at hand; older ones are read from the store.
 const FINALS_KEPT: usize = 20_000;
 
@@ -186,6 +189,7 @@
             replan: false,
             pass_at: now,
             preempt_at: now,
+            sum_up_at: now,
             taken: vec![],
             unsent: BTreeSet::new(),
             ready: BTreeSet::new(),
@@ -345,6 +349,41 @@
         self.push_all(now);
         // What waits for time alone, such as a back-off, is tried again.
         self.replan = true;
+        if now >= self.sum_up_at {
+            self.sum_up_at = now + SUM_UP_EVERY;
+            self.sum_up(now);
+        }
+    }
+
+    /// How full the fleet is, for whoever reads the log.
+    fn sum_up(&self, now: Time) {
+        let fresh = self.heard_within();
+        let (mut up, mut booting, mut capacity, mut used, mut free) = (0, 0, 0, 0, 0);
+        for m in self.machines.values() {
+            up += (m.life == Life::Up) as u32;
+            booting += (m.life == Life::Booting) as u32;
+            used += m.used.cpu;
+            if m.life == Life::Up {
+                capacity += m.capacity.cpu;
+            }
+            if m.open(now, fresh) {
+                free += m.free().cpu;
+            }
+        }
+        let waiting = |j: &Job| j.need.cpu * j.pending() as i64;
+        let pending: i64 = self.jobs.values().map(waiting).sum();
+        let cpus = |c: i64| c / 1000;
+        tracing::info!(
+            jobs = self.jobs.len(),
+            up,
+            booting,
+            capacity = cpus(capacity),
+            used = cpus(used),
+            free = cpus(free),
+            pending = cpus(pending),
+            writes = ?self.dirty.lengths(),
+            "fleet"
+        );
     }
 
     /// Numbers for operators.
