--- a/src/sched/fleet.rs
+++ b/src/sched/fleet.rs
@@ -302,11 +302,13 @@
                     if self.fleet.is_gone(&h) {
                         continue;
                     }
-                    let capacity = self.flavors.get(&hire.build).map(Room::of_flavor);
+                    let flavor = self.flavors.get(&hire.build);
                     self.machines.entry(h.clone()).or_insert_with(|| {
                         let (b, z) = (hire.build.clone(), hire.zone.clone());
                         let mut m = Machine::new(h, b, z, hire.spot, now, token);
-                        m.capacity = capacity.unwrap_or_default();
+                        if let Some(f) = flavor {
+                            m.set_flavor(f);
+                        }
                         m
                     });
                 }
@@ -335,13 +337,14 @@
     pub(super) fn listed(&mut self, now: Time, list: Vec<Listed>) {
         let token = self.base_token();
         let renewed = self.maybe_renewed(now);
+        let mut unexpected = 0;
         for l in list {
             if self.fleet.is_gone(&l.host) {
                 continue;
             }
-            let capacity = self.flavors.get(&l.build).map(Room::of_flavor);
             let m = self.machines.entry(l.host.clone()).or_insert_with(|| {
-                tracing::info!(host = %l.host, status = %l.status, "a machine that was not expected is listed");
+                unexpected += 1;
+                tracing::debug!(host = %l.host, status = %l.status, "a machine that was not expected is listed");
                 let hired = Time(now.0.saturating_sub(Span::secs(l.age_s).0));
                 let (b, z) = (l.build.clone(), l.zone.clone());
                 let mut m = Machine::new(l.host.clone(), b, z, l.spot, hired, token);
@@ -353,8 +356,8 @@
                 m.build = l.build;
                 m.zone = l.zone;
                 m.spot = l.spot;
-                if let Some(c) = capacity {
-                    m.capacity = c;
+                if let Some(f) = self.flavors.get(&m.build) {
+                    m.set_flavor(f);
                 }
             }
             if m.addr.is_none() {
@@ -385,6 +388,9 @@
                 });
             }
         }
+        if unexpected > 0 {
+            tracing::info!(machines = unexpected, "not expected but listed");
+        }
     }
 
     /// Until when the lease of a worker that we have just met may have been
--- a/src/sched/machine.rs
+++ b/src/sched/machine.rs
@@ -3,6 +3,7 @@
 use super::room::Room;
 use crate::ids::{Attempt, Build, CallId, Host, Image, JobId, Seq, Session, TaskId, Token, Zone};
 use crate::time::{Span, Time};
+use crate::wire::cloud::Flavor;
 use std::collections::{BTreeMap, BTreeSet};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -53,7 +54,9 @@
     pub reported: bool,
     pub notice_until: Option<Time>,
     pub idle_since: Time,
-    pub images: Vec<Image>,
+    /// Images that it should still hold, with their sizes, the latest last.
+    pub images: Vec<(Image, f64)>,
+    pub cache_gb: f64,
     /// Attempts that its last report showed and that are no longer ours.
     pub strays: BTreeMap<(TaskId, Attempt), bool>,
     pub fails: u32,
@@ -62,7 +65,7 @@
     pub rest_until: Time,
 }
 
-const IMAGES_REMEMBERED: usize = 12;
+const IMAGES_REMEMBERED: usize = 100;
 
 impl Machine {
     pub fn new(host: Host, build: Build, zone: Zone, spot: bool, now: Time, token: Token) -> Self {
@@ -89,6 +92,7 @@
             notice_until: None,
             idle_since: now,
             images: vec![],
+            cache_gb: 0.0,
             strays: BTreeMap::new(),
             fails: 0,
             fail_jobs: BTreeSet::new(),
@@ -111,14 +115,27 @@
             && now - self.heard < fresh
     }
 
-    pub fn saw_image(&mut self, image: &Image) {
-        if self.images.last() != Some(image) {
-            self.images.retain(|i| i != image);
-            self.images.push(image.clone());
-            if self.images.len() > IMAGES_REMEMBERED {
-                self.images.remove(0);
-            }
+    /// The image has been used here; the longest unused go as the cache fills.
+    pub fn saw_image(&mut self, image: &Image, gb: f64) {
+        if self.images.last().is_some_and(|i| i.0 == *image) {
+            return;
         }
+        self.images.retain(|i| i.0 != *image);
+        self.images.push((image.clone(), gb));
+        let held = |v: &[(Image, f64)]| v.iter().map(|i| i.1).sum::<f64>();
+        while self.images.len() > IMAGES_REMEMBERED || held(&self.images) > self.cache_gb {
+            self.images.remove(0);
+        }
+    }
+
+    pub fn has_image(&self, image: &Image) -> bool {
+        self.images.iter().any(|i| i.0 == *image)
+    }
+
+    /// What the cloud says of this type of machine.
+    pub fn set_flavor(&mut self, f: &Flavor) {
+        self.capacity = Room::of_flavor(f);
+        self.cache_gb = f.cache_gb;
     }
 
     /// Remaining runtimes of its tasks, the smallest and the largest.
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -282,7 +282,7 @@
         self.flavors = flavors.into_iter().map(|f| (f.build.clone(), f)).collect();
         for m in self.machines.values_mut() {
             if let Some(f) = self.flavors.get(&m.build) {
-                m.capacity = Room::of_flavor(f);
+                m.set_flavor(f);
             }
         }
         self.replan = true;
--- a/src/sched/place.rs
+++ b/src/sched/place.rs
@@ -286,7 +286,7 @@
         if class == LAST_RESORT && self.can_rent {
             return None;
         }
-        let no_image = !c.m.images.contains(&j.spec.image);
+        let no_image = !c.m.has_image(&j.spec.image);
         Some(Score {
             class,
             image: self.quick && no_image,
--- a/src/sched/report.rs
+++ b/src/sched/report.rs
@@ -117,7 +117,6 @@
     /// Takes what a report says, unless a newer one was there before.
     fn take_report(&mut self, now: Time, r: &Report, beat: bool) -> bool {
         let token = self.base_token();
-        let capacity = self.flavors.get(&r.build).map(super::Room::of_flavor);
         let renewed = self.maybe_renewed(now);
         let m = self.machines.entry(r.host.clone()).or_insert_with(|| {
             tracing::info!(host = %r.host, "a machine that was not expected reports");
@@ -137,8 +136,8 @@
         m.build = r.build.clone();
         m.zone = r.zone.clone();
         m.spot = r.spot;
-        if let Some(c) = capacity {
-            m.capacity = c;
+        if let Some(f) = self.flavors.get(&m.build) {
+            m.set_flavor(f);
         }
         if r.addr.is_some() {
             m.addr = r.addr.clone();
@@ -209,7 +208,7 @@
         let Some(job) = self.jobs.get_mut(&r.task.job) else {
             return false;
         };
-        let image = job.spec.image.clone();
+        let (image, gb) = (job.spec.image.clone(), job.spec.image_gb);
         let Some(l) = job.live.get_mut(&r.task.ix) else {
             return false;
         };
@@ -235,7 +234,7 @@
         if phase == Phase::Running && l.running_since.is_none() {
             l.running_since = Some(now);
             if let Some(m) = self.machines.get_mut(host) {
-                m.saw_image(&image);
+                m.saw_image(&image, gb);
                 if let Some(s) = m.slots.get_mut(&r.task) {
                     s.start = now;
                 }
