With more waiting than room, the image decides before the best fit

Cause: half of the starts fetched an image; on a full fleet every machine with room fills up anyway, so best fit decides nothing there.

--- a/src/sched/place.rs
+++ b/src/sched/place.rs
@@ -92,6 +92,11 @@
             }
         }
         let can_rent = self.fleet.can_rent(now);
+        // With more waiting than there is room for, all of it fills up, and
+        // the image decides first; otherwise it would spoil the best fit.
+        let waiting = jobs.iter().filter_map(|id| self.jobs.get(id));
+        let wanted: i64 = waiting.map(|j| j.need.cpu * j.pending() as i64).sum();
+        let crowded = wanted > room.iter().map(|c| c.free.cpu).sum();
         let mut quota: BTreeMap<&Team, Room> = BTreeMap::new();
         let (mut starts, mut short) = (vec![], vec![]);
         for id in jobs {
@@ -99,7 +104,8 @@
             let team = &j.spec.team;
             let left = quota.entry(team).or_insert_with(|| self.teams.left(team));
             let want = (j.pending() as i64).min(left.times(&j.need));
-            let view = View::of(self, j, can_rent);
+            let mut view = View::of(self, j, can_rent);
+            view.by_image |= crowded;
             let mut heap: BinaryHeap<Reverse<(Score, usize)>> = BinaryHeap::new();
             if want > 0 && (view.quick || spare >= j.need.cpu) {
                 let scores = room.iter().enumerate();
@@ -253,6 +259,8 @@
     est: Span,
     delta: Span,
     quick: bool,
+    /// A machine that holds the image comes before a better fit.
+    by_image: bool,
     can_rent: bool,
     /// Every machine there is has failed the job: none is avoided.
     failed_all: bool,
@@ -262,11 +270,13 @@
     fn of(s: &Sched, j: &'a Job, can_rent: bool) -> View<'a> {
         let t = &s.cfg.tuning;
         let est = estimate::of(j);
+        let quick = s.fleet.is_quick(&j.spec.class, &s.cfg.objectives);
         View {
             j,
             est,
             delta: estimate::delta(est, t.delta_factor, t.delta_floor_s),
-            quick: s.fleet.is_quick(&j.spec.class, &s.cfg.objectives),
+            quick,
+            by_image: quick,
             can_rent,
             failed_all: j.error_hosts.len() >= s.machines.len(),
         }
@@ -289,7 +299,7 @@
         let no_image = !c.m.has_image(&j.spec.image);
         Some(Score {
             class,
-            image: self.quick && no_image,
+            image: self.by_image && no_image,
             left: c.free.minus(&j.need).share_of(&c.m.capacity),
             no_image,
         })
