--- a/src/node/asks.rs
+++ b/src/node/asks.rs
@@ -122,6 +122,20 @@
                 // What is final may be told by anyone who has read it.
                 let _ = self.store.send(StoreJob::Look(req, id.as_str().into()));
             }
+            Ask::Report(body) => {
+                // Known from the state service, but not to be reached from
+                // here: the worker may well have a way of its own.
+                let leader = self.seen.as_ref().map(|l| l.label.clone());
+                let leader = leader.filter(|l| *l != self.settings.platform.label);
+                match leader.and_then(|l| self.balance.sent(now, &body).then_some(l)) {
+                    Some(l) => {
+                        let leader = Some(l);
+                        let body = serde_json::to_string(&Redirect { leader }).unwrap_or_default();
+                        self.answer(now, req, Answer::new(421, body));
+                    }
+                    None => self.answer(now, req, Answer::later("no leader in reach", 1)),
+                }
+            }
             _ => self.answer(now, req, Answer::later("no leader in reach", 1)),
         }
     }
--- a/src/node/balance.rs
+++ b/src/node/balance.rs
@@ -48,6 +48,18 @@
         self.reporting.len() as u32
     }
 
+    /// Notes that this worker is sent away, unless it has just come back.
+    pub fn sent(&mut self, now: Time, report: &[u8]) -> bool {
+        let Ok(Sender { host }) = serde_json::from_slice(report) else {
+            return false;
+        };
+        let again = self.sent_away.get(&host).is_some_and(|t| now - *t < AGAIN);
+        if !again {
+            self.sent_away.insert(host, now);
+        }
+        !again
+    }
+
     /// Where this worker had better report, if not here.
     fn judge(&mut self, now: Time, host: &Host) -> Option<Label> {
         let (weight, others) = (self.weight, &self.others);
--- a/src/node/duties.rs
+++ b/src/node/duties.rs
@@ -18,7 +18,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-const STORE_THREADS: usize = 5;
+const STORE_THREADS: usize = 8;
 const AGENT_THREADS: usize = 6;
 const LIST_EVERY: Span = Span(5_000_000);
 const FLAVORS_EVERY: Span = Span(60_000_000);
--- a/src/node/health.rs
+++ b/src/node/health.rs
@@ -3,6 +3,9 @@
 use super::{Node, Role};
 use crate::time::{Span, Time};
 
+/// Without a way to a leader that is there for so long, others serve better.
+const CUT_OFF: Span = Span(2_500_000);
+
 impl Node {
     /// Healthy unless this controller is cut off while others may not be.
     pub(super) fn can_serve(&mut self, now: Time) -> bool {
@@ -22,6 +25,12 @@
         if now - self.started < Span::secs(4.0) {
             return false;
         }
+        // The state service says that somebody leads, but no way leads there:
+        // users are served better by those that have one.
+        let elsewhere = self.seen.as_ref().is_some_and(|l| l.label != *me);
+        if elsewhere && now - self.led_at > CUT_OFF && now - self.state_ok_at < CUT_OFF {
+            return false;
+        }
         // Between two leaders, or while the state service is down for all,
         // being taken out of the balancing would only make it last longer.
         let lately = now - self.led_at < Span::secs(40.0);
--- a/src/sched/users.rs
+++ b/src/sched/users.rs
@@ -4,12 +4,14 @@
 use super::records::Purpose;
 use super::{Room, Sched};
 use crate::ids::{JobId, ReqId};
-use crate::time::Time;
+use crate::time::{Span, Time};
 use crate::wire::peer::{Answer, Ask};
 use crate::wire::user::{JobSpec, JobState, JobView, Kind};
 
 /// More live jobs than this are not taken on: the machine is small.
 const MAX_JOBS: usize = 4000;
+/// A submission waits no longer than that for the next pass.
+const SOON: Span = Span(10_000);
 /// Reads of old final states under way at a time.
 const MAX_READS: usize = 64;
 
@@ -129,6 +131,8 @@
         if self.fleet.is_quick(&job.spec.class, &self.cfg.objectives) {
             self.pass_at = now;
         }
+        // Its user waits: the next pass comes soon.
+        self.pass_at = self.pass_at.min(now + SOON);
         self.jobs.insert(id, job);
         self.replan = true;
     }
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -71,7 +71,7 @@
         .timeout_global(Some(timeout))
         .http_status_as_error(false)
         .max_idle_connections(idle)
-        .max_idle_connections_per_host(idle.min(5))
+        .max_idle_connections_per_host(idle)
         .max_idle_age(Duration::from_secs(20))
         .input_buffer_size(16 * 1024)
         .output_buffer_size(16 * 1024)
@@ -85,7 +85,7 @@
 impl StateClient {
     pub fn new(addr: SocketAddr, timeout: Duration) -> StateClient {
         StateClient {
-            agent: agent(timeout, 5),
+            agent: agent(timeout, 8),
             base: format!("http://{addr}"),
         }
     }
--- a/src/store/commit.rs
+++ b/src/store/commit.rs
@@ -16,8 +16,10 @@
 use crate::wire::state::{Change, Condition, Item, Txn};
 use std::collections::{HashMap, HashSet};
 
-/// Transactions under way at a time.
+/// Transactions under way at a time, and with those that somebody waits for:
+/// a slow state service once made submissions queue behind all else.
 const LANES: usize = 3;
+const LANES_NOW: usize = 6;
 /// Room left in a transaction of 64 KiB.
 const MAX_BYTES: usize = 56 * 1024;
 
@@ -139,7 +141,12 @@
 
     /// The next transaction to send, if any may be sent now.
     pub fn next(&mut self, now: Time, sched: &mut Sched) -> Option<(TxnId, Txn)> {
-        if now < self.rest_until || self.under_way.len() >= LANES {
+        let lanes = if sched.dirty.lengths()[0] > 0 {
+            LANES_NOW
+        } else {
+            LANES
+        };
+        if now < self.rest_until || self.under_way.len() >= lanes {
             return None;
         }
         if !self.requests.has(now, 1.0) || sched.dirty.is_empty() && self.litter.is_empty() {
