Stories of full size; what gets short shows in the overview; limits checked at start

Limits that can't be served (no sockets, zero rates, tiny values) are refused at start by their field. The overview has loop times, waiting messages and calls, writes by purpose, budgets used, reports held and refused.

--- a/src/node/balance.rs
+++ b/src/node/balance.rs
@@ -48,6 +48,10 @@
         self.reporting.len() as u32
     }
 
+    pub fn len(&self) -> usize {
+        self.reporting.len()
+    }
+
     /// Notes that this worker is sent away, unless it has just come back.
     pub fn sent(&mut self, now: Time, report: &[u8]) -> bool {
         let Ok(Sender { host }) = serde_json::from_slice(report) else {
--- a/src/node/health.rs
+++ b/src/node/health.rs
@@ -2,10 +2,16 @@
 
 use super::{Node, Role};
 use crate::time::{Span, Time};
+use hdrhistogram::Histogram;
 
 /// Without a way to a leader that is there for so long, others serve better.
 const CUT_OFF: Span = Span(2_500_000);
 
+fn quantiles(h: &Histogram<u64>) -> serde_json::Value {
+    let ms = |q| h.value_at_quantile(q) as f64 / 1000.0;
+    serde_json::json!({ "p50": ms(0.5), "p99": ms(0.99), "max": h.max() as f64 / 1000.0 })
+}
+
 impl Node {
     /// Healthy unless this controller is cut off while others may not be.
     pub(super) fn can_serve(&mut self, now: Time) -> bool {
@@ -49,13 +55,21 @@
             "leader": self.peers.best_leader().map(|l| l.0),
             "waiting": self.pending.len(),
             "answers": self.latency.len(),
-            "answer_ms": {
-                "p50": self.latency.value_at_quantile(0.5) as f64 / 1000.0,
-                "p99": self.latency.value_at_quantile(0.99) as f64 / 1000.0,
+            "answer_ms": quantiles(&self.latency),
+            "loop_ms": quantiles(&self.turns),
+            "messages_waiting": self.waiting,
+            "workers_reporting_here": self.balance.len(),
+            "calls_waiting": {
+                "state": self.store.len(), "cloud": self.cloud.len(), "workers": self.agents.len(),
             },
         });
-        if let Role::Leader(t) = &self.role {
+        if let Role::Leader(t) = &mut self.role {
             v["scheduler"] = t.sched.overview(now);
+            let (changes, requests) = t.commit.budgets_used(now);
+            v["store"] = serde_json::json!({
+                "changes_used": changes, "requests_used": requests,
+                "transactions": t.commit.under_way(),
+            });
         }
         v
     }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -119,6 +119,10 @@
     outbox: HashMap<Label, Vec<PeerMsg>>,
     flavors: Vec<Flavor>,
     latency: Histogram<u64>,
+    /// How long the turns of the loop take.
+    turns: Histogram<u64>,
+    /// Messages that waited when the loop last looked.
+    waiting: usize,
     started: Time,
     stopping: Option<Time>,
     election: Sender<Sender<()>>,
@@ -171,7 +175,9 @@
         balance: balance::Balance::default(),
         outbox: HashMap::new(),
         flavors: vec![],
-        latency: Histogram::new_with_bounds(1, 60_000_000, 2).map_err(std::io::Error::other)?,
+        latency: histogram()?,
+        turns: histogram()?,
+        waiting: 0,
         started: now,
         stopping: None,
         election,
@@ -180,6 +186,11 @@
     Ok(())
 }
 
+/// Microseconds, up to a minute.
+fn histogram() -> std::io::Result<Histogram<u64>> {
+    Histogram::new_with_bounds(1, 60_000_000, 2).map_err(std::io::Error::other)
+}
+
 impl Node {
     fn run(mut self, rx: Receiver<Msg>) {
         let mut tick = self.clock.now();
@@ -191,8 +202,11 @@
             {
                 until = until.min(pass.max(now + Span::millis(3)));
             }
+            let mut turn = until;
             match rx.recv_timeout((until - now).std().max(Duration::from_millis(1))) {
                 Ok(m) => {
+                    self.waiting = rx.len();
+                    turn = self.clock.now();
                     self.take(m);
                     // What has come meanwhile is seen before anything is written.
                     for m in rx.try_iter().take(AT_ONCE) {
@@ -215,6 +229,9 @@
             }
             self.flush(now);
             self.send_outbox(now);
+            if turn < now {
+                self.turns.saturating_record((self.clock.now() - turn).0);
+            }
             if let Some(since) = self.stopping
                 && (self.pending.is_empty() || now - since > Span::secs(3.0))
             {
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -148,6 +148,10 @@
     pass_at: Time,
     preempt_at: Time,
     sum_up_at: Time,
+    /// Machines judged for tasks since the beginning: how much work placing is.
+    judged: std::cell::Cell<u64>,
+    reports_held: u64,
+    reports_refused: u64,
     /// Jobs just taken; written after the next pass, along with what it starts.
     taken: Vec<JobId>,
     /// Machines with attempts whose `run` has not left yet.
@@ -190,6 +194,9 @@
             pass_at: now,
             preempt_at: now,
             sum_up_at: now,
+            judged: Default::default(),
+            reports_held: 0,
+            reports_refused: 0,
             taken: vec![],
             unsent: BTreeSet::new(),
             ready: BTreeSet::new(),
@@ -386,6 +393,11 @@
         );
     }
 
+    /// Machines judged for tasks so far, a measure of the work of placing.
+    pub fn judged(&self) -> u64 {
+        self.judged.get()
+    }
+
     /// Numbers for operators.
     pub fn overview(&self, now: Time) -> serde_json::Value {
         let mut by_class: BTreeMap<String, (u64, u64)> = BTreeMap::new();
@@ -395,6 +407,7 @@
             e.1 += j.live.len() as u64;
         }
         let up = self.machines.values().filter(|m| m.life == Life::Up);
+        let writes = self.dirty.lengths();
         serde_json::json!({
             "epoch": self.epoch,
             "proven": self.may_start(now),
@@ -405,6 +418,13 @@
                 (c, serde_json::json!({"pending": p, "started": l}))).collect::<serde_json::Map<_, _>>(),
             "teams": self.teams.overview(),
             "unwritten": self.dirty.len(),
+            "writes_waiting": {
+                "now": writes[0], "starts": writes[1], "ends": writes[2], "progress": writes[3],
+            },
+            "judged": self.judged.get(),
+            "reports_held": self.reports_held,
+            "reports_refused": self.reports_refused,
+            "rentals_under_way": self.fleet.under_way(),
         })
     }
 }
--- a/src/sched/place.rs
+++ b/src/sched/place.rs
@@ -14,6 +14,7 @@
 use crate::ids::{Attempt, Host, JobId, TaskId, TaskIx, Team, Zone};
 use crate::time::{Span, Time};
 use crate::wire::user::{JobSpec, Kind};
+use std::cell::Cell;
 use std::cmp::{Ordering, Reverse};
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
@@ -82,7 +83,7 @@
     fn plan(&self, now: Time, jobs: &[JobId], held: &BTreeSet<Host>) -> Planned {
         let fresh = self.heard_within();
         let mut room: Vec<Candidate> = vec![];
-        let mut spare = -self.fleet.headroom(&self.cfg.tuning);
+        let mut spare = -self.fleet.headroom(now, &self.cfg.tuning);
         for m in self.machines.values().filter(|m| m.open(now, fresh)) {
             let free = m.free();
             spare += free.cpu.max(0);
@@ -117,11 +118,8 @@
                 let Some(Reverse((_, i))) = heap.pop() else {
                     break;
                 };
-                // The tests hold the pass against the plain computation.
                 debug_assert!(
-                    !starts.is_empty()
-                        || crowded
-                        || self.choose(now, id, held).as_ref() == Some(&room[i].m.host),
+                    !starts.is_empty() || crowded || self.agrees(now, id, held, room[i].m),
                     "{id}: the pass and the plain choice differ"
                 );
                 let c = &mut room[i];
@@ -145,6 +143,14 @@
         (starts, short)
     }
 
+    /// The tests hold the pass against the plain computation.
+    fn agrees(&self, now: Time, id: &JobId, held: &BTreeSet<Host>, m: &Machine) -> bool {
+        let judged = self.judged.get();
+        let plain = self.choose(now, id, held);
+        self.judged.set(judged);
+        plain.as_ref() == Some(&m.host)
+    }
+
     /// The machine for one task, judged from scratch.
     pub(super) fn choose(&self, now: Time, id: &JobId, held: &BTreeSet<Host>) -> Option<Host> {
         let j = self.jobs.get(id)?;
@@ -201,7 +207,7 @@
     pub(super) fn spare_cpu(&self, now: Time, fresh: Span) -> i64 {
         let open = self.machines.values().filter(|m| m.open(now, fresh));
         let free: i64 = open.map(|m| m.free().cpu.max(0)).sum();
-        free - self.fleet.headroom(&self.cfg.tuning)
+        free - self.fleet.headroom(now, &self.cfg.tuning)
     }
 
     pub(super) fn start(&mut self, now: Time, id: &JobId, host: &Host, attempt: Option<Attempt>) {
@@ -262,13 +268,14 @@
     quick: bool,
     /// A machine that holds the image comes before a better fit.
     by_image: bool,
+    judged: &'a Cell<u64>,
     can_rent: bool,
     /// Every machine there is has failed the job: none is avoided.
     failed_all: bool,
 }
 
 impl<'a> View<'a> {
-    fn of(s: &Sched, j: &'a Job, can_rent: bool) -> View<'a> {
+    fn of(s: &'a Sched, j: &'a Job, can_rent: bool) -> View<'a> {
         let t = &s.cfg.tuning;
         let est = estimate::of(j);
         let quick = s.fleet.is_quick(&j.spec.class, &s.cfg.objectives);
@@ -278,6 +285,7 @@
             delta: estimate::delta(est, t.delta_factor, t.delta_floor_s),
             quick,
             by_image: quick,
+            judged: &s.judged,
             can_rent,
             failed_all: j.error_hosts.len() >= s.machines.len(),
         }
@@ -286,6 +294,7 @@
     /// How well the machine suits, if it may be taken at all.
     fn score(&self, c: &Candidate) -> Option<Score> {
         let j = self.j;
+        self.judged.set(self.judged.get() + 1);
         if !c.free.fits(&j.need) || !allowed(&j.spec, c.m) {
             return None;
         }
--- a/src/sched/report.rs
+++ b/src/sched/report.rs
@@ -32,6 +32,7 @@
             Err(e) => return self.answer(req, Answer::error(400, &e.to_string())),
         };
         if !self.may_report(now) || self.fleet.is_gone(&report.host) {
+            self.reports_refused += 1;
             return self.answer(req, Answer::later("not entitled to answer", 1));
         }
         if report.token.0 >= self.epoch.base() + (1 << 24) {
@@ -56,6 +57,7 @@
             ours: report.token >= base,
         };
         if newer && self.worth_holding(now, &host, freed) {
+            self.reports_held += 1;
             self.held.insert(host, beat);
         } else {
             self.answer_beat(now, &host, beat, newer);
--- a/src/settings/platform.rs
+++ b/src/settings/platform.rs
@@ -102,7 +102,16 @@
     pub max_connections: usize,
 }
 
+/// Sockets without which a controller can't talk to anyone.
+const MIN_CONNECTIONS: usize = 64;
+/// A job's description with a few tasks takes this much.
+const MIN_VALUE_KB: f64 = 2.0;
+
 impl Platform {
+    fn machine_limits_too_low(&self) -> bool {
+        self.params.machine_limits.max_connections < MIN_CONNECTIONS
+    }
+
     pub fn parse(file: &str, text: &str) -> Result<Platform, SettingsError> {
         let p: Platform = serde_json::from_str(text).map_err(|e| SettingsError::Read {
             file: file.into(),
@@ -125,6 +134,20 @@
         if p.params.state.txn_ops < 4 {
             return Err(bad(file, "params.state.txn_ops", "must be at least 4"));
         }
+        if p.machine_limits_too_low() {
+            return Err(bad(
+                file,
+                "params.machine_limits.max_connections",
+                &format!("must be at least {MIN_CONNECTIONS}"),
+            ));
+        }
+        if p.params.state.value_kb < MIN_VALUE_KB {
+            return Err(bad(
+                file,
+                "params.state.value_kb",
+                &format!("must be at least {MIN_VALUE_KB}, or no job fits"),
+            ));
+        }
         if p.params.workers.cancel_s <= p.params.workers.lease_s {
             return Err(bad(
                 file,
--- a/src/store/commit.rs
+++ b/src/store/commit.rs
@@ -93,6 +93,19 @@
         self.litter.push(key);
     }
 
+    /// Shares of the budgets of changes and of requests that are used up.
+    pub fn budgets_used(&mut self, now: Time) -> (f64, f64) {
+        let writes = 1.0 - self.writes.left(now) / self.burst;
+        (
+            writes,
+            1.0 - self.requests.left(now) / (self.limits.rps * 0.3),
+        )
+    }
+
+    pub fn under_way(&self) -> usize {
+        self.under_way.len()
+    }
+
     pub fn idle(&self) -> bool {
         self.under_way.is_empty() && self.reading.is_empty()
     }
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -413,6 +413,22 @@
     let e = bad("<hookworks><headroom>-3</headroom></hookworks>");
     assert!(e.contains("t.xml") && e.contains("headroom"), "{e}");
     assert!(bad("<hookworks><headroom>x</headroom></hookworks>").contains("t.xml"));
+    // Limits that can't be served are refused at the start, by their name.
+    for (field, v) in [
+        ("state/write_rps", 0.0),
+        ("cloud/rps", 0.0),
+        ("machine_limits/max_connections", 0.0),
+        ("state/value_kb", 0.5),
+    ] {
+        let mut json = world::platform("c");
+        *json.pointer_mut(&format!("/params/{field}")).unwrap() = v.into();
+        if field.ends_with("connections") {
+            json["params"]["machine_limits"]["max_connections"] = 0.into();
+        }
+        let e = Platform::parse("p.json", &json.to_string()).unwrap_err();
+        let named = format!("params.{}", field.replace('/', "."));
+        assert!(e.to_string().contains(&named), "{e}");
+    }
     let e = Platform::parse("p.json", "{}").unwrap_err().to_string();
     assert!(e.contains("p.json") && e.contains("label"), "{e}");
 }
--- /dev/null
+++ b/tests/size.rs
@@ -0,0 +1,240 @@
+//! A full-sized fleet in memory. Work is bounded by counted steps and writes,
+//! never by time, so that the verdict is the same on every machine.
+
+mod world;
+
+use hookworks::ids::*;
+use hookworks::sched::{DirtyQueue, Effect, Event, Purpose};
+use hookworks::time::{Span, Time, Wall};
+use hookworks::wire::peer::Ask;
+use hookworks::wire::user::Priority;
+use hookworks::wire::worker::*;
+use world::desk::{Desk, ended, report, task};
+use world::job;
+
+const MACHINES: u32 = 850;
+const CPUS: u32 = 8;
+
+/// Teams that may use the whole fleet.
+fn roomy() -> Desk {
+    Desk::set_up(3, vec![], |cfg| {
+        for t in &mut cfg.teams {
+            (t.cpus, t.cpus_max) = (1e6, 1e6);
+        }
+    })
+}
+
+fn fleet(d: &mut Desk) {
+    d.refuses = true;
+    for n in 1..=MACHINES {
+        d.beat(&report(n, 1, Token(0)));
+    }
+}
+
+/// What the machine runs, as its worker would report it.
+fn running(d: &Desk, n: u32, seq: u64) -> Report {
+    let mut r = report(n, seq, Token(3 << 24));
+    let m = &d.s.machines[&r.host];
+    for t in m.slots.keys() {
+        let l = &d.s.jobs[&t.job].live[&t.ix];
+        r.tasks
+            .push(task(t.job.as_str(), t.ix.0, l.attempt, TaskState::Running));
+    }
+    r
+}
+
+#[test]
+fn work_for_an_event_does_not_grow_with_machines_times_tasks() {
+    let mut d = roomy();
+    fleet(&mut d);
+    // Enough to fill the fleet, in jobs of a hundred tasks of 2 CPUs.
+    let jobs = MACHINES * CPUS / 2 / 100;
+    for n in 1..=jobs {
+        d.submit(&job(n as u64, 100));
+    }
+    let live = |d: &Desk| d.s.jobs.values().map(|j| j.live.len()).sum::<usize>();
+    assert_eq!(live(&d), jobs as usize * 100);
+    // A job looks at each machine once, and again at those that it takes; the
+    // plain choice would look at all of them for every task.
+    let bound = (jobs * (MACHINES + 200)) as u64;
+    assert!(d.s.judged() <= bound, "{} > {bound}", d.s.judged());
+    // One write holds a job and all its starts.
+    assert!(d.written <= jobs as usize, "{} writes", d.written);
+
+    // A full fleet and as much again waiting: reports cost next to nothing.
+    for n in 1..=jobs {
+        d.submit(&job(1000 + n as u64, 100));
+    }
+    let (judged, written) = (d.s.judged(), d.written);
+    for n in 1..=MACHINES {
+        let r = running(&d, n, 2);
+        d.beat(&r);
+    }
+    d.wait(1.0);
+    // Some machines may have been left half full by the first jobs.
+    let free = d.s.machines.values().filter(|m| m.free().cpu > 0).count() as u64;
+    let passes = (MACHINES + 8) as u64;
+    let bound = passes * free * jobs as u64;
+    assert!(d.s.judged() - judged <= bound, "{}", d.s.judged() - judged);
+    assert_eq!(
+        d.written, written,
+        "reports that tell nothing new were stored"
+    );
+
+    // A task ends: its room goes to the first in line, and few are looked at.
+    let (judged, before) = (d.s.judged(), live(&d));
+    let mut r = running(&d, 1, 3);
+    let t = r.tasks.remove(0);
+    let of = t.task.job.to_string();
+    r.tasks
+        .push(ended(&of, t.task.ix.0, t.attempt, Cause::Done));
+    d.beat(&r);
+    assert_eq!(
+        live(&d),
+        before,
+        "the room of a task that ended stays empty"
+    );
+    let most = 4 * (free + 1) * jobs as u64;
+    assert!(d.s.judged() - judged <= most, "{}", d.s.judged() - judged);
+}
+
+#[test]
+fn a_huge_job_on_a_full_fleet_holds_up_nobody() {
+    let mut d = roomy();
+    fleet(&mut d);
+    let mut huge = job(1, 100_000);
+    huge.priority = Priority::Low;
+    let accepted = d.submit(&huge);
+    assert_eq!(d.status(accepted), Some(201));
+    let (judged, parts) = (
+        d.s.judged(),
+        d.s.jobs[&JobId::from("job-000001")].parts.len(),
+    );
+    assert!(d.written <= parts + 1, "{} writes", d.written);
+    for n in 1..=MACHINES {
+        let r = running(&d, n, 2);
+        assert!(d.beat(&r).is_some());
+    }
+    let per_report = (d.s.judged() - judged) / MACHINES as u64;
+    assert!(
+        per_report <= 2,
+        "{per_report} machines judged for each report"
+    );
+}
+
+#[test]
+fn a_new_leader_places_on_a_machine_only_after_its_report() {
+    let mut d = roomy();
+    fleet(&mut d);
+    for n in 1..=20 {
+        d.submit(&job(n, 100));
+    }
+    let records: Vec<_> = d.s.jobs.values().map(|j| j.encode(0)).collect();
+    let (now, wall) = (Time(d.now), Wall(1_000_000));
+    let jobs = records.iter().map(|r| {
+        let mut j = hookworks::sched::job::Job::decode(r, now, wall).unwrap();
+        (j.parts[0].ver, j.parts[0].stored) = (1, 1);
+        j
+    });
+    let mut next = Desk::set_up(4, jobs.collect(), |cfg| {
+        for t in &mut cfg.teams {
+            (t.cpus, t.cpus_max) = (1e6, 1e6);
+        }
+    });
+    next.submit(&job(900, 50));
+    next.wait(0.5);
+    let late = |d: &Desk| d.s.jobs[&JobId::from("job-000900")].live.len();
+    assert_eq!(late(&next), 0, "placed on a machine that has not reported");
+    let r = running(&d, MACHINES, 7);
+    next.beat(&r);
+    assert!(late(&next) > 0 && late(&next) <= (CPUS / 2) as usize);
+}
+
+/// Starts once waited behind the progress of all other jobs, since a record
+/// that was queued already stayed where it was.
+#[test]
+fn a_record_moves_up_when_something_urgent_waits_for_it() {
+    let mut dirty = DirtyQueue::default();
+    let j = |n| hookworks::sched::job::Job::new(job(n, 4), n, Time(0), Wall(0), 64);
+    let (mut a, mut b) = (j(1), j(2));
+    a.touch(0, &mut dirty, Purpose::Progress);
+    b.touch(0, &mut dirty, Purpose::Progress);
+    b.touch(0, &mut dirty, Purpose::Now);
+    let first = dirty.next(Time(0), 1.0).unwrap();
+    assert_eq!(
+        (first.job.as_str(), first.purpose),
+        ("job-000002", Purpose::Now)
+    );
+    assert!(b.unqueue(0, first.purpose));
+    // Progress gathers for a while, and never takes the last of the budget.
+    assert!(dirty.next(Time(0), 1.0).is_none());
+    assert!(dirty.next(Time(2_000_000), 0.1).is_none());
+    let next = dirty.next(Time(2_000_000), 1.0).unwrap();
+    assert!(a.unqueue(0, next.purpose));
+    // The other entry of the second job is out of date.
+    let old = dirty.next(Time(2_000_000), 1.0).unwrap();
+    assert!(!b.unqueue(0, old.purpose));
+}
+
+/// A worker that has just freed room is answered once its next task is stored:
+/// no direct call and no further report is needed for that.
+#[test]
+fn the_answer_to_a_report_waits_for_what_is_about_to_start() {
+    let mut d = Desk::set_up(3, vec![], |cfg| cfg.hold = Span::millis(300));
+    d.beat(&report(1, 1, Token(0)));
+    d.submit(&job(1, 5));
+    assert_eq!(d.direct().len(), 1);
+    let a = d.attempt("job-000001", 0).unwrap();
+    d.event(Event::Direct(
+        CallId(1),
+        report(1, 2, Token(0)).host,
+        hookworks::sched::DirectResult::Done(Box::new(running(&d, 1, 2))),
+    ));
+    d.stores = false;
+    let mut r = running(&d, 1, 3);
+    r.tasks.retain(|t| t.task.ix.0 != 0);
+    r.tasks.push(ended("job-000001", 0, a, Cause::Done));
+    let req = d.ask(Ask::Report(serde_json::to_vec(&r).unwrap()));
+    assert!(
+        d.answer(req).is_none(),
+        "answered before the next start was stored"
+    );
+    d.store();
+    d.event(Event::Wake);
+    let body = &d.answer(req).expect("answered once it was").body;
+    let orders: ReportAnswer = serde_json::from_str(body).unwrap();
+    let runs = |o: &&Order| matches!(o, Order::Run { .. });
+    assert_eq!(orders.orders.iter().filter(runs).count(), 1);
+    assert!(d.direct().is_empty(), "a direct call was made all the same");
+    // With nothing stored it is answered in time all the same.
+    let mut r = running(&d, 1, 4);
+    let t = r.tasks.pop().unwrap();
+    r.tasks
+        .push(ended("job-000001", t.task.ix.0, t.attempt, Cause::Stopped));
+    let req = d.ask(Ask::Report(serde_json::to_vec(&r).unwrap()));
+    d.wait(0.5);
+    assert!(d.answer(req).is_some(), "held for too long");
+    let kept = |f: &&Effect| matches!(f, Effect::Answer(..));
+    assert!(d.fx.iter().any(|f| kept(&f)));
+}
+
+/// Half of all starts fetched an image that their machine still held: only the
+/// last twelve were remembered, whatever the cache.
+#[test]
+fn images_are_remembered_as_long_as_the_cache_holds_them() {
+    let mut d = Desk::new(1);
+    d.beat(&report(1, 1, Token(0)));
+    let host = report(1, 1, Token(0)).host;
+    let m = d.s.machines.get_mut(&host).unwrap();
+    assert_eq!(m.cache_gb, 50.0);
+    for n in 0..40 {
+        m.saw_image(&Image::from(format!("i{n}").as_str()), 2.0);
+    }
+    let held = |m: &hookworks::sched::machine::Machine, n: u32| {
+        m.has_image(&Image::from(format!("i{n}").as_str()))
+    };
+    assert!(held(m, 39) && held(m, 15) && !held(m, 14));
+    m.saw_image(&Image::from("i15"), 2.0);
+    m.saw_image(&Image::from("new"), 2.0);
+    assert!(held(m, 15) && !held(m, 16), "the longest unused goes first");
+}
--- a/tests/world/desk.rs
+++ b/tests/world/desk.rs
@@ -20,6 +20,8 @@
     pub proves: bool,
     /// Workers refuse connections, so all goes by reports.
     pub refuses: bool,
+    /// Records written so far.
+    pub written: usize,
     next_req: u64,
 }
 
@@ -29,11 +31,17 @@
     }
 
     pub fn with(epoch: u64, jobs: Vec<Job>) -> Desk {
+        Desk::set_up(epoch, jobs, |_| {})
+    }
+
+    /// With other settings than usual.
+    pub fn set_up(epoch: u64, jobs: Vec<Job>, change: impl Fn(&mut Config)) -> Desk {
         let now = 4_000_000_000;
         let mut cfg = Config::from(&settings("x"));
         // Each event leads to all that follows from it.
         cfg.pass_every = Span::ZERO;
         cfg.hold = Span::ZERO;
+        change(&mut cfg);
         let mut s = Sched::new(cfg, Epoch(epoch), Time(now), Time(now), Wall(1_000_000));
         s.load(Time(now), jobs, vec![]);
         let mut d = Desk {
@@ -43,6 +51,7 @@
             stores: true,
             proves: true,
             refuses: false,
+            written: 0,
             next_req: 1,
         };
         d.event(Event::Flavors(vec![flavor()]));
@@ -80,6 +89,7 @@
             if !j.unqueue(part, d.purpose) {
                 continue;
             }
+            self.written += 1;
             let ver = j.parts[part].ver;
             let key = match j.closing {
                 Some(_) => Key::Final(id),
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -26,8 +26,8 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use worker::Worker;
 
-pub fn settings(label: &str) -> Settings {
-    let json = serde_json::json!({
+pub fn platform(label: &str) -> serde_json::Value {
+    serde_json::json!({
         "label": label, "zone": "a", "listen": "127.0.0.1:1", "cluster_listen": "127.0.0.1:2",
         "seeds": [], "services": {"cloud": "127.0.0.1:3", "state": "127.0.0.1:4"},
         "params": {
@@ -42,9 +42,12 @@
             "cloud": {"rps": 5.0, "list_lag_s": 3.0},
             "machine_limits": {"core_share": 0.2, "ram_mb": 100.0, "max_connections": 500}
         }
-    });
+    })
+}
+
+pub fn settings(label: &str) -> Settings {
     Settings {
-        platform: Platform::parse("test", &json.to_string()).unwrap(),
+        platform: Platform::parse("test", &platform(label).to_string()).unwrap(),
         tuning: Tuning::default(),
     }
 }
