Among machines that pass the spread check, those first that stay up anyway

Best fit by room alone spreads long tasks over all of them; now a task first joins a machine whose longest task outlasts it, so long ones gather. Spot machines go back after 15 s idle, not 40.

--- a/src/sched/place.rs
+++ b/src/sched/place.rs
@@ -310,6 +310,7 @@
         Some(Score {
             class,
             image: self.by_image && no_image,
+            extends: c.span.is_some_and(|(_, high)| high < self.est),
             left: c.free.minus(&j.need).share_of(&c.m.capacity),
             no_image,
         })
@@ -346,13 +347,16 @@
 struct Score {
     class: u8,
     image: bool,
+    /// The machine would have to stay up for longer: of those that pass the
+    /// spread check, one that stays up anyway costs nothing more.
+    extends: bool,
     left: f64,
     no_image: bool,
 }
 
 impl Ord for Score {
     fn cmp(&self, o: &Score) -> Ordering {
-        let first = (self.class, self.image).cmp(&(o.class, o.image));
+        let first = (self.class, self.image, self.extends).cmp(&(o.class, o.image, o.extends));
         let then = first.then_with(|| self.left.total_cmp(&o.left));
         then.then_with(|| self.no_image.cmp(&o.no_image))
     }
--- a/src/settings/tuning.rs
+++ b/src/settings/tuning.rs
@@ -38,7 +38,7 @@
             leader_lease_s: 1.6,
             silent_share: 0.6,
             idle_s: 8.0,
-            idle_spot_s: 40.0,
+            idle_spot_s: 15.0,
             headroom: 2.0,
             pass_ms: 40.0,
             hold_ms: 300.0,
