More of the write budget for what users wait for; the leader takes few reports itself

Conclusion: starts leave a quarter of the budget, ends 0.3, progress half; a worker at the leader counts eightfold in the balance.

--- a/src/node/balance.rs
+++ b/src/node/balance.rs
@@ -16,7 +16,7 @@
 /// Sent away between two ticks, at most.
 const MOVES: u32 = 8;
 /// Workers at the leader count so many times: it has all the rest to do, too.
-const LEADER_WEIGHT: f64 = 2.0;
+const LEADER_WEIGHT: f64 = 8.0;
 /// So far above its share a controller may be.
 const SLACK: f64 = 1.2;
 const FEW: f64 = 8.0;
--- a/src/sched/records.rs
+++ b/src/sched/records.rs
@@ -35,7 +35,7 @@
     Purpose::Progress,
 ];
 /// Share of the write budget that must be left for each purpose.
-const RESERVE: [f64; 4] = [0.0, 0.1, 0.2, 0.4];
+const RESERVE: [f64; 4] = [0.0, 0.25, 0.3, 0.5];
 /// Progress waits so long, since more of the same record may come.
 const GATHER: Span = Span(1_000_000);
 /// The end of a job waits no longer than that for starts of others.
