--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -420,7 +420,7 @@
         ("machine_limits/max_connections", 0.0),
         ("state/value_kb", 0.5),
     ] {
-        let mut json = world::platform("c");
+        let mut json = world::given::platform("c");
         *json.pointer_mut(&format!("/params/{field}")).unwrap() = v.into();
         if field.ends_with("connections") {
             json["params"]["machine_limits"]["max_connections"] = 0.into();
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -5,18 +5,20 @@
 #![allow(dead_code)]
 
 pub mod desk;
+pub mod given;
+mod rules;
 pub mod store;
 pub mod worker;
 
+pub use given::{flavor, job, settings};
 use hookworks::ids::*;
 use hookworks::lead::{Elect, Elector};
 use hookworks::node::load::load;
 use hookworks::sched::{Config, DirectResult, Effect, Event, HireResult, Sched};
-use hookworks::settings::{Platform, Settings, Tuning};
 use hookworks::store::commit::{Committer, Step};
 use hookworks::store::{Outcome, final_key};
 use hookworks::time::{Span, Time, Wall};
-use hookworks::wire::cloud::{Flavor, Hire, Listed};
+use hookworks::wire::cloud::{Hire, Listed};
 use hookworks::wire::peer::{Answer, Ask};
 use hookworks::wire::state::{Item, Txn};
 use hookworks::wire::user::{JobSpec, JobState, JobView};
@@ -26,56 +28,6 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use worker::Worker;
 
-pub fn platform(label: &str) -> serde_json::Value {
-    serde_json::json!({
-        "label": label, "zone": "a", "listen": "127.0.0.1:1", "cluster_listen": "127.0.0.1:2",
-        "seeds": [], "services": {"cloud": "127.0.0.1:3", "state": "127.0.0.1:4"},
-        "params": {
-            "count": 3, "zones": ["a", "b"],
-            "teams": [
-                {"name": "red", "cpus": 8.0, "cpus_max": 12.0},
-                {"name": "blue", "cpus": 8.0, "cpus_max": 16.0}],
-            "objectives": [{"kind": "wait", "class": "quick", "within_s": 2.0, "share": 0.9}],
-            "workers": {"report_s": 3.0, "lease_s": 20.0, "gang_wait_s": 30.0,
-                        "gang_peer_s": 8.0, "cancel_s": 42.0},
-            "state": {"rps": 100.0, "write_rps": 40.0, "value_kb": 8.0, "txn_ops": 8},
-            "cloud": {"rps": 5.0, "list_lag_s": 3.0},
-            "machine_limits": {"core_share": 0.2, "ram_mb": 100.0, "max_connections": 500}
-        }
-    })
-}
-
-pub fn settings(label: &str) -> Settings {
-    Settings {
-        platform: Platform::parse("test", &platform(label).to_string()).unwrap(),
-        tuning: Tuning::default(),
-    }
-}
-
-pub fn flavor() -> Flavor {
-    serde_json::from_value(serde_json::json!({
-        "Label": "m8", "Vcpus": 8, "RamGb": 32, "LocalGb": 50, "FetchGbPerS": 1.0,
-        "Hourly": 1.0, "SpotPrice": 0.3, "BootS": 10, "Yards": ["a", "b"]
-    }))
-    .unwrap()
-}
-
-/// A batch job; tests change what they need.
-pub fn job(n: u64, tasks: u32) -> JobSpec {
-    JobSpec::parse(
-        serde_json::json!({
-            "Id": format!("job-{n:06}"), "Jobline": "work", "Crew": "red", "Shape": "batch",
-            "Urgency": "normal", "Pieces": tasks, "Vcpus": 2.0, "Accelerators": 0, "RamGb": 2.0,
-            "Builds": null, "Yard": null, "OneZone": false, "Scatter": false, "Lendable": true,
-            "Bundle": "img", "SizeGb": 1.0, "GuessS": 20.0, "BookmarkS": 0, "StowS": 0,
-            "DueS": null
-        })
-        .to_string()
-        .as_bytes(),
-    )
-    .unwrap()
-}
-
 pub enum Ev {
     Elect(usize),
     Tick(usize),
@@ -376,50 +328,6 @@
         }
     }
 
-    fn heard(&mut self, ask: Ask, a: Answer) {
-        let view = serde_json::from_str::<JobView>(&a.body).ok();
-        let id: JobId = match &ask {
-            Ask::Submit(b) => JobSpec::parse(b).unwrap().id,
-            Ask::Poll(i) | Ask::Cancel(i) => i.as_str().into(),
-            Ask::Report(_) => return,
-        };
-        let tasks = self.specs.get(&id).map_or(0, |s| s.tasks);
-        let told = self.told.entry(id.clone()).or_default();
-        told.tasks = tasks;
-        let known = self.specs.contains_key(&id);
-        if told.accepted && matches!(a.status, 400 | 404 | 422) {
-            self.broken.push(format!("forgotten: {id} {}", a.status));
-        }
-        if (200..300).contains(&a.status) {
-            if !known {
-                self.broken.push(format!("invented: {id}"));
-            }
-            told.accepted |= matches!(ask, Ask::Submit(_));
-            let state = view.unwrap().state;
-            if told.over.is_some_and(|o| o != state) {
-                self.broken.push(format!("went_back: {id} {state:?}"));
-            }
-            if state == JobState::Done {
-                let all = (0..tasks).all(|n| {
-                    self.done_tasks.contains(&TaskId {
-                        job: id.clone(),
-                        ix: TaskIx(n),
-                    })
-                });
-                if !all {
-                    self.broken.push(format!("not_done: {id}"));
-                }
-            }
-            if matches!(state, JobState::Done | JobState::Cancelled) {
-                told.over = Some(state);
-            }
-            if state == JobState::Cancelled && told.cancelled_at.is_none() {
-                told.cancelled_at = Some(self.now);
-            }
-        }
-        self.answers.push((ask, a));
-    }
-
     fn take(&mut self, e: Ev) {
         match e {
             Ev::Elect(i) => self.elect(i),
@@ -679,66 +587,4 @@
         }
         self.at(again, Ev::Beat(h));
     }
-
-    /// The rules, after every event.
-    fn check(&mut self) {
-        let mut on: BTreeMap<TaskId, BTreeSet<Host>> = BTreeMap::new();
-        let mut used: BTreeMap<Team, f64> = BTreeMap::new();
-        let now = self.now;
-        for w in self.workers.values_mut() {
-            w.step(now, 20 * S);
-            for t in w.present() {
-                on.entry(t.clone()).or_default().insert(w.host.clone());
-                let s = &self.specs[&t.job];
-                *used.entry(s.team.clone()).or_default() += s.cpus;
-                if w.spot && !s.spot || s.zone.as_ref().is_some_and(|z| *z != w.zone) {
-                    self.broken.push(format!("wrong_place: {t}"));
-                }
-                let late = |at: u64| now > at + 42 * S;
-                let told = self.told.get(&t.job);
-                if told.and_then(|t| t.cancelled_at).is_some_and(late) {
-                    self.broken.push(format!("ran_cancelled: {t}"));
-                }
-            }
-            for t in w.take_done() {
-                self.done_tasks.insert(t);
-            }
-        }
-        for (t, hosts) in &on {
-            let before = self.on.get(t);
-            if before != Some(hosts) {
-                self.started += 1;
-                if hosts.len() > 1 {
-                    self.broken.push(format!("{now} ran_twice: {t} {hosts:?}"));
-                }
-            }
-            let s = &self.specs[&t.job];
-            if s.one_zone {
-                let zones: BTreeSet<_> = on
-                    .iter()
-                    .filter(|(o, _)| o.job == t.job)
-                    .flat_map(|(_, h)| h.iter().map(|h| self.workers[h].zone.clone()))
-                    .collect();
-                if zones.len() > 1 {
-                    self.broken.push(format!("wrong_place: {t} {zones:?}"));
-                }
-            }
-        }
-        self.on = on;
-        for (team, cpus) in used {
-            let max = if team.as_str() == "red" { 12.0 } else { 16.0 };
-            if cpus > max + 1e-6 {
-                self.broken.push(format!("{now} quota: {team} {cpus}"));
-            }
-        }
-    }
-
-    pub fn assert_rules(&self) {
-        assert!(
-            self.broken.is_empty(),
-            "{:#?}\n{:#?}",
-            &self.broken[..self.broken.len().min(5)],
-            self.log
-        );
-    }
 }
--- /dev/null
+++ b/tests/world/rules.rs
@@ -0,0 +1,115 @@
+//! The rules: of what users are told, and of what is on the machines.
+
+use super::{S, World};
+use hookworks::ids::*;
+use hookworks::wire::peer::{Answer, Ask};
+use hookworks::wire::user::{JobSpec, JobState, JobView};
+use std::collections::{BTreeMap, BTreeSet};
+
+impl World {
+    pub(super) fn heard(&mut self, ask: Ask, a: Answer) {
+        let view = serde_json::from_str::<JobView>(&a.body).ok();
+        let id: JobId = match &ask {
+            Ask::Submit(b) => JobSpec::parse(b).unwrap().id,
+            Ask::Poll(i) | Ask::Cancel(i) => i.as_str().into(),
+            Ask::Report(_) => return,
+        };
+        let tasks = self.specs.get(&id).map_or(0, |s| s.tasks);
+        let told = self.told.entry(id.clone()).or_default();
+        told.tasks = tasks;
+        let known = self.specs.contains_key(&id);
+        if told.accepted && matches!(a.status, 400 | 404 | 422) {
+            self.broken.push(format!("forgotten: {id} {}", a.status));
+        }
+        if (200..300).contains(&a.status) {
+            if !known {
+                self.broken.push(format!("invented: {id}"));
+            }
+            told.accepted |= matches!(ask, Ask::Submit(_));
+            let state = view.unwrap().state;
+            if told.over.is_some_and(|o| o != state) {
+                self.broken.push(format!("went_back: {id} {state:?}"));
+            }
+            if state == JobState::Done {
+                let all = (0..tasks).all(|n| {
+                    self.done_tasks.contains(&TaskId {
+                        job: id.clone(),
+                        ix: TaskIx(n),
+                    })
+                });
+                if !all {
+                    self.broken.push(format!("not_done: {id}"));
+                }
+            }
+            if matches!(state, JobState::Done | JobState::Cancelled) {
+                told.over = Some(state);
+            }
+            if state == JobState::Cancelled && told.cancelled_at.is_none() {
+                told.cancelled_at = Some(self.now);
+            }
+        }
+        self.answers.push((ask, a));
+    }
+
+    /// The rules, after every event.
+    pub(super) fn check(&mut self) {
+        let mut on: BTreeMap<TaskId, BTreeSet<Host>> = BTreeMap::new();
+        let mut used: BTreeMap<Team, f64> = BTreeMap::new();
+        let now = self.now;
+        for w in self.workers.values_mut() {
+            w.step(now, 20 * S);
+            for t in w.present() {
+                on.entry(t.clone()).or_default().insert(w.host.clone());
+                let s = &self.specs[&t.job];
+                *used.entry(s.team.clone()).or_default() += s.cpus;
+                if w.spot && !s.spot || s.zone.as_ref().is_some_and(|z| *z != w.zone) {
+                    self.broken.push(format!("wrong_place: {t}"));
+                }
+                let late = |at: u64| now > at + 42 * S;
+                let told = self.told.get(&t.job);
+                if told.and_then(|t| t.cancelled_at).is_some_and(late) {
+                    self.broken.push(format!("ran_cancelled: {t}"));
+                }
+            }
+            for t in w.take_done() {
+                self.done_tasks.insert(t);
+            }
+        }
+        for (t, hosts) in &on {
+            let before = self.on.get(t);
+            if before != Some(hosts) {
+                self.started += 1;
+                if hosts.len() > 1 {
+                    self.broken.push(format!("{now} ran_twice: {t} {hosts:?}"));
+                }
+            }
+            let s = &self.specs[&t.job];
+            if s.one_zone {
+                let zones: BTreeSet<_> = on
+                    .iter()
+                    .filter(|(o, _)| o.job == t.job)
+                    .flat_map(|(_, h)| h.iter().map(|h| self.workers[h].zone.clone()))
+                    .collect();
+                if zones.len() > 1 {
+                    self.broken.push(format!("wrong_place: {t} {zones:?}"));
+                }
+            }
+        }
+        self.on = on;
+        for (team, cpus) in used {
+            let max = if team.as_str() == "red" { 12.0 } else { 16.0 };
+            if cpus > max + 1e-6 {
+                self.broken.push(format!("{now} quota: {team} {cpus}"));
+            }
+        }
+    }
+
+    pub fn assert_rules(&self) {
+        assert!(
+            self.broken.is_empty(),
+            "{:#?}\n{:#?}",
+            &self.broken[..self.broken.len().min(5)],
+            self.log
+        );
+    }
+}
