--- a/src/node/duties.rs
+++ b/src/node/duties.rs
@@ -5,12 +5,12 @@
 use crate::cloud::CloudClient;
 use crate::ids::{CallId, Epoch, Host};
 use crate::lead::Elector;
-use crate::sched::Event;
+use crate::sched::{DirectResult, Event};
 use crate::settings::Settings;
 use crate::store::StateClient;
 use crate::store::budget::Budget;
 use crate::store::client::State;
-use crate::time::{Clock, Span};
+use crate::time::{Clock, Span, Time};
 use crate::wire::cloud::Hire;
 use crate::wire::worker::Orders;
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, unbounded};
@@ -19,7 +19,9 @@
 use std::time::Duration;
 
 const STORE_THREADS: usize = 8;
-const AGENT_THREADS: usize = 6;
+const AGENT_THREADS: usize = 8;
+/// A direct call that has waited for longer is given up unsent.
+const STALE_CALL: Span = Span(1_000_000);
 const LIST_EVERY: Span = Span(5_000_000);
 const FLAVORS_EVERY: Span = Span(60_000_000);
 
@@ -183,6 +185,7 @@
 }
 
 pub struct AgentJob {
+    pub since: Time,
     pub epoch: Epoch,
     pub call: CallId,
     pub host: Host,
@@ -190,7 +193,7 @@
     pub orders: Orders,
 }
 
-pub fn agents(inbox: Sender<Msg>) -> Sender<AgentJob> {
+pub fn agents(clock: Clock, inbox: Sender<Msg>) -> Sender<AgentJob> {
     let (tx, rx) = unbounded::<AgentJob>();
     let client = Arc::new(AgentClient::new());
     for _ in 0..AGENT_THREADS {
@@ -198,7 +201,13 @@
             (rx.clone(), inbox.clone(), client.clone());
         spawn("agent", move || {
             for j in rx {
-                let r = client.orders(&j.addr, &j.orders);
+                // What has waited for long is not sent at all: behind calls that
+                // hang its worker would get no commands for too long.
+                let r = if clock.now() - j.since > STALE_CALL {
+                    DirectResult::Refused
+                } else {
+                    client.orders(&j.addr, &j.orders)
+                };
                 let e = Event::Direct(j.call, j.host, r);
                 if inbox.send(Msg::Event(j.epoch, e)).is_err() {
                     return;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -144,7 +144,7 @@
     let peers = Peers::start(p.label.clone(), clock, p.cluster_listen, &p.seeds, to_inbox)?;
     let store = duties::store(&settings, inbox.clone());
     let cloud = duties::cloud(&settings, clock, term.clone(), inbox.clone());
-    let agents = duties::agents(inbox.clone());
+    let agents = duties::agents(clock, inbox.clone());
     let election = duties::election(&settings, clock, inbox.clone());
     let tx = inbox.clone();
     if let Err(e) = ctrlc::set_handler(move || {
@@ -331,6 +331,7 @@
                     orders,
                 } => {
                     let job = duties::AgentJob {
+                        since: now,
                         epoch,
                         call,
                         host,
--- a/src/sched/report.rs
+++ b/src/sched/report.rs
@@ -388,10 +388,10 @@
         let Some(m) = self.machines.get(host) else {
             return vec![];
         };
-        // While a direct call is on its way the two could overtake each other.
-        if m.direct.is_some() {
-            return vec![];
-        }
+        // While a direct call is on its way the two could overtake each other,
+        // which matters for all but ending what is there: while calls to a zone
+        // that was cut off waited in line, a cancelled task once ran on.
+        let only_kill = m.direct.is_some();
         let mut orders = vec![];
         let seq = m.seq;
         for ((task, attempt), ended) in &m.strays {
@@ -403,7 +403,7 @@
                     attempt,
                     leeway_s,
                 });
-            } else if m.doubt.is_none() && self.may_clear(&task, attempt) {
+            } else if !only_kill && m.doubt.is_none() && self.may_clear(&task, attempt) {
                 orders.push(Order::Clear { task, attempt });
             }
         }
@@ -421,7 +421,7 @@
             };
             let attempt = l.attempt;
             match (l.phase, l.stop) {
-                (Phase::Placed, None) if may_run && stored >= l.ver => {
+                (Phase::Placed, None) if may_run && !only_kill && stored >= l.ver => {
                     l.sent = true;
                     if answer {
                         l.told = Some(seq);
--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -561,3 +561,19 @@
     d.wait(8.0);
     assert_eq!(d.attempt(JOB, 0), Some(a));
 }
+
+#[test]
+fn a_cancelled_task_is_ended_even_while_a_direct_call_is_under_way() {
+    // Direct calls to a zone that was cut off waited in line for a minute; the
+    // answers to reports held no commands, and a cancelled task ran on.
+    let (mut d, a) = one_task(true);
+    let (_, host, _) = d.direct().remove(0);
+    assert!(d.s.machines[&host].direct.is_some());
+    d.ask(Ask::Cancel(JOB.into()));
+    let mut r = report(1, 2, Token(0));
+    r.tasks = vec![task(JOB, 0, a, TaskState::Running)];
+    let orders = d.beat(&r).unwrap().orders;
+    let kills = |o: &&Order| matches!(o, Order::Kill { .. });
+    assert_eq!(orders.iter().filter(kills).count(), 1, "{orders:?}");
+    assert_eq!((runs(&orders), clears(&orders)), (0, 0));
+}
