An amount of 0 in a team's limit is no limit; refusals name the field

Ruled out: machine types not known yet. A job that asks for too much of something is told of what, and services or gangs that are to scatter within a single zone are refused.

--- a/src/sched/room.rs
+++ b/src/sched/room.rs
@@ -11,6 +11,9 @@
     pub mem: i64,
 }
 
+/// Far above any sum of tasks, and far from the end of the range.
+const UNLIMITED: i64 = i64::MAX / 4;
+
 fn up(v: f64) -> i64 {
     (v * 1000.0 - 1e-6).ceil() as i64
 }
@@ -36,12 +39,15 @@
             mem: down(f.memory_gb),
         }
     }
-    /// A team's limit on CPUs and accelerators; memory has none.
+    /// A team's limit on CPUs and accelerators; memory has none, nor has a
+    /// part that is given as 0: where only accelerators were limited, every
+    /// job was once refused for its CPUs.
     pub fn limit(cpus: f64, gpus: f64) -> Room {
+        let part = |v: f64| if v > 0.0 { down(v) } else { UNLIMITED };
         Room {
-            cpu: down(cpus),
-            gpu: down(gpus),
-            mem: i64::MAX / 4,
+            cpu: part(cpus),
+            gpu: part(gpus),
+            mem: UNLIMITED,
         }
     }
     pub fn fits(&self, need: &Room) -> bool {
@@ -59,6 +65,16 @@
             .min(one(self.mem, need.mem))
             .min(1_000_000)
     }
+    /// The first part, by its name for users, that this has too little of.
+    pub fn lacks(&self, need: &Room) -> Option<&'static str> {
+        let parts = [
+            ("Vcpus", self.cpu, need.cpu),
+            ("Accelerators", self.gpu, need.gpu),
+            ("RamGb", self.mem, need.mem),
+        ];
+        let short = parts.into_iter().find(|(_, have, need)| have < need);
+        short.map(|(name, ..)| name)
+    }
     pub fn scaled(&self, n: i64) -> Room {
         Room {
             cpu: self.cpu * n,
--- a/src/sched/team.rs
+++ b/src/sched/team.rs
@@ -16,8 +16,14 @@
 
 impl Teams {
     pub fn new(limits: &[TeamLimit]) -> Teams {
+        // A team that is guaranteed nothing at all has no guarantee, whereas
+        // an amount left out beside another one is simply not counted.
+        let guarantee = |t: &TeamLimit| match (t.cpus, t.gpus) {
+            (0.0, 0.0) => Room::default(),
+            (cpus, gpus) => Room::limit(cpus, gpus),
+        };
         let one = |t: &TeamLimit| One {
-            guarantee: Room::limit(t.cpus, t.gpus),
+            guarantee: guarantee(t),
             limit: Room::limit(t.cpus_max, t.gpus_max),
             used: Room::default(),
         };
--- a/src/sched/users.rs
+++ b/src/sched/users.rs
@@ -3,8 +3,9 @@
 use super::job::{Final, Job, Waiting, part_size};
 use super::records::Purpose;
 use super::{Room, Sched};
-use crate::ids::{JobId, ReqId};
+use crate::ids::{JobId, ReqId, Zone};
 use crate::time::{Span, Time};
+use crate::wire::cloud::Flavor;
 use crate::wire::peer::{Answer, Ask};
 use crate::wire::user::{JobSpec, JobState, JobView, Kind};
 
@@ -62,21 +63,46 @@
             Kind::Array => 1,
             Kind::Gang | Kind::Service => s.tasks as i64,
         };
-        if limit.times(&need) < at_once {
-            return Ok(Some("Vcpus: more than the team's limit".into()));
+        if let Some(part) = limit.lacks(&need.scaled(at_once)) {
+            return Ok(Some(format!("{part}: more than the team's limit")));
         }
         if self.flavors.is_empty() {
             return Err("machine types are not known yet".into());
         }
-        let fits = self.flavors.values().any(|f| {
-            s.builds.as_ref().is_none_or(|b| b.contains(&f.build))
-                && s.zone
-                    .as_ref()
-                    .is_none_or(|z| f.zones.is_empty() || f.zones.contains(z))
-                && Room::of_flavor(f).fits(&need)
-        });
-        if !fits {
-            return Ok(Some("a task fits no allowed machine type".into()));
+        let allowed = |f: &&Flavor| s.builds.as_ref().is_none_or(|b| b.contains(&f.build));
+        let types: Vec<&Flavor> = self.flavors.values().filter(allowed).collect();
+        if types.is_empty() {
+            return Ok(Some("Builds: no such machine type".into()));
+        }
+        let lacks: Vec<_> = types
+            .iter()
+            .map(|f| Room::of_flavor(f).lacks(&need))
+            .collect();
+        if lacks.iter().all(Option::is_some) {
+            let part = lacks.into_iter().flatten().next().unwrap_or("Vcpus");
+            return Ok(Some(format!("{part}: more than any allowed machine has")));
+        }
+        let fitting = types.iter().filter(|f| Room::of_flavor(f).fits(&need));
+        let mut zones: Vec<Option<&Zone>> = vec![];
+        for f in fitting {
+            match f.zones.is_empty() {
+                // Not told: it could be any.
+                true => zones.extend([None, None]),
+                false => zones.extend(f.zones.iter().map(Some)),
+            }
+        }
+        let wanted = |z: &&Option<&Zone>| match (z, &s.zone) {
+            (Some(z), Some(only)) => *z == only,
+            _ => true,
+        };
+        let zones: Vec<_> = zones.iter().filter(wanted).collect();
+        if zones.is_empty() {
+            return Ok(Some("Yard: no machine there has room for a task".into()));
+        }
+        let distinct = zones.len() > 1 && zones.iter().any(|z| *z != zones[0] || z.is_none());
+        let one = s.one_zone || s.zone.is_some() || !distinct;
+        if s.spread && one && at_once > 1 {
+            return Ok(Some("Scatter: all tasks would be in one zone".into()));
         }
         Ok(None)
     }
--- a/src/settings/platform.rs
+++ b/src/settings/platform.rs
@@ -45,7 +45,8 @@
     pub clock_error_ms: f64,
 }
 
-/// What a team is guaranteed and what it may use at the most; 0 means none.
+/// What a team is guaranteed and what it may use at the most; 0 means that
+/// there is no such guarantee or limit.
 #[derive(Clone, Debug, Deserialize)]
 pub struct TeamLimit {
     pub name: Team,
