--- a/src/sched/fleet.rs
+++ b/src/sched/fleet.rs
@@ -2,17 +2,16 @@
 
 mod rent;
 
-use super::job::{Job, Phase};
+use super::job::Phase;
 use super::machine::{Life, Machine};
 use super::place::allowed;
 use super::{Effect, Sched};
-use crate::ids::{Build, CallId, Class, Epoch, Host, JobId, Session, TaskId, Zone};
-use crate::settings::{Objective, Tuning};
+use crate::ids::{Build, CallId, Epoch, Host, JobId, Session, TaskId, Zone};
 use crate::time::{Span, Time};
 use crate::wire::cloud::{Hire, Listed};
 use crate::wire::user::Kind;
 use crate::wire::worker::Orders;
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 type Flavoured = (Build, Zone, bool);
 
@@ -22,14 +21,28 @@
 const MIN_PAID: Span = Span(60_000_000);
 /// Machines asked for in one request.
 const MAX_HIRE: u32 = 50;
-/// Objectives with a shorter wait than this want room kept for them.
-const QUICK_S: f64 = 12.5;
-/// Arrivals that make the headroom.
-const ARRIVALS: usize = 12;
-const ARRIVALS_FOR: Span = Span(180_000_000);
 /// Errors in a row that put a machine aside.
 const FAILS: u32 = 2;
 
+/// Tasks of a job that found no room.
+#[derive(Clone, Debug)]
+pub struct Short {
+    pub job: JobId,
+    pub tasks: i64,
+    /// The only zone in which room is of use.
+    pub zone: Option<Zone>,
+}
+
+impl Short {
+    pub fn anywhere(job: &JobId, tasks: i64) -> Short {
+        Short {
+            job: job.clone(),
+            tasks,
+            zone: None,
+        }
+    }
+}
+
 struct Pending {
     hire: Hire,
     /// When to send it (again); none while it is under way.
@@ -41,11 +54,10 @@
     epoch: Epoch,
     counter: u64,
     /// Jobs with tasks that found no room though their team may run them.
-    pub short: Vec<(JobId, i64)>,
+    pub short: Vec<Short>,
     pending: BTreeMap<String, Pending>,
     refused: HashMap<Flavoured, Time>,
     gone: HashSet<Host>,
-    arrivals: HashMap<Class, VecDeque<(Time, i64)>>,
 }
 
 impl Fleet {
@@ -57,7 +69,6 @@
             pending: BTreeMap::new(),
             refused: HashMap::new(),
             gone: HashSet::new(),
-            arrivals: HashMap::new(),
         }
     }
 
@@ -66,38 +77,6 @@
         self.gone.contains(h)
     }
 
-    pub fn is_quick(&self, class: &Class, objectives: &[Objective]) -> bool {
-        objectives.iter().any(|o| {
-            o.kind == "wait"
-                && o.class.as_ref() == Some(class)
-                && o.within_s.is_some_and(|s| s <= QUICK_S)
-        })
-    }
-
-    pub fn seen(&mut self, now: Time, job: &Job, objectives: &[Objective]) {
-        let class = &job.spec.class;
-        if self.is_quick(class, objectives) {
-            let seen = self.arrivals.entry(class.clone()).or_default();
-            seen.push_back((now, job.need.scaled(job.spec.tasks as i64).cpu));
-            while seen.len() > ARRIVALS || seen.front().is_some_and(|f| now - f.0 > ARRIVALS_FOR) {
-                seen.pop_front();
-            }
-        }
-    }
-
-    /// CPUs kept free: a usual large arrival of each class that wants it.
-    pub fn headroom(&self, now: Time, t: &Tuning) -> i64 {
-        let one = |seen: &VecDeque<(Time, i64)>| {
-            // What came long ago is no reason to hold machines for ever.
-            let lately = seen.iter().filter(|s| now - s.0 <= ARRIVALS_FOR);
-            let mut v: Vec<i64> = lately.map(|s| s.1).collect();
-            v.sort_unstable();
-            v.get(v.len() * 8 / 10).copied().unwrap_or(0)
-        };
-        let sum: i64 = self.arrivals.values().map(one).sum();
-        (sum as f64 * t.headroom) as i64
-    }
-
     /// Rental requests without an answer yet.
     pub fn under_way(&self) -> usize {
         self.pending.len()
@@ -324,10 +303,8 @@
     }
 
     fn give_back(&mut self, now: Time) {
-        let fresh = self.heard_within();
-        let keep = self.fleet.headroom(now, &self.cfg.tuning);
-        let open = self.machines.values().filter(|m| m.open(now, fresh));
-        let mut free: i64 = open.map(|m| m.free().cpu.max(0)).sum();
+        let keep = self.headroom(now);
+        let mut free = self.free_room(now);
         let t = &self.cfg.tuning;
         let mut idle: Vec<(bool, Time, Host)> = self
             .machines
@@ -344,16 +321,20 @@
             let done_with = m.quarantined || m.notice_until.is_some();
             let limit = Span::secs(if spot { t.idle_spot_s } else { t.idle_s });
             let idles = now - since > limit && now - m.hired > MIN_PAID;
-            let wanted = self
-                .fleet
-                .short
-                .iter()
-                .any(|(id, _)| self.jobs.get(id).is_some_and(|j| allowed(&j.spec, m)));
-            if !done_with && (!idles || wanted || free - m.capacity.cpu < keep) {
+            let useful = |s: &Short| {
+                let j = self.jobs.get(&s.job);
+                j.is_some_and(|j| allowed(&j.spec, m))
+                    && s.zone.as_ref().is_none_or(|z| *z == m.zone)
+            };
+            let wanted = self.fleet.short.iter().any(useful);
+            let mut rest = free;
+            rest.take(&m.capacity, spot);
+            let kept = !rest.all.covers(&keep.all) || !spot && !rest.plain.covers(&keep.plain);
+            if !done_with && (!idles || wanted || kept) {
                 continue;
             }
             if !done_with {
-                free -= m.capacity.cpu;
+                free = rest;
             }
             tracing::info!(host = %h, spot, "given back");
             if let Some(m) = self.machines.get_mut(&h) {
--- a/src/sched/fleet/rent.rs
+++ b/src/sched/fleet/rent.rs
@@ -1,7 +1,7 @@
 //! What is rented, of which kind and where; and what becomes of requests.
 
 use super::{Flavoured, MAX_HIRE, Pending, REFUSED_REST};
-use crate::ids::Zone;
+use crate::ids::{Build, Zone};
 use crate::sched::job::Job;
 use crate::sched::machine::{Life, Machine};
 use crate::sched::{Effect, HireResult, Room, Sched};
@@ -9,6 +9,32 @@
 use crate::wire::cloud::Hire;
 use std::collections::BTreeMap;
 
+/// Machines' worth of room that is on its way.
+#[derive(Default)]
+struct Coming {
+    room: f64,
+    /// Of machines that will be empty.
+    whole: f64,
+}
+
+impl Coming {
+    /// Sets room aside for so many tasks; answers for how many there is some.
+    fn serve(&mut self, tasks: f64, per_machine: f64) -> f64 {
+        if per_machine <= 0.0 {
+            return 0.0;
+        }
+        // What takes a machine to itself has no use for a corner of one.
+        let have = match per_machine <= 1.0 {
+            true => self.whole.min(self.room),
+            false => self.room,
+        };
+        let machines = have.min(tasks / per_machine).max(0.0);
+        self.room -= machines;
+        self.whole = (self.whole - machines).max(0.0);
+        machines * per_machine
+    }
+}
+
 impl Sched {
     pub(super) fn send_pending(&mut self, now: Time) {
         for p in self.fleet.pending.values_mut() {
@@ -24,7 +50,7 @@
         &self,
         now: Time,
         need: &Room,
-        j: Option<&Job>,
+        j: Option<(&Job, Option<&Zone>)>,
         in_zone: &BTreeMap<Zone, usize>,
     ) -> Vec<(f64, Flavoured)> {
         let mut v = vec![];
@@ -39,12 +65,7 @@
                         continue;
                     };
                     let kind = (f.build.clone(), z.clone(), spot);
-                    let fits = j.is_none_or(|j| {
-                        let s = &j.spec;
-                        s.builds.as_ref().is_none_or(|b| b.contains(&f.build))
-                            && s.zone.as_ref().is_none_or(|w| w == z)
-                            && (s.spot || !spot)
-                    });
+                    let fits = j.is_none_or(|(j, zone)| self.suits(j, &kind, zone));
                     let rests = self.fleet.refused.get(&kind);
                     if fits && rests.is_none_or(|t| now - *t > REFUSED_REST) {
                         v.push((price / per as f64, kind));
@@ -74,53 +95,50 @@
         if self.fleet.pending.values().any(|p| p.next.is_none()) {
             return; // One request at a time; its answer says what is left.
         }
-        let mut coming: f64 = self
-            .machines
-            .values()
-            .filter(|m| m.life == Life::Booting)
-            .count() as f64;
-        coming += self
-            .fleet
-            .pending
-            .values()
-            .map(|p| p.hire.count as f64)
-            .sum::<f64>();
-        coming += self.freed_soon(now);
+        let mut coming = self.coming(now);
         let zones = self.machines_by_zone();
         let mut left: BTreeMap<_, Room> = BTreeMap::new();
         let mut wanted: BTreeMap<Flavoured, f64> = BTreeMap::new();
-        for (id, n) in &self.fleet.short {
-            let Some(j) = self.jobs.get(id) else { continue };
+        for s in &self.fleet.short {
+            let Some(j) = self.jobs.get(&s.job) else {
+                continue;
+            };
             let team = &j.spec.team;
             let left = left
                 .entry(team.clone())
                 .or_insert_with(|| self.teams.left(team));
-            let n = (*n).min(left.times(&j.need));
+            let n = s.tasks.min(left.times(&j.need));
             if n <= 0 {
                 continue;
             }
             *left -= j.need.scaled(n);
-            let Some((_, kind)) = self
-                .kinds_for(now, &j.need, Some(j), &zones)
-                .into_iter()
-                .next()
-            else {
-                continue;
-            };
-            let Some(f) = self.flavors.get(&kind.0) else {
+            // Machines on their way serve those first that are served first,
+            // as far as they are of a kind that the job may use.
+            let mut n = n as f64;
+            for (kind, c) in coming.iter_mut() {
+                if n > 0.0 && self.suits(j, kind, s.zone.as_ref()) {
+                    n -= c.serve(n, self.per_machine(kind, &j.need));
+                }
+            }
+            let kinds = self.kinds_for(now, &j.need, Some((j, s.zone.as_ref())), &zones);
+            let Some((_, kind)) = kinds.into_iter().next().filter(|_| n > 0.0) else {
                 continue;
             };
-            let per = Room::of_flavor(f).times(&j.need).max(1);
-            *wanted.entry(kind).or_default() += n as f64 / per as f64;
+            let per = self.per_machine(&kind, &j.need).max(1.0);
+            *wanted.entry(kind).or_default() += n / per;
         }
         if wanted.is_empty()
-            && let Some((kind, share)) = self.headroom_short(now)
+            && let Some((kind, mut share)) = self.headroom_short(now)
         {
+            for (k, c) in coming.iter_mut() {
+                if !kind.2 && k.2 {
+                    continue;
+                }
+                share -= c.serve(share, 1.0);
+            }
             wanted.insert(kind, share);
         }
-        for (kind, machines) in wanted {
-            let n = machines - coming;
-            coming = (coming - machines).max(0.0);
+        for (kind, n) in wanted {
             if n < 0.2 {
                 continue;
             }
@@ -146,44 +164,95 @@
         }
     }
 
-    /// Machines' worth of room that running tasks will leave before a machine
-    /// rented now would be up.
-    fn freed_soon(&self, now: Time) -> f64 {
-        let share = self.cfg.tuning.wait_share;
-        let mut sum = 0.0;
+    /// What is on its way, by kind: machines that boot or are asked for, and
+    /// room that running tasks leave before one rented now would be up.
+    fn coming(&self, now: Time) -> BTreeMap<Flavoured, Coming> {
+        let mut all: BTreeMap<Flavoured, Coming> = BTreeMap::new();
+        for p in self.fleet.pending.values() {
+            let h = &p.hire;
+            let kind = (h.build.clone(), h.zone.clone(), h.spot);
+            let c = all.entry(kind).or_default();
+            c.room += h.count as f64;
+            c.whole += h.count as f64;
+        }
         for m in self.machines.values() {
-            let boot = self.flavors.get(&m.build).map_or(0.0, |f| f.boot_s);
-            let soon = Span::secs(boot * share);
-            let leaves = m.slots.values().filter(|s| s.remaining(now) < soon);
-            let cpu: i64 = leaves.map(|s| s.need.cpu).sum();
-            if m.life == Life::Up && m.notice_until.is_none() && m.capacity.cpu > 0 {
-                sum += cpu as f64 / m.capacity.cpu as f64;
+            let soon = Span::secs(self.boot_s(&m.build) * self.cfg.tuning.wait_share);
+            let (room, whole) = match m.life {
+                Life::Booting => (1.0, 1.0),
+                Life::Up if m.notice_until.is_none() && m.capacity.cpu > 0 => {
+                    let mut freed = Room::default();
+                    let mut last = 0;
+                    for s in m.slots.values() {
+                        match s.remaining(now) < soon {
+                            true => freed += s.need,
+                            false => last += 1,
+                        }
+                    }
+                    let empties = last == 0 && !m.slots.is_empty();
+                    (freed.share_of(&m.capacity), empties as u8 as f64)
+                }
+                _ => continue,
+            };
+            if room > 0.0 {
+                let kind = (m.build.clone(), m.zone.clone(), m.spot);
+                let c = all.entry(kind).or_default();
+                c.room += room;
+                c.whole += whole;
             }
         }
-        sum
+        all
+    }
+
+    pub(in crate::sched) fn boot_s(&self, build: &Build) -> f64 {
+        self.flavors.get(build).map_or(0.0, |f| f.boot_s)
+    }
+
+    fn per_machine(&self, kind: &Flavoured, need: &Room) -> f64 {
+        let f = self.flavors.get(&kind.0);
+        f.map_or(0.0, |f| Room::of_flavor(f).times(need) as f64)
+    }
+
+    /// The job may run on machines of that kind, in that zone if any.
+    fn suits(&self, j: &Job, kind: &Flavoured, zone: Option<&Zone>) -> bool {
+        let s = &j.spec;
+        let alone = s.one_zone || s.spread;
+        s.builds.as_ref().is_none_or(|b| b.contains(&kind.0))
+            && s.zone.as_ref().is_none_or(|w| *w == kind.1)
+            && zone.is_none_or(|w| *w == kind.1)
+            && (s.spot || !kind.2)
+            && (!alone || self.zone_suits(j, &kind.1))
+    }
+
+    /// Machines for the job were not refused lately in that zone.
+    pub(in crate::sched) fn rentable(&self, now: Time, j: &Job, zone: Option<&Zone>) -> bool {
+        let none = BTreeMap::new();
+        !self
+            .kinds_for(now, &j.need, Some((j, zone)), &none)
+            .is_empty()
     }
 
     /// A machine to rent when less is free than is to be kept free.
     fn headroom_short(&self, now: Time) -> Option<(Flavoured, f64)> {
-        let keep = self.fleet.headroom(now, &self.cfg.tuning);
-        let fresh = self.heard_within();
-        let open = self.machines.values().filter(|m| m.open(now, fresh));
-        let free: i64 = open.map(|m| m.free().cpu.max(0)).sum();
-        if keep == 0 || free >= keep {
-            return None;
-        }
+        let keep = self.headroom(now);
+        let free = self.free_room(now);
         let need = Room {
             cpu: 1000,
             gpu: 0,
             mem: 1000,
         };
         let zones = self.machines_by_zone();
-        let (_, kind) = self
-            .kinds_for(now, &need, None, &zones)
-            .into_iter()
-            .next()?;
+        let plain = !free.plain.covers(&keep.plain);
+        if !plain && free.all.covers(&keep.all) {
+            return None;
+        }
+        let kinds = self.kinds_for(now, &need, None, &zones);
+        let (_, kind) = kinds.into_iter().find(|k| !plain || !k.1.2)?;
         let whole = Room::of_flavor(self.flavors.get(&kind.0)?);
-        Some((kind, (keep - free) as f64 / whole.cpu.max(1) as f64))
+        let lack = match plain {
+            true => keep.plain.minus(&free.plain),
+            false => keep.all.minus(&free.all),
+        };
+        Some((kind, lack.at_least_zero().share_of(&whole)))
     }
 
     pub(in crate::sched) fn hired(&mut self, now: Time, hire: Hire, r: HireResult) {
--- a/src/sched/gang.rs
+++ b/src/sched/gang.rs
@@ -1,87 +1,112 @@
 //! Gangs: room for all tasks is held before the first starts, one attempt
 //! number serves all, and they end together.
 
-use super::job::{Job, Phase};
-use super::machine::Machine;
-use super::place::allowed;
-use super::{Room, Sched, estimate};
+use super::Sched;
+use super::fleet::Short;
+use super::job::{Job, Live, Phase};
+use super::machine::{ENDLESS, Life, Machine};
+use super::order::Order;
+use super::place::{Candidate, Score, View, allowed};
 use crate::ids::{Host, JobId, Zone};
 use crate::time::{Span, Time};
 use crate::wire::user::Kind;
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// A gang that has waited so long gets machines kept free for it.
-const HOLD_AFTER: Span = Span(20_000_000);
+/// Where a gang is to find room, and how much is still to be rented there.
+struct Aim {
+    zone: Option<Zone>,
+    lacks: i64,
+    /// What is lacking besides machines that boot already.
+    to_rent: i64,
+    held: Vec<Host>,
+}
 
 impl Sched {
     /// Starts the whole gang, or a lost member of one that still waits.
-    /// Answers how many tasks found no room.
-    pub(super) fn place_gang(&mut self, now: Time, id: &JobId, held: &mut BTreeSet<Host>) -> i64 {
-        let Some(j) = self.jobs.get(id) else { return 0 };
+    /// Answers what found no room.
+    pub(super) fn place_gang(
+        &mut self,
+        now: Time,
+        id: &JobId,
+        held: &mut BTreeSet<Host>,
+        order: &Order,
+    ) -> Option<Short> {
+        let j = self.jobs.get(id)?;
         let n = j.pending() as i64;
         if self.teams.left(&j.spec.team).times(&j.need) < n {
-            return 0;
+            return None;
         }
         if let Some(l) = j.live.values().next() {
             // Some of it is still on machines. A gang that waits takes a
             // replacement with its number; any other must be gone first.
             let attempt = l.attempt;
-            let waits = |l: &super::job::Live| l.stop.is_none() && l.attempt == attempt;
+            let waits = |l: &Live| l.stop.is_none() && l.attempt == attempt;
             if j.gang_ran || !j.live.values().all(waits) {
-                return 0;
+                return None;
             }
             for left in (1..=n).rev() {
-                let Some(host) = self.choose(now, id, held) else {
-                    return left;
+                let Some(host) = self.choose(now, id, held, order) else {
+                    return Some(Short::anywhere(id, left));
                 };
                 self.start(now, id, &host, Some(attempt));
             }
-            return 0;
+            return None;
         }
-        match self.room_for_all(now, id, held) {
-            Some(hosts) => {
-                let attempt = self.next_attempt();
-                tracing::info!(job = %id, tasks = n, "gang placed");
-                if let Some(j) = self.jobs.get_mut(id) {
-                    j.gang_ran = false;
-                }
-                for h in hosts {
-                    self.start(now, id, &h, Some(attempt));
-                }
-                0
+        if let Some(hosts) = self.room_for_all(now, id, held, order) {
+            let attempt = self.next_attempt();
+            tracing::info!(job = %id, tasks = n, "gang placed");
+            if let Some(j) = self.jobs.get_mut(id) {
+                j.gang_ran = false;
             }
-            None => {
-                self.hold(now, id, held);
-                n
+            for h in hosts {
+                self.start(now, id, &h, Some(attempt));
             }
+            return None;
+        }
+        let aim = self.aim(now, id, held)?;
+        let hopeless = aim.to_rent > 0 && !self.rentable(now, j, aim.zone.as_ref());
+        if !hopeless || held.is_empty() {
+            // Of gangs that could wait for ever only one keeps machines idle.
+            held.extend(aim.held);
         }
+        Some(Short {
+            job: id.clone(),
+            tasks: aim.lacks,
+            zone: aim.zone,
+        })
     }
 
     /// Machines for every task, in the order of the design; or none at all.
-    fn room_for_all(&self, now: Time, id: &JobId, held: &BTreeSet<Host>) -> Option<Vec<Host>> {
+    fn room_for_all(
+        &self,
+        now: Time,
+        id: &JobId,
+        held: &BTreeSet<Host>,
+        order: &Order,
+    ) -> Option<Vec<Host>> {
         let j = self.jobs.get(id)?;
-        let t = &self.cfg.tuning;
-        let est = estimate::of(j);
-        let delta = estimate::delta(est, t.delta_factor, t.delta_floor_s);
         let fresh = self.heard_within();
-        let mut fit: Vec<(u8, f64, &Machine)> = vec![];
+        let view = View::of(self, now, j, order, false);
+        let mut fit: Vec<(Score, &Machine)> = vec![];
         for m in self.machines.values() {
-            if !m.open(now, fresh) || !allowed(&j.spec, m) || held.contains(&m.host) {
+            if !m.open(now, fresh) || held.contains(&m.host) {
                 continue;
             }
-            if m.free().fits(&j.need) && !j.error_hosts.contains(&m.host) {
-                let left = m.free().minus(&j.need).share_of(&m.capacity);
-                fit.push((super::place::class(m, now, est, delta), left, m));
+            let (free, span) = (m.free(), m.remaining(now));
+            if let Some(score) = view.score(&Candidate { m, free, span }) {
+                fit.push((score, m));
             }
         }
-        fit.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-        let zones: BTreeSet<&Zone> = fit.iter().map(|f| &f.2.zone).collect();
+        fit.sort_by(|a, b| a.0.cmp(&b.0));
+        let zones: BTreeSet<&Zone> = fit.iter().map(|f| &f.1.zone).collect();
         let n = j.spec.tasks as i64;
         let most = if j.spec.spread { (n + 1) / 2 } else { n };
         let fill = |only: Option<&Zone>| {
             let mut in_zone: BTreeMap<&Zone, i64> = BTreeMap::new();
             let mut hosts = vec![];
-            for (_, _, m) in &fit {
+            let mut late = 0;
+            for (score, m) in &fit {
                 if only.is_some_and(|z| *z != m.zone) {
                     continue;
                 }
@@ -89,42 +114,83 @@
                 let k = m.free().times(&j.need).min(most - *used);
                 let k = k.min(n - hosts.len() as i64).max(0);
                 *used += k;
+                late += if score.late { k } else { 0 };
                 hosts.extend((0..k).map(|_| m.host.clone()));
             }
-            (hosts.len() as i64 == n).then_some(hosts)
+            (hosts.len() as i64 == n).then_some((late, hosts))
         };
         if j.spec.one_zone {
-            zones.into_iter().find_map(|z| fill(Some(z)))
+            // The gang begins with its last task: the zone with most images.
+            let fills = zones.into_iter().filter_map(|z| fill(Some(z)));
+            fills.min_by_key(|f| f.0).map(|f| f.1)
         } else {
-            fill(None)
+            fill(None).map(|f| f.1)
         }
     }
 
-    /// Keeps machines free of others until a starving gang fits.
-    fn hold(&self, now: Time, id: &JobId, held: &mut BTreeSet<Host>) {
-        let Some(j) = self.jobs.get(id) else { return };
-        if now - j.arrived < HOLD_AFTER || !held.is_empty() {
-            return;
+    /// Where a gang without room gets some soonest, and what is kept free for
+    /// it there: machines that are empty or will be before one could be rented.
+    fn aim(&self, now: Time, id: &JobId, held: &BTreeSet<Host>) -> Option<Aim> {
+        let j = self.jobs.get(id)?;
+        let n = j.spec.tasks as i64;
+        let mut zones: BTreeMap<&Zone, Vec<(Span, i64, &Machine)>> = BTreeMap::new();
+        let fresh = self.heard_within();
+        for m in self.machines.values() {
+            if !allowed(&j.spec, m) || held.contains(&m.host) {
+                continue;
+            }
+            if m.life == Life::Booting {
+                let k = m.capacity.times(&j.need);
+                zones.entry(&m.zone).or_default().push((ENDLESS, k, m));
+            }
+            if !m.open(now, fresh) {
+                continue;
+            }
+            let soon = Span::secs(self.boot_s(&m.build) * self.cfg.tuning.wait_share);
+            let free = m.free().times(&j.need);
+            let until = m.remaining(now).map_or(Span::ZERO, |(_, high)| high);
+            if free > 0 {
+                zones
+                    .entry(&m.zone)
+                    .or_default()
+                    .push((Span::ZERO, free, m));
+            } else if until < soon {
+                let k = m.capacity.times(&j.need);
+                zones.entry(&m.zone).or_default().push((until, k, m));
+            }
         }
-        let mut fit: Vec<&Machine> = self
-            .machines
-            .values()
-            .filter(|m| allowed(&j.spec, m) && !m.quarantined && m.reported)
-            .collect();
-        if j.spec.one_zone
-            && let Some(z) = roomiest(&fit, &j.need)
-        {
-            fit.retain(|m| m.zone == z);
+        let flavored = self.flavors.values().flat_map(|f| &f.zones);
+        for z in flavored.filter(|z| j.spec.zone.as_ref().is_none_or(|w| w == *z)) {
+            zones.entry(z).or_default();
         }
-        fit.sort_by_key(|m| -m.free().times(&j.need));
-        let mut n = j.spec.tasks as i64;
-        for m in fit {
-            if n <= 0 {
-                break;
+        let aim = |zone: Option<&Zone>, mut v: Vec<(Span, i64, &Machine)>| {
+            v.sort_by_key(|x| (x.0, Reverse(x.1)));
+            let (mut lacks, mut to_rent) = (n, n);
+            let mut held = vec![];
+            for (until, k, m) in v {
+                if to_rent <= 0 {
+                    break;
+                }
+                to_rent = (to_rent - k).max(0);
+                if until != ENDLESS {
+                    lacks = to_rent;
+                }
+                held.push(m.host.clone());
+            }
+            let zone = zone.cloned();
+            Aim {
+                zone,
+                lacks,
+                to_rent,
+                held,
             }
-            n -= m.capacity.times(&j.need);
-            held.insert(m.host.clone());
+        };
+        if !j.spec.one_zone {
+            return Some(aim(None, zones.into_values().flatten().collect()));
         }
+        let aims = zones.into_iter().map(|(z, v)| aim(Some(z), v));
+        let cant = |a: &Aim| a.to_rent > 0 && !self.rentable(now, j, a.zone.as_ref());
+        aims.min_by_key(|a| (cant(a), a.to_rent, a.lacks))
     }
 
     /// A member ended without being done: the rest can't go on for long.
@@ -167,11 +233,3 @@
         }
     }
 }
-
-fn roomiest(fit: &[&Machine], need: &Room) -> Option<Zone> {
-    let mut by_zone: BTreeMap<&Zone, i64> = BTreeMap::new();
-    for m in fit {
-        *by_zone.entry(&m.zone).or_default() += m.capacity.times(need);
-    }
-    by_zone.into_iter().max_by_key(|z| z.1).map(|z| z.0.clone())
-}
--- a/src/sched/machine.rs
+++ b/src/sched/machine.rs
@@ -18,12 +18,13 @@
 }
 
 /// A task's claim on its machine, with what the spread check needs.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Slot {
     pub need: Room,
     pub start: Time,
     pub estimate: Span,
     pub endless: bool,
+    pub image: Image,
 }
 
 #[derive(Clone, Debug)]
@@ -57,6 +58,7 @@
     /// Images that it should still hold, with their sizes, the latest last.
     pub images: Vec<(Image, f64)>,
     pub cache_gb: f64,
+    pub fetch_gb_per_s: f64,
     /// Attempts that its last report showed and that are no longer ours.
     pub strays: BTreeMap<(TaskId, Attempt), bool>,
     pub fails: u32,
@@ -65,6 +67,8 @@
     pub rest_until: Time,
 }
 
+/// A fetch may take a third longer than the rate says.
+const FETCH_MARGIN: f64 = 1.33;
 const IMAGES_REMEMBERED: usize = 100;
 
 impl Machine {
@@ -93,6 +97,7 @@
             idle_since: now,
             images: vec![],
             cache_gb: 0.0,
+            fetch_gb_per_s: 0.0,
             strays: BTreeMap::new(),
             fails: 0,
             fail_jobs: BTreeSet::new(),
@@ -136,6 +141,26 @@
     pub fn set_flavor(&mut self, f: &Flavor) {
         self.capacity = Room::of_flavor(f);
         self.cache_gb = f.cache_gb;
+        self.fetch_gb_per_s = f.fetch_gb_per_s;
+    }
+
+    /// How long a task would wait here for its image, by the slowest rate to be
+    /// expected. Images fetched at the same time share the rate.
+    pub fn fetch_time(&self, now: Time, image: &Image, gb: f64) -> Span {
+        if self.fetch_gb_per_s <= 0.0 || self.has_image(image) {
+            return Span::ZERO;
+        }
+        let whole = Span::secs(gb / self.fetch_gb_per_s * FETCH_MARGIN);
+        let mut fetched: Vec<&Image> = vec![];
+        for s in self.slots.values() {
+            if s.image == *image {
+                return whole - (now - s.start);
+            }
+            if !fetched.contains(&&s.image) && !self.has_image(&s.image) {
+                fetched.push(&s.image);
+            }
+        }
+        Span(whole.0 * (1 + fetched.len() as u64))
     }
 
     /// Remaining runtimes of its tasks, the smallest and the largest.
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -12,6 +12,7 @@
 mod records;
 mod report;
 mod room;
+mod spare;
 mod team;
 mod users;
 
@@ -19,7 +20,7 @@
 pub use room::Room;
 pub use users::answer_final;
 
-use crate::ids::{Attempt, Build, CallId, Epoch, Host, JobId, ReqId, TaskId, Token};
+use crate::ids::{Attempt, Build, CallId, Class, Epoch, Host, JobId, ReqId, TaskId, Token};
 use crate::settings::{Settings, Tuning, Workers};
 use crate::time::{Span, Time, Wall};
 use crate::wire::cloud::{Flavor, Hire, Listed};
@@ -132,6 +133,9 @@
     pub flavors: BTreeMap<Build, Flavor>,
     pub dirty: DirtyQueue,
     teams: team::Teams,
+    /// Classes that want to start sooner than a machine can be rented.
+    quick: BTreeSet<Class>,
+    arrivals: spare::Arrivals,
     fleet: fleet::Fleet,
     finals: HashMap<JobId, Final>,
     finals_order: VecDeque<JobId>,
@@ -174,6 +178,8 @@
     pub fn new(cfg: Config, epoch: Epoch, proven: Time, now: Time, wall: Wall) -> Sched {
         Sched {
             teams: team::Teams::new(&cfg.teams),
+            quick: BTreeSet::new(),
+            arrivals: Default::default(),
             fleet: fleet::Fleet::new(epoch),
             cfg,
             epoch,
@@ -286,7 +292,16 @@
     }
 
     fn take_flavors(&mut self, flavors: Vec<Flavor>) {
-        self.flavors = flavors.into_iter().map(|f| (f.build.clone(), f)).collect();
+        let usable = |f: &Flavor| {
+            let fine = f.cpus > 0.0 && f.gpus >= 0.0 && f.memory_gb >= 0.0;
+            if !fine {
+                tracing::warn!(build = %f.build, "a machine type without room is ignored");
+            }
+            fine
+        };
+        let flavors = flavors.into_iter().filter(usable);
+        self.flavors = flavors.map(|f| (f.build.clone(), f)).collect();
+        self.note_quick();
         for m in self.machines.values_mut() {
             if let Some(f) = self.flavors.get(&m.build) {
                 m.set_flavor(f);
@@ -308,6 +323,7 @@
                     start: l.placed,
                     estimate,
                     endless: estimate == machine::ENDLESS,
+                    image: job.spec.image.clone(),
                 };
                 let token = Token(self.epoch.base());
                 let m = self.machines.entry(l.host.clone()).or_insert_with(|| {
@@ -365,29 +381,31 @@
     /// How full the fleet is, for whoever reads the log.
     fn sum_up(&self, now: Time) {
         let fresh = self.heard_within();
-        let (mut up, mut booting, mut capacity, mut used, mut free) = (0, 0, 0, 0, 0);
+        let (mut up, mut booting) = (0, 0);
+        let mut capacity = Room::default();
+        let (mut used, mut free, mut pending) = (capacity, capacity, capacity);
         for m in self.machines.values() {
             up += (m.life == Life::Up) as u32;
             booting += (m.life == Life::Booting) as u32;
-            used += m.used.cpu;
+            used += m.used;
             if m.life == Life::Up {
-                capacity += m.capacity.cpu;
+                capacity += m.capacity;
             }
             if m.open(now, fresh) {
-                free += m.free().cpu;
+                free += m.free();
             }
         }
-        let waiting = |j: &Job| j.need.cpu * j.pending() as i64;
-        let pending: i64 = self.jobs.values().map(waiting).sum();
-        let cpus = |c: i64| c / 1000;
+        for j in self.jobs.values() {
+            pending += j.need.scaled(j.pending() as i64);
+        }
         tracing::info!(
             jobs = self.jobs.len(),
             up,
             booting,
-            capacity = cpus(capacity),
-            used = cpus(used),
-            free = cpus(free),
-            pending = cpus(pending),
+            %capacity,
+            %used,
+            %free,
+            %pending,
             writes = ?self.dirty.lengths(),
             "fleet"
         );
--- a/src/sched/order.rs
+++ b/src/sched/order.rs
@@ -3,7 +3,8 @@
 use super::job::Job;
 use super::{Room, Sched, estimate};
 use crate::ids::{JobId, Team};
-use crate::time::Time;
+use crate::settings::Objective;
+use crate::time::{Span, Time};
 use crate::wire::user::Priority;
 use std::collections::{BTreeMap, HashMap, HashSet};
 
@@ -21,6 +22,8 @@
 /// The ranks of all jobs at one moment.
 pub(super) struct Order {
     within: HashSet<JobId>,
+    /// Some work may not use machines that the cloud can take back.
+    pub plain_wanted: bool,
     ranks: HashMap<JobId, Rank>,
 }
 
@@ -49,7 +52,10 @@
 impl Sched {
     pub(super) fn order(&self, now: Time) -> Order {
         let within = self.within_guarantee();
-        let whole: i64 = self.machines.values().map(|m| m.capacity.cpu).sum();
+        let mut whole = Room::default();
+        for m in self.machines.values() {
+            whole += m.capacity;
+        }
         let rank = |j: &Job| {
             let within = within.contains(j.id());
             let tier = match j.spec.priority {
@@ -59,12 +65,17 @@
                 Priority::Normal => 3,
                 Priority::Low => 4,
             };
-            let due = self.latest_start(now, j, within, whole);
+            let due = self.latest_start(now, j, within, &whole);
             let seq = j.seq;
             (j.id().clone(), Rank { tier, due, seq })
         };
         let ranks = self.jobs.values().map(rank).collect();
-        Order { within, ranks }
+        let plain_wanted = self.jobs.values().any(|j| !j.spec.spot);
+        Order {
+            within,
+            plain_wanted,
+            ranks,
+        }
     }
 
     /// Jobs that fit within their team's guarantee along with the team's
@@ -90,7 +101,7 @@
 
     /// When the job must start for the next of its aims that it can still
     /// meet; those that can meet none come last.
-    fn latest_start(&self, now: Time, j: &Job, within: bool, whole: i64) -> f64 {
+    fn latest_start(&self, now: Time, j: &Job, within: bool, whole: &Room) -> f64 {
         let run = estimate::of(j).as_secs();
         let run = if run > 1e9 { 0.0 } else { run };
         let arrived = j.arrived.0 as f64 / 1e6;
@@ -117,7 +128,20 @@
         }
         // Of two that are pressed alike, the one that needs less of the fleet:
         // more jobs meet their aims that way.
-        let work = j.need.cpu as f64 * j.unfinished() as f64 * run;
-        best + WORK_WEIGHT * work / (whole.max(1) as f64)
+        let work = j.need.share_of(whole) * j.unfinished() as f64 * run;
+        best + WORK_WEIGHT * work
+    }
+
+    /// Until when a task of the job should have begun to run, for the next of
+    /// the aims for waiting that it can still meet.
+    pub(super) fn begin_by(&self, now: Time, j: &Job, within: bool) -> Option<Time> {
+        let counts = |o: &&Objective| match o.kind.as_str() {
+            "wait" => o.class.as_ref() == Some(&j.spec.class),
+            "guarantee" => within,
+            _ => false,
+        };
+        let aims = self.cfg.objectives.iter().filter(counts);
+        let by = aims.filter_map(|o| Some(j.arrived + Span::secs(o.within_s?)));
+        by.filter(|t| *t > now).min()
     }
 }
--- a/src/sched/place.rs
+++ b/src/sched/place.rs
@@ -7,9 +7,12 @@
 //! decision for a single task, made from scratch: it serves jobs whose tasks
 //! bear on each other's zones, and the tests hold the pass against it.
 
+use super::fleet::Short;
 use super::job::{Job, Live, Phase};
 use super::machine::{ENDLESS, Machine, Slot};
+use super::order::Order;
 use super::records::Purpose;
+use super::spare::Spare;
 use super::{Room, Sched, estimate};
 use crate::ids::{Attempt, Host, JobId, TaskId, TaskIx, Team, Zone};
 use crate::time::{Span, Time};
@@ -19,14 +22,14 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
 /// What a pass found: where tasks start, and which jobs lack room for how many.
-type Planned = (Vec<(JobId, Host)>, Vec<(JobId, i64)>);
+type Planned = (Vec<(JobId, Host)>, Vec<Short>);
 
 /// A machine with room, as it will be once what is planned has started.
-struct Candidate<'a> {
-    m: &'a Machine,
-    free: Room,
+pub(super) struct Candidate<'a> {
+    pub m: &'a Machine,
+    pub free: Room,
     /// Remaining runtimes on it, the smallest and the largest.
-    span: Option<(Span, Span)>,
+    pub span: Option<(Span, Span)>,
 }
 
 impl Sched {
@@ -40,16 +43,13 @@
             // What must be settled before the next is looked at goes by itself.
             let alone = |id: &JobId| self.jobs.get(id).is_some_and(by_itself);
             let n = rest.iter().position(alone).unwrap_or(rest.len());
-            let (starts, lack) = self.plan(now, &rest[..n], &held);
+            let (starts, lack) = self.plan(now, &rest[..n], &held, &order);
             for (id, host) in starts {
                 self.start(now, &id, &host, None);
             }
             short.extend(lack);
             if let Some(id) = rest.get(n) {
-                let lacks = self.place_alone(now, id, &mut held);
-                if lacks > 0 {
-                    short.push((id.clone(), lacks));
-                }
+                short.extend(self.place_alone(now, id, &mut held, &order));
             }
             rest = rest.get(n + 1..).unwrap_or(&[]);
         }
@@ -61,33 +61,43 @@
     }
 
     /// Gangs, and jobs whose tasks bear on each other's zones.
-    fn place_alone(&mut self, now: Time, id: &JobId, held: &mut BTreeSet<Host>) -> i64 {
+    fn place_alone(
+        &mut self,
+        now: Time,
+        id: &JobId,
+        held: &mut BTreeSet<Host>,
+        order: &Order,
+    ) -> Option<Short> {
         let gang = |j: &Job| j.spec.kind == Kind::Gang;
         if self.jobs.get(id).is_some_and(gang) {
-            return self.place_gang(now, id, held);
+            return self.place_gang(now, id, held, order);
         }
         while let Some(j) = self.jobs.get(id) {
             let left = (j.pending() as i64).min(self.teams.left(&j.spec.team).times(&j.need));
             if left == 0 {
                 break;
             }
-            let Some(host) = self.choose(now, id, held) else {
-                return left;
+            let Some(host) = self.choose(now, id, held, order) else {
+                return Some(Short::anywhere(id, left));
             };
             self.start(now, id, &host, None);
         }
-        0
+        None
     }
 
     /// Serves the jobs in this order, as far as room and quota go.
-    fn plan(&self, now: Time, jobs: &[JobId], held: &BTreeSet<Host>) -> Planned {
+    fn plan(&self, now: Time, jobs: &[JobId], held: &BTreeSet<Host>, order: &Order) -> Planned {
+        if jobs.is_empty() {
+            return (vec![], vec![]);
+        }
         let fresh = self.heard_within();
         let mut room: Vec<Candidate> = vec![];
-        let mut spare = -self.fleet.headroom(now, &self.cfg.tuning);
+        let mut spare = self.spare(now);
+        let mut open = Room::default();
         for m in self.machines.values().filter(|m| m.open(now, fresh)) {
             let free = m.free();
-            spare += free.cpu.max(0);
             if free.cpu > 0 && !held.contains(&m.host) {
+                open += free;
                 let span = m.remaining(now);
                 room.push(Candidate { m, free, span });
             }
@@ -96,8 +106,11 @@
         // With more waiting than there is room for, all of it fills up, and
         // the image decides first; otherwise it would spoil the best fit.
         let waiting = jobs.iter().filter_map(|id| self.jobs.get(id));
-        let wanted: i64 = waiting.map(|j| j.need.cpu * j.pending() as i64).sum();
-        let crowded = wanted > room.iter().map(|c| c.free.cpu).sum();
+        let mut wanted = Room::default();
+        for j in waiting {
+            wanted += j.need.scaled(j.pending() as i64);
+        }
+        let crowded = !open.covers(&wanted);
         let mut quota: BTreeMap<&Team, Room> = BTreeMap::new();
         let (mut starts, mut short) = (vec![], vec![]);
         for id in jobs {
@@ -105,21 +118,24 @@
             let team = &j.spec.team;
             let left = quota.entry(team).or_insert_with(|| self.teams.left(team));
             let want = (j.pending() as i64).min(left.times(&j.need));
-            let mut view = View::of(self, j, can_rent);
+            let mut view = View::of(self, now, j, order, can_rent);
             view.by_image |= crowded;
             let mut heap: BinaryHeap<Reverse<(Score, usize)>> = BinaryHeap::new();
-            if want > 0 && (view.quick || spare >= j.need.cpu) {
+            if want > 0 && view.may_take(&spare, true) {
                 let scores = room.iter().enumerate();
                 let scores = scores.filter_map(|(i, c)| Some(Reverse((view.score(c)?, i))));
                 heap = scores.collect::<Vec<_>>().into();
             }
             let mut got = 0;
-            while got < want && (view.quick || spare >= j.need.cpu) {
+            while got < want && view.may_take(&spare, true) {
                 let Some(Reverse((_, i))) = heap.pop() else {
                     break;
                 };
+                if !view.may_take(&spare, room[i].m.spot) {
+                    continue;
+                }
                 debug_assert!(
-                    !starts.is_empty() || crowded || self.agrees(now, id, held, room[i].m),
+                    !starts.is_empty() || crowded || self.agrees(now, id, held, order, room[i].m),
                     "{id}: the pass and the plain choice differ"
                 );
                 let c = &mut room[i];
@@ -128,7 +144,7 @@
                     None => (view.est, view.est),
                     Some((low, high)) => (low.min(view.est), high.max(view.est)),
                 });
-                spare -= j.need.cpu;
+                spare.take(&j.need, c.m.spot);
                 got += 1;
                 starts.push((id.clone(), c.m.host.clone()));
                 if let Some(s) = view.score(c) {
@@ -137,33 +153,47 @@
             }
             *left -= j.need.scaled(got);
             if got < want {
-                short.push((id.clone(), want - got));
+                short.push(Short::anywhere(id, want - got));
             }
         }
         (starts, short)
     }
 
     /// The tests hold the pass against the plain computation.
-    fn agrees(&self, now: Time, id: &JobId, held: &BTreeSet<Host>, m: &Machine) -> bool {
+    fn agrees(
+        &self,
+        now: Time,
+        id: &JobId,
+        held: &BTreeSet<Host>,
+        order: &Order,
+        m: &Machine,
+    ) -> bool {
         let judged = self.judged.get();
-        let plain = self.choose(now, id, held);
+        let plain = self.choose(now, id, held, order);
         self.judged.set(judged);
         plain.as_ref() == Some(&m.host)
     }
 
     /// The machine for one task, judged from scratch.
-    pub(super) fn choose(&self, now: Time, id: &JobId, held: &BTreeSet<Host>) -> Option<Host> {
+    pub(super) fn choose(
+        &self,
+        now: Time,
+        id: &JobId,
+        held: &BTreeSet<Host>,
+        order: &Order,
+    ) -> Option<Host> {
         let j = self.jobs.get(id)?;
         let fresh = self.heard_within();
-        let view = View::of(self, j, self.fleet.can_rent(now));
-        if !view.quick && self.spare_cpu(now, fresh) < j.need.cpu {
-            return None;
-        }
+        let view = View::of(self, now, j, order, self.fleet.can_rent(now));
+        let spare = self.spare(now);
         let mut best: Option<(Score, &Machine)> = None;
         for m in self.machines.values() {
             if !m.open(now, fresh) || held.contains(&m.host) {
                 continue;
             }
+            if !view.may_take(&spare, m.spot) {
+                continue;
+            }
             if (j.spec.one_zone || j.spec.spread) && !self.zone_suits(j, &m.zone) {
                 continue;
             }
@@ -179,7 +209,7 @@
     }
 
     /// Judged against all tasks that may still be somewhere.
-    fn zone_suits(&self, j: &Job, zone: &Zone) -> bool {
+    pub(super) fn zone_suits(&self, j: &Job, zone: &Zone) -> bool {
         let zone_of = |l: &Live| self.machines.get(&l.host).map(|m| m.zone.clone());
         let mut here = 0;
         for l in j.live.values() {
@@ -203,13 +233,6 @@
         Span::secs(self.cfg.workers.report_s * 1.25 + 2.0)
     }
 
-    /// Free CPUs above what is kept for classes that want quick starts.
-    pub(super) fn spare_cpu(&self, now: Time, fresh: Span) -> i64 {
-        let open = self.machines.values().filter(|m| m.open(now, fresh));
-        let free: i64 = open.map(|m| m.free().cpu.max(0)).sum();
-        free - self.fleet.headroom(now, &self.cfg.tuning)
-    }
-
     pub(super) fn start(&mut self, now: Time, id: &JobId, host: &Host, attempt: Option<Attempt>) {
         let attempt = attempt.unwrap_or_else(|| self.next_attempt());
         let wall = self.wall;
@@ -219,7 +242,7 @@
         let Some(ix) = j.take_pending() else { return };
         let est = estimate::of(j);
         let part = j.part_of(ix);
-        let quick = self.fleet.is_quick(&j.spec.class, &self.cfg.objectives);
+        let quick = self.quick.contains(&j.spec.class);
         let purpose = if quick { Purpose::Now } else { Purpose::Start };
         let ver = j.touch(part, &mut self.dirty, purpose);
         j.live.insert(
@@ -245,6 +268,7 @@
                 start: now,
                 estimate: est,
                 endless: est == ENDLESS,
+                image: j.spec.image.clone(),
             };
             m.slots.insert(task_id(id, ix), slot);
         }
@@ -261,7 +285,8 @@
 }
 
 /// What is the same for all tasks of a job in one pass.
-struct View<'a> {
+pub(super) struct View<'a> {
+    now: Time,
     j: &'a Job,
     est: Span,
     delta: Span,
@@ -272,27 +297,46 @@
     can_rent: bool,
     /// Every machine there is has failed the job: none is avoided.
     failed_all: bool,
+    /// The next aim for waiting is met by what runs by then.
+    begin_by: Option<Time>,
+    /// Work that may go elsewhere leaves plain machines to what may not.
+    spares_plain: bool,
 }
 
 impl<'a> View<'a> {
-    fn of(s: &'a Sched, j: &'a Job, can_rent: bool) -> View<'a> {
+    pub(super) fn of(
+        s: &'a Sched,
+        now: Time,
+        j: &'a Job,
+        order: &Order,
+        can_rent: bool,
+    ) -> View<'a> {
         let t = &s.cfg.tuning;
         let est = estimate::of(j);
-        let quick = s.fleet.is_quick(&j.spec.class, &s.cfg.objectives);
+        let quick = s.is_quick(&j.spec.class);
         View {
+            now,
             j,
             est,
             delta: estimate::delta(est, t.delta_factor, t.delta_floor_s),
             quick,
             by_image: quick,
             judged: &s.judged,
-            can_rent,
+            // What can't wait for a machine to boot does not rent one.
+            can_rent: can_rent && !quick,
             failed_all: j.error_hosts.len() >= s.machines.len(),
+            begin_by: s.begin_by(now, j, order.within(j.id())),
+            spares_plain: j.spec.spot && order.plain_wanted,
         }
     }
 
+    /// Room that is kept for quick classes is not for others.
+    fn may_take(&self, spare: &Spare, spot: bool) -> bool {
+        self.quick || spare.allows(&self.j.need, spot)
+    }
+
     /// How well the machine suits, if it may be taken at all.
-    fn score(&self, c: &Candidate) -> Option<Score> {
+    pub(super) fn score(&self, c: &Candidate) -> Option<Score> {
         let j = self.j;
         self.judged.set(self.judged.get() + 1);
         if !c.free.fits(&j.need) || !allowed(&j.spec, c.m) {
@@ -307,9 +351,17 @@
             return None;
         }
         let no_image = !c.m.has_image(&j.spec.image);
+        // An image that is fetched for longer than an aim allows decides more
+        // than the fit: starts were late on machines that fitted best.
+        let late = no_image
+            && self.begin_by.is_some_and(|by| {
+                self.now + c.m.fetch_time(self.now, &j.spec.image, j.spec.image_gb) > by
+            });
         Some(Score {
+            late,
             class,
             image: self.by_image && no_image,
+            plain: self.spares_plain && !c.m.spot,
             extends: c.span.is_some_and(|(_, high)| high < self.est),
             left: c.free.minus(&j.need).share_of(&c.m.capacity),
             no_image,
@@ -321,11 +373,6 @@
     j.spec.kind == Kind::Gang || j.spec.one_zone || j.spec.spread
 }
 
-/// In which step of the design the machine takes a task of this estimate.
-pub(super) fn class(m: &Machine, now: Time, est: Span, delta: Span) -> u8 {
-    class_of(m.remaining(now), est, delta)
-}
-
 fn class_of(span: Option<(Span, Span)>, est: Span, delta: Span) -> u8 {
     match span {
         Some((low, high)) if high.max(est) - low.min(est) <= delta => 0,
@@ -344,9 +391,11 @@
 
 /// Smaller is better; fields count in this order.
 #[derive(Clone, Debug)]
-struct Score {
+pub(super) struct Score {
+    pub late: bool,
     class: u8,
     image: bool,
+    plain: bool,
     /// The machine would have to stay up for longer: of those that pass the
     /// spread check, one that stays up anyway costs nothing more.
     extends: bool,
@@ -356,7 +405,8 @@
 
 impl Ord for Score {
     fn cmp(&self, o: &Score) -> Ordering {
-        let first = (self.class, self.image, self.extends).cmp(&(o.class, o.image, o.extends));
+        let first = |s: &Score| (s.late, s.class, s.image, s.plain, s.extends);
+        let first = first(self).cmp(&first(o));
         let then = first.then_with(|| self.left.total_cmp(&o.left));
         then.then_with(|| self.no_image.cmp(&o.no_image))
     }
--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -1,10 +1,11 @@
 //! Who has to make room, in the cases that the protocol allows.
 
+use super::fleet::Short;
 use super::job::{Job, Phase};
 use super::machine::Machine;
 use super::order::{Order, Rank};
 use super::place::allowed;
-use super::{Sched, estimate};
+use super::{Room, Sched, estimate};
 use crate::ids::{JobId, TaskIx};
 use crate::time::{Span, Time};
 use crate::wire::user::{Kind, Priority};
@@ -63,6 +64,10 @@
             return vec![];
         }
         let (mut stopping, mut all) = self.stoppable(now, order);
+        let mut whole = Room::default();
+        for m in self.machines.values() {
+            whole += m.capacity;
+        }
         // The cheapest first: what would lose least.
         all.sort_by(|a, b| a.cost.total_cmp(&b.cost));
         let little = |v: &Victim| v.cheap || v.lost < BORROWED_S;
@@ -71,9 +76,10 @@
         let mut stops = vec![];
         for c in claims {
             // What is being stopped already makes room for the first of them.
-            let asked = c.job.need.cpu * c.tasks;
-            let mut need = (asked - stopping).max(0);
-            stopping = (stopping - asked).max(0);
+            let part = whole.scarcest(&c.job.need);
+            let asked = c.job.need.scaled(c.tasks);
+            let mut need = (part(&asked) - part(&stopping)).max(0);
+            stopping = stopping.minus(&asked).at_least_zero();
             let urgent = c.job.spec.priority <= Priority::High;
             for i in if urgent { &any } else { &little } {
                 if need <= 0 || stops.len() >= MAX_STOPS {
@@ -86,7 +92,7 @@
                 tracing::info!(job = %v.job.id(), task = %v.task, host = %v.machine.host,
                     for_job = %c.job.id(), "preempted");
                 v.taken = true;
-                need -= v.job.need.cpu;
+                need -= part(&v.job.need);
                 stops.push((v.job.id().clone(), v.task));
             }
             if stops.len() >= MAX_STOPS {
@@ -100,37 +106,38 @@
         if self.fleet.short.is_empty() {
             return vec![];
         }
-        let spare = self.spare_cpu(now, self.heard_within());
-        let claim = |(id, tasks): &(JobId, i64)| {
+        let spare = self.spare(now);
+        let claim = |s: &Short| {
+            let id = &s.job;
             let job = self.jobs.get(id)?;
             let within = order.within(id);
             // Room that is kept for quick classes is not for the others;
             // stopping tasks would only fill it up.
-            let quick = self.fleet.is_quick(&job.spec.class, &self.cfg.objectives);
+            let quick = self.is_quick(&job.spec.class);
             let may = job.spec.priority != Priority::Low || within;
             let rank = order.rank(id)?;
-            (may && (quick || spare >= 0)).then_some(Claim {
+            (may && (quick || spare.holds(&job.need, job.spec.spot))).then_some(Claim {
                 job,
                 rank,
                 within,
-                tasks: *tasks,
+                tasks: s.tasks,
             })
         };
         self.fleet.short.iter().filter_map(claim).collect()
     }
 
-    /// Every task that could be stopped for anyone, and the CPUs of those that
+    /// Every task that could be stopped for anyone, and the room of those that
     /// are being stopped already.
-    fn stoppable<'a>(&'a self, now: Time, order: &'a Order) -> (i64, Vec<Victim<'a>>) {
+    fn stoppable<'a>(&'a self, now: Time, order: &'a Order) -> (Room, Vec<Victim<'a>>) {
         let fresh = self.heard_within();
-        let mut stopping = 0;
+        let mut stopping = Room::default();
         let mut victims = vec![];
         for job in self.jobs.values().filter(|j| !j.live.is_empty()) {
             let est = estimate::of(job).as_secs();
             let rank = order.rank(job.id());
             for (t, l) in &job.live {
                 if l.stop.is_some() {
-                    stopping += job.need.cpu;
+                    stopping += job.need;
                     continue;
                 }
                 let (Some(machine), Some(rank)) = (self.machines.get(&l.host), rank) else {
--- a/src/sched/room.rs
+++ b/src/sched/room.rs
@@ -2,6 +2,7 @@
 
 use crate::wire::cloud::Flavor;
 use crate::wire::user::JobSpec;
+use std::fmt;
 use std::ops::{AddAssign, SubAssign};
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -82,6 +83,39 @@
             mem: self.mem * n,
         }
     }
+    pub fn times_f64(&self, n: f64) -> Room {
+        let one = |v: i64| (v as f64 * n) as i64;
+        Room {
+            cpu: one(self.cpu),
+            gpu: one(self.gpu),
+            mem: one(self.mem),
+        }
+    }
+    pub fn at_least_zero(self) -> Room {
+        Room {
+            cpu: self.cpu.max(0),
+            gpu: self.gpu.max(0),
+            mem: self.mem.max(0),
+        }
+    }
+    /// There is enough of each part that is asked for.
+    pub fn covers(&self, need: &Room) -> bool {
+        let one = |have: i64, n: i64| n <= 0 || have >= n;
+        one(self.cpu, need.cpu) && one(self.gpu, need.gpu) && one(self.mem, need.mem)
+    }
+    /// The part of which `need` takes the largest share of this.
+    pub fn scarcest(&self, need: &Room) -> fn(&Room) -> i64 {
+        let share = |n: i64, of: i64| n as f64 / of.max(1) as f64;
+        let cpu = share(need.cpu, self.cpu);
+        let (gpu, mem) = (share(need.gpu, self.gpu), share(need.mem, self.mem));
+        if cpu >= gpu && cpu >= mem {
+            |r| r.cpu
+        } else if gpu >= mem {
+            |r| r.gpu
+        } else {
+            |r| r.mem
+        }
+    }
     pub fn minus(mut self, o: &Room) -> Room {
         self -= *o;
         self
@@ -95,6 +129,14 @@
     }
 }
 
+/// CPUs, accelerators and memory, in whole units.
+impl fmt::Display for Room {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (cpu, gpu, mem) = (self.cpu / 1000, self.gpu / 1000, self.mem / 1000);
+        write!(f, "{cpu}/{gpu}/{mem}")
+    }
+}
+
 impl AddAssign for Room {
     fn add_assign(&mut self, o: Room) {
         self.cpu += o.cpu;
--- /dev/null
+++ b/src/sched/spare.rs
@@ -0,0 +1,143 @@
+//! Room that is kept free for classes that want quick starts, sized from what
+//! arrived lately, and what there is above it.
+
+use super::job::Job;
+use super::machine::Machine;
+use super::{Room, Sched};
+use crate::ids::Class;
+use crate::time::{Span, Time};
+use std::collections::{HashMap, VecDeque};
+
+/// The quickest that a machine usually is up, as a share of its boot time.
+/// Whoever wants to start sooner can't wait for one that is yet to be rented.
+const QUICKEST_BOOT: f64 = 0.6;
+/// Arrivals of a class that make its headroom.
+const ARRIVALS: usize = 12;
+/// What came long ago is no reason to hold machines for ever.
+const ARRIVALS_FOR: Span = Span(180_000_000);
+
+struct Arrival {
+    at: Time,
+    room: Room,
+    /// It may not use machines that the cloud can take back.
+    plain: bool,
+}
+
+/// What arrived lately of the classes that want quick starts.
+#[derive(Default)]
+pub struct Arrivals(HashMap<Class, VecDeque<Arrival>>);
+
+/// An amount of room, on plain machines and on all of them.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Spare {
+    pub plain: Room,
+    pub all: Room,
+}
+
+impl Arrivals {
+    pub fn note(&mut self, now: Time, job: &Job) {
+        let seen = self.0.entry(job.spec.class.clone()).or_default();
+        seen.push_back(Arrival {
+            at: now,
+            room: job.need.scaled(job.spec.tasks as i64),
+            plain: !job.spec.spot,
+        });
+        while seen.len() > ARRIVALS || seen.front().is_some_and(|f| now - f.at > ARRIVALS_FOR) {
+            seen.pop_front();
+        }
+    }
+
+    /// Kept free: a usual large arrival of each class, so many times over.
+    pub fn keep(&self, now: Time, times: f64) -> Spare {
+        let mut keep = Spare::default();
+        for seen in self.0.values() {
+            let lately = seen.iter().filter(|a| now - a.at <= ARRIVALS_FOR);
+            let mut v: Vec<&Arrival> = lately.collect();
+            v.sort_by_key(|a| (a.room.gpu, a.room.cpu, a.room.mem));
+            if let Some(a) = v.get(v.len() * 8 / 10) {
+                keep.all += a.room;
+                if a.plain {
+                    keep.plain += a.room;
+                }
+            }
+        }
+        keep.plain = keep.plain.times_f64(times);
+        keep.all = keep.all.times_f64(times);
+        keep
+    }
+}
+
+impl Spare {
+    fn add(&mut self, m: &Machine) {
+        let free = m.free().at_least_zero();
+        self.all += free;
+        if !m.spot {
+            self.plain += free;
+        }
+    }
+
+    fn minus(mut self, o: &Spare) -> Spare {
+        self.plain -= o.plain;
+        self.all -= o.all;
+        self
+    }
+
+    /// A task may take this much of a machine of that kind.
+    pub fn allows(&self, need: &Room, spot: bool) -> bool {
+        self.all.covers(need) && (spot || self.plain.covers(need))
+    }
+
+    /// Nothing that a task asks for is short already.
+    pub fn holds(&self, need: &Room, spot: bool) -> bool {
+        let one = |have: &Room| {
+            let fine = |have: i64, n: i64| n == 0 || have >= 0;
+            fine(have.cpu, need.cpu) && fine(have.gpu, need.gpu) && fine(have.mem, need.mem)
+        };
+        one(&self.all) && (spot || one(&self.plain))
+    }
+
+    pub fn take(&mut self, need: &Room, spot: bool) {
+        self.all -= *need;
+        if !spot {
+            self.plain -= *need;
+        }
+    }
+}
+
+impl Sched {
+    /// Classes with an aim for waiting that renting is too slow for. Known
+    /// once the machine types are.
+    pub(super) fn note_quick(&mut self) {
+        let boots = self.flavors.values().map(|f| f.boot_s * QUICKEST_BOOT);
+        let boot = boots.fold(f64::INFINITY, f64::min);
+        let waits = self.cfg.objectives.iter().filter(|o| o.kind == "wait");
+        self.quick = waits
+            .filter(|o| boot.is_finite() && o.within_s.is_some_and(|s| s < boot))
+            .filter_map(|o| o.class.clone())
+            .collect();
+    }
+
+    pub(super) fn is_quick(&self, class: &Class) -> bool {
+        self.quick.contains(class)
+    }
+
+    /// Room kept free for quick classes.
+    pub(super) fn headroom(&self, now: Time) -> Spare {
+        self.arrivals.keep(now, self.cfg.tuning.headroom)
+    }
+
+    /// All room that is free now.
+    pub(super) fn free_room(&self, now: Time) -> Spare {
+        let fresh = self.heard_within();
+        let mut free = Spare::default();
+        for m in self.machines.values().filter(|m| m.open(now, fresh)) {
+            free.add(m);
+        }
+        free
+    }
+
+    /// Free room above what is kept.
+    pub(super) fn spare(&self, now: Time) -> Spare {
+        self.free_room(now).minus(&self.headroom(now))
+    }
+}
--- a/src/sched/users.rs
+++ b/src/sched/users.rs
@@ -148,13 +148,15 @@
             return self.answer(req, Answer::error(400, text));
         }
         self.next_seq += 1;
-        self.fleet.seen(now, &job, &self.cfg.objectives);
+        if self.is_quick(&job.spec.class) && job.spec.kind != Kind::Gang {
+            self.arrivals.note(now, &job);
+        }
         // Written after the next pass, so that one write holds the job and
         // what it starts with.
         job.parts[0].ver = 1;
         job.waiters.push((1, req, Waiting::Accept));
         self.taken.push(id.clone());
-        if self.fleet.is_quick(&job.spec.class, &self.cfg.objectives) {
+        if self.is_quick(&job.spec.class) {
             self.pass_at = now;
         }
         // Its user waits: the next pass comes soon.
