--- a/src/sched/fleet/rent.rs
+++ b/src/sched/fleet/rent.rs
@@ -231,6 +231,13 @@
             .is_empty()
     }
 
+    /// Spot machines for the job were not refused lately.
+    pub(in crate::sched) fn spot_rentable(&self, now: Time, j: &Job) -> bool {
+        let none = BTreeMap::new();
+        let kinds = self.kinds_for(now, &j.need, Some((j, None)), &none);
+        kinds.iter().any(|k| k.1.2)
+    }
+
     /// A machine to rent when less is free than is to be kept free.
     fn headroom_short(&self, now: Time) -> Option<(Flavoured, f64)> {
         let keep = self.headroom(now);
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -381,13 +381,18 @@
     /// How full the fleet is, for whoever reads the log.
     fn sum_up(&self, now: Time) {
         let fresh = self.heard_within();
-        let (mut up, mut booting) = (0, 0);
+        let (mut up, mut booting, mut spot) = (0, 0, 0);
+        let (mut spot_used, mut starting) = (Room::default(), Room::default());
         let mut capacity = Room::default();
         let (mut used, mut free, mut pending) = (capacity, capacity, capacity);
         for m in self.machines.values() {
             up += (m.life == Life::Up) as u32;
             booting += (m.life == Life::Booting) as u32;
             used += m.used;
+            if m.spot {
+                spot += (m.life == Life::Up) as u32;
+                spot_used += m.used;
+            }
             if m.life == Life::Up {
                 capacity += m.capacity;
             }
@@ -397,13 +402,19 @@
         }
         for j in self.jobs.values() {
             pending += j.need.scaled(j.pending() as i64);
+            let begins = |l: &&job::Live| l.running_since.is_none();
+            let n = j.live.values().filter(begins).count();
+            starting += j.need.scaled(n as i64);
         }
         tracing::info!(
             jobs = self.jobs.len(),
             up,
+            spot,
             booting,
             %capacity,
             %used,
+            %spot_used,
+            %starting,
             %free,
             %pending,
             writes = ?self.dirty.lengths(),
--- a/src/sched/place.rs
+++ b/src/sched/place.rs
@@ -301,6 +301,8 @@
     begin_by: Option<Time>,
     /// Work that may go elsewhere leaves plain machines to what may not.
     spares_plain: bool,
+    /// Spot machines for it can be rented.
+    spot_to_rent: bool,
 }
 
 impl<'a> View<'a> {
@@ -314,6 +316,7 @@
         let t = &s.cfg.tuning;
         let est = estimate::of(j);
         let quick = s.is_quick(&j.spec.class);
+        let spares_plain = j.spec.spot && order.plain_wanted;
         View {
             now,
             j,
@@ -326,7 +329,8 @@
             can_rent: can_rent && !quick,
             failed_all: j.error_hosts.len() >= s.machines.len(),
             begin_by: s.begin_by(now, j, order.within(j.id())),
-            spares_plain: j.spec.spot && order.plain_wanted,
+            spares_plain,
+            spot_to_rent: spares_plain && s.spot_rentable(now, j),
         }
     }
 
@@ -346,7 +350,12 @@
         if !self.failed_all && j.error_hosts.contains(&c.m.host) {
             return None;
         }
-        let class = class_of(c.span, self.est, self.delta);
+        let mut class = class_of(c.span, self.est, self.delta);
+        // An empty plain machine costs several times what a spot one does, be
+        // it for work that needs one or until it is given back.
+        if self.spot_to_rent && !c.m.spot && c.span.is_none() {
+            class = LAST_RESORT;
+        }
         if class == LAST_RESORT && self.can_rent {
             return None;
         }
--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -90,7 +90,7 @@
                     continue;
                 }
                 tracing::info!(job = %v.job.id(), task = %v.task, host = %v.machine.host,
-                    for_job = %c.job.id(), "preempted");
+                    for_job = %c.job.id(), class = %c.job.spec.class, "preempted");
                 v.taken = true;
                 need -= part(&v.job.need);
                 stops.push((v.job.id().clone(), v.task));
@@ -114,7 +114,10 @@
             // Room that is kept for quick classes is not for the others;
             // stopping tasks would only fill it up.
             let quick = self.is_quick(&job.spec.class);
-            let may = job.spec.priority != Priority::Low || within;
+            // A gang needs whole machines in one place: stopping a task here
+            // and there made no room for it, and went on as it stayed short.
+            let gang = job.spec.kind == Kind::Gang;
+            let may = (job.spec.priority != Priority::Low || within) && !gang;
             let rank = order.rank(id)?;
             (may && (quick || spare.holds(&job.need, job.spec.spot))).then_some(Claim {
                 job,
