What only some machines serve has its say first on what is on its way

Cause: services counted on machines that booted in a gang's zone, which was rented for again and again (ten times 6 in one second of steady), and arrays on plain machines that they may not take.

--- a/src/sched/fleet/rent.rs
+++ b/src/sched/fleet/rent.rs
@@ -1,6 +1,6 @@
 //! What is rented, of which kind and where; and what becomes of requests.
 
-use super::{Flavoured, MAX_HIRE, Pending, REFUSED_REST};
+use super::{Flavoured, MAX_HIRE, Pending, REFUSED_REST, Short};
 use crate::ids::{Build, Zone};
 use crate::sched::job::Job;
 use crate::sched::machine::{Life, Machine};
@@ -99,28 +99,33 @@
         let zones = self.machines_by_zone();
         let mut left: BTreeMap<_, Room> = BTreeMap::new();
         let mut wanted: BTreeMap<Flavoured, f64> = BTreeMap::new();
-        for s in &self.fleet.short {
-            let Some(j) = self.jobs.get(&s.job) else {
-                continue;
-            };
+        // What only some kind of machine serves has its say before the others:
+        // when those that could do with any took a gang's machines into
+        // account, its zone was rented for again and again.
+        let found = |s: &'_ Short| Some((s.zone.clone(), s.tasks, self.jobs.get(&s.job)?));
+        let mut short: Vec<_> = self.fleet.short.iter().filter_map(found).collect();
+        short.sort_by_key(|(zone, _, j)| (zone.is_none(), j.spec.spot));
+        let plain_wanted = self.jobs.values().any(|j| !j.spec.spot);
+        for (zone, tasks, j) in short {
+            let zone = zone.as_ref();
             let team = &j.spec.team;
             let left = left
                 .entry(team.clone())
                 .or_insert_with(|| self.teams.left(team));
-            let n = s.tasks.min(left.times(&j.need));
+            let n = tasks.min(left.times(&j.need));
             if n <= 0 {
                 continue;
             }
             *left -= j.need.scaled(n);
-            // Machines on their way serve those first that are served first,
-            // as far as they are of a kind that the job may use.
             let mut n = n as f64;
+            // Nor does lendable work count on plain machines if it can rent others.
+            let only_spot = j.spec.spot && plain_wanted && self.spot_rentable(now, j);
             for (kind, c) in coming.iter_mut() {
-                if n > 0.0 && self.suits(j, kind, s.zone.as_ref()) {
+                if n > 0.0 && (kind.2 || !only_spot) && self.suits(j, kind, zone) {
                     n -= c.serve(n, self.per_machine(kind, &j.need));
                 }
             }
-            let kinds = self.kinds_for(now, &j.need, Some((j, s.zone.as_ref())), &zones);
+            let kinds = self.kinds_for(now, &j.need, Some((j, zone)), &zones);
             let Some((_, kind)) = kinds.into_iter().next().filter(|_| n > 0.0) else {
                 continue;
             };
--- a/src/sched/place.rs
+++ b/src/sched/place.rs
@@ -261,7 +261,9 @@
             },
         );
         self.teams.add(&j.spec.team, &j.need);
+        let mut holds_image = false;
         if let Some(m) = self.machines.get_mut(host) {
+            holds_image = m.has_image(&j.spec.image);
             m.used += j.need;
             let slot = Slot {
                 need: j.need,
@@ -273,7 +275,7 @@
             m.slots.insert(task_id(id, ix), slot);
         }
         self.unsent.insert(host.clone());
-        tracing::debug!(job = %id, task = %ix, %host, "placed");
+        tracing::debug!(job = %id, class = %j.spec.class, task = %ix, %host, holds_image, "placed");
     }
 }
 
--- a/src/sched/report.rs
+++ b/src/sched/report.rs
@@ -235,6 +235,9 @@
         };
         if phase == Phase::Running && l.running_since.is_none() {
             l.running_since = Some(now);
+            let after_s = (now - l.placed).as_secs();
+            let waited_s = (now - job.arrived).as_secs();
+            tracing::debug!(task = %r.task, class = %job.spec.class, %host, after_s, waited_s, %image, gb, "running");
             if let Some(m) = self.machines.get_mut(host) {
                 m.saw_image(&image, gb);
                 if let Some(s) = m.slots.get_mut(&r.task) {
