Stories of accelerators, services and gangs; operators see waiting gangs and missing replicas

A gang also gets no replacement after a take-over before its members have been heard of: they may be running, and a newcomer would wait for them in vain. The log's line of figures tells CPUs, accelerators and memory, of spot machines and of tasks that are starting; the overview tells what each waiting gang waits for.

--- a/src/sched/gang.rs
+++ b/src/sched/gang.rs
@@ -41,7 +41,9 @@
             // Some of it is still on machines. A gang that waits takes a
             // replacement with its number; any other must be gone first.
             let attempt = l.attempt;
-            let waits = |l: &Live| l.stop.is_none() && l.attempt == attempt;
+            // After a take-over it isn't known yet whether it waits or has run.
+            let told = |l: &Live| !(l.sent && l.phase == Phase::Placed);
+            let waits = |l: &Live| l.stop.is_none() && l.attempt == attempt && told(l);
             if j.gang_ran || !j.live.values().all(waits) {
                 return None;
             }
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -7,6 +7,7 @@
 pub mod job;
 pub mod machine;
 mod order;
+mod overview;
 mod place;
 mod preempt;
 mod records;
@@ -378,82 +379,8 @@
         }
     }
 
-    /// How full the fleet is, for whoever reads the log.
-    fn sum_up(&self, now: Time) {
-        let fresh = self.heard_within();
-        let (mut up, mut booting, mut spot) = (0, 0, 0);
-        let (mut spot_used, mut starting) = (Room::default(), Room::default());
-        let mut capacity = Room::default();
-        let (mut used, mut free, mut pending) = (capacity, capacity, capacity);
-        for m in self.machines.values() {
-            up += (m.life == Life::Up) as u32;
-            booting += (m.life == Life::Booting) as u32;
-            used += m.used;
-            if m.spot {
-                spot += (m.life == Life::Up) as u32;
-                spot_used += m.used;
-            }
-            if m.life == Life::Up {
-                capacity += m.capacity;
-            }
-            if m.open(now, fresh) {
-                free += m.free();
-            }
-        }
-        for j in self.jobs.values() {
-            pending += j.need.scaled(j.pending() as i64);
-            let begins = |l: &&job::Live| l.running_since.is_none();
-            let n = j.live.values().filter(begins).count();
-            starting += j.need.scaled(n as i64);
-        }
-        tracing::info!(
-            jobs = self.jobs.len(),
-            up,
-            spot,
-            booting,
-            %capacity,
-            %used,
-            %spot_used,
-            %starting,
-            %free,
-            %pending,
-            writes = ?self.dirty.lengths(),
-            "fleet"
-        );
-    }
-
     /// Machines judged for tasks so far, a measure of the work of placing.
     pub fn judged(&self) -> u64 {
         self.judged.get()
     }
-
-    /// Numbers for operators.
-    pub fn overview(&self, now: Time) -> serde_json::Value {
-        let mut by_class: BTreeMap<String, (u64, u64)> = BTreeMap::new();
-        for j in self.jobs.values() {
-            let e = by_class.entry(j.spec.class.to_string()).or_default();
-            e.0 += j.pending() as u64;
-            e.1 += j.live.len() as u64;
-        }
-        let up = self.machines.values().filter(|m| m.life == Life::Up);
-        let writes = self.dirty.lengths();
-        serde_json::json!({
-            "epoch": self.epoch,
-            "proven": self.may_start(now),
-            "jobs": self.jobs.len(),
-            "machines": self.machines.len(),
-            "machines_up": up.count(),
-            "classes": by_class.into_iter().map(|(c, (p, l))|
-                (c, serde_json::json!({"pending": p, "started": l}))).collect::<serde_json::Map<_, _>>(),
-            "teams": self.teams.overview(),
-            "unwritten": self.dirty.len(),
-            "writes_waiting": {
-                "now": writes[0], "starts": writes[1], "ends": writes[2], "progress": writes[3],
-            },
-            "judged": self.judged.get(),
-            "reports_held": self.reports_held,
-            "reports_refused": self.reports_refused,
-            "rentals_under_way": self.fleet.under_way(),
-        })
-    }
 }
--- a/tests/accelerators.rs
+++ b/tests/accelerators.rs
@@ -4,11 +4,12 @@
 mod world;
 
 use hookworks::ids::*;
-use hookworks::sched::Event;
+use hookworks::sched::{Effect, Event, HireResult};
 use hookworks::wire::cloud::Flavor;
-use hookworks::wire::user::{JobSpec, Kind};
+use hookworks::wire::cloud::Hire;
+use hookworks::wire::user::{JobSpec, Kind, Priority};
 use hookworks::wire::worker::*;
-use world::desk::{Desk, report};
+use world::desk::{Desk, report, task};
 use world::job;
 
 /// 16 CPUs and two accelerators.
@@ -91,3 +92,280 @@
     }
     assert_eq!(hosts(&d, "job-000001").len(), 40);
 }
+
+/// A replica: it may not use spot machines.
+fn service(n: u64, tasks: u32) -> JobSpec {
+    let mut j = half(n, tasks);
+    (j.kind, j.priority, j.spot) = (Kind::Service, Priority::Production, false);
+    (j.class, j.image, j.estimate_s) = ("quick".into(), "live".into(), 0.0);
+    j
+}
+
+/// Each task takes a machine, all in one zone.
+fn gang(n: u64, tasks: u32) -> JobSpec {
+    let mut j = half(n, tasks);
+    (j.kind, j.spot, j.one_zone) = (Kind::Gang, false, true);
+    (j.cpus, j.gpus, j.memory_gb) = (14.0, 2.0, 50.0);
+    (j.image, j.team) = ("gang".into(), "blue".into());
+    j
+}
+
+/// Rental requests made since the last look.
+fn take_hires(d: &mut Desk) -> Vec<Hire> {
+    let one = |e: &Effect| match e {
+        Effect::Hire(h) => Some(h.clone()),
+        _ => None,
+    };
+    let asked = d.fx.iter().filter_map(one).collect();
+    d.fx.retain(|e| !matches!(e, Effect::Hire(_)));
+    asked
+}
+
+/// The cloud gives whatever is asked for; answers how many machines of each
+/// kind were rented, as zone and spot or not.
+fn rent_all(d: &mut Desk, next: &mut u32) -> Vec<(String, bool, u32)> {
+    let mut rented = vec![];
+    for _ in 0..20 {
+        d.wait(0.25);
+        for h in take_hires(d) {
+            let names = (0..h.count).map(|k| format!("n-9{:05}", *next + k));
+            let hosts: Vec<Host> = names.map(|n| n.as_str().into()).collect();
+            *next += h.count;
+            rented.push((h.zone.to_string(), h.spot, h.count));
+            d.event(Event::Hired(h, HireResult::Ok(hosts)));
+        }
+    }
+    rented
+}
+
+fn count(rented: &[(String, bool, u32)], spot: bool) -> u32 {
+    rented.iter().filter(|r| r.1 == spot).map(|r| r.2).sum()
+}
+
+/// Everything placed on the machine runs there.
+fn runs(d: &mut Desk, mut r: Report) {
+    for j in d.s.jobs.values() {
+        for (t, l) in j.live.iter().filter(|(_, l)| l.host == r.host) {
+            let name = j.id().to_string();
+            let t = task(&name, t.0, l.attempt, TaskState::Running);
+            r.tasks.push(t);
+        }
+    }
+    d.beat(&r);
+}
+
+#[test]
+fn machines_of_another_kind_on_their_way_keep_nobody_from_renting() {
+    let mut d = desk();
+    let mut next = 0;
+    d.submit(&half(1, 10));
+    let first = rent_all(&mut d, &mut next);
+    assert_eq!((count(&first, true), count(&first, false)), (5, 0));
+    // The five that boot are no use to replicas or a gang.
+    d.submit(&service(2, 4));
+    let second = rent_all(&mut d, &mut next);
+    assert_eq!(count(&second, true), 0);
+    // Two machines, and as many again for the headroom of their class.
+    assert!(count(&second, false) >= 2, "{second:?}");
+}
+
+/// Replicas could use any machine on its way and took the gang's into account,
+/// whose zone was rented for ten times over.
+#[test]
+fn a_gang_rents_in_one_zone_only_what_is_lacking_there_and_once() {
+    let mut d = desk();
+    d.beat(&machine(1, "b", false, 1));
+    d.beat(&machine(2, "b", false, 1));
+    d.beat(&machine(3, "a", false, 1));
+    let mut next = 0;
+    d.submit(&gang(1, 4));
+    let mut many = service(2, 12);
+    many.class = "work".into();
+    d.submit(&many);
+    let rented = rent_all(&mut d, &mut next);
+    let there = |z: &str| rented.iter().filter(|r| r.0 == z).map(|r| r.2).sum::<u32>();
+    assert!(hosts(&d, "job-000001").is_empty());
+    // The gang lacks at most its four; the replicas six machines less what is up.
+    assert!(there("a") + there("b") + there("c") <= 4 + 6, "{rented:?}");
+    let again = rent_all(&mut d, &mut next);
+    assert!(again.is_empty(), "asked for again: {again:?}");
+}
+
+#[test]
+fn a_gang_without_room_keeps_its_machines_and_stops_nobody() {
+    let mut d = desk();
+    for n in 1..=2 {
+        d.beat(&machine(n, "a", false, 1));
+    }
+    d.submit(&half(1, 2));
+    let on: Vec<_> = hosts(&d, "job-000001");
+    assert_eq!(on[0], on[1], "best fit: one machine stays empty");
+    for n in 1..=2 {
+        runs(&mut d, machine(n, "a", false, 2));
+    }
+    d.submit(&gang(2, 2));
+    // One machine is empty and held for the gang: other work leaves it alone.
+    let mut plain = half(3, 1);
+    plain.spot = false;
+    plain.estimate_s = 5000.0;
+    d.submit(&plain);
+    d.wait(1.0);
+    assert!(hosts(&d, "job-000002").is_empty());
+    assert!(hosts(&d, "job-000003").is_empty());
+    let stopped = d.s.jobs[&JobId::from("job-000001")].live.values();
+    assert_eq!(stopped.filter(|l| l.stop.is_some()).count(), 0);
+    d.beat(&machine(3, "a", false, 1));
+    assert_eq!(hosts(&d, "job-000002").len(), 2);
+}
+
+#[test]
+fn a_gang_takes_the_zone_that_holds_its_image() {
+    let mut d = Desk::set_up(1, vec![], |c| {
+        c.teams[1].gpus_max = 40.0;
+        c.teams[1].cpus_max = 0.0;
+        c.objectives[0].class = Some("gangs".into());
+        c.objectives[0].within_s = Some(15.0);
+    });
+    d.event(Event::Flavors(vec![g2()]));
+    for (n, z) in [(1, "a"), (2, "a"), (3, "b"), (4, "b")] {
+        d.beat(&machine(n, z, false, 1));
+    }
+    for n in 3..=4 {
+        let m =
+            d.s.machines
+                .get_mut(&Host::from(format!("n-{n:06}").as_str()));
+        m.unwrap().saw_image(&"gang".into(), 9.0);
+    }
+    let mut g = gang(1, 2);
+    (g.class, g.image_gb) = ("gangs".into(), 9.0);
+    d.submit(&g);
+    assert_eq!(hosts(&d, "job-000001"), ["n-000003", "n-000004"]);
+}
+
+#[test]
+fn an_image_that_takes_longer_than_the_aim_decides_before_the_fit() {
+    let starts = |image_gb: f64| {
+        let mut d = desk();
+        d.s.cfg.objectives[0].within_s = Some(12.0);
+        d.event(Event::Flavors(vec![g2()]));
+        for n in 1..=3 {
+            d.beat(&machine(n, "a", false, 1));
+        }
+        // The first holds a replica and fits best; the third has the image.
+        let mut other = service(1, 1);
+        (other.image, other.class) = ("other".into(), "work".into());
+        d.submit(&other);
+        let third = d.s.machines.get_mut(&Host::from("n-000003")).unwrap();
+        third.saw_image(&"live".into(), image_gb);
+        let mut s = service(2, 1);
+        s.image_gb = image_gb;
+        d.submit(&s);
+        hosts(&d, "job-000002")
+    };
+    assert_eq!(starts(9.0), ["n-000003"]);
+    // A short fetch is in time anywhere, and the best fit wins.
+    assert_eq!(starts(0.5), ["n-000001"]);
+}
+
+#[test]
+fn lendable_work_leaves_empty_plain_machines_to_others_while_it_can_rent() {
+    let mut d = desk();
+    let mut full = service(1, 2);
+    full.class = "work".into();
+    d.submit(&full);
+    for n in 1..=3 {
+        d.beat(&machine(n, "a", false, 1));
+    }
+    let mut array = half(2, 1);
+    array.team = "blue".into();
+    d.submit(&array);
+    assert!(hosts(&d, "job-000002").is_empty());
+    d.beat(&machine(4, "b", true, 1));
+    assert_eq!(hosts(&d, "job-000002"), ["n-000004"]);
+    // With none to rent, the plain ones that are up serve.
+    let mut more = half(3, 4);
+    more.team = "blue".into();
+    d.submit(&more);
+    for seq in 2..8 {
+        d.wait(0.5);
+        for h in take_hires(&mut d) {
+            d.event(Event::Hired(h, HireResult::NoCapacity));
+        }
+        d.beat(&machine(3, "a", false, seq));
+    }
+    let on = hosts(&d, "job-000003");
+    assert!(on.iter().any(|h| h != "n-000004"), "{on:?}");
+}
+
+#[test]
+fn free_cpus_without_an_accelerator_are_no_room() {
+    let mut d = desk();
+    for n in 1..=2 {
+        d.beat(&machine(n, "a", false, 1));
+    }
+    // Two machines hold four replicas: no accelerator is left, but 12 CPUs.
+    d.submit(&service(1, 4));
+    assert_eq!(hosts(&d, "job-000001").len(), 4);
+    let mut next = 0;
+    let rented = rent_all(&mut d, &mut next);
+    assert!(
+        count(&rented, false) >= 2,
+        "headroom of replicas: {rented:?}"
+    );
+}
+
+#[test]
+fn a_class_is_quick_if_it_wants_to_start_before_a_machine_could_boot() {
+    let kept = |within_s: f64| {
+        let mut d = desk();
+        d.s.cfg.objectives[0].within_s = Some(within_s);
+        d.event(Event::Flavors(vec![g2()]));
+        d.beat(&machine(1, "a", false, 1));
+        d.submit(&service(1, 1));
+        let mut next = 0;
+        !rent_all(&mut d, &mut next).is_empty()
+    };
+    assert!(kept(26.0), "machines boot in 45 s, seldom under 27");
+    assert!(!kept(60.0));
+}
+
+#[test]
+fn after_a_take_over_a_gang_gets_no_replacement_before_its_members_are_heard() {
+    let mut first = desk();
+    for n in 1..=3 {
+        first.beat(&machine(n, "a", false, 1));
+    }
+    first.submit(&gang(1, 3));
+    let record = {
+        let j = first.s.jobs.get_mut(&JobId::from("job-000001")).unwrap();
+        j.live.remove(&TaskIx(2));
+        j.encode(0)
+    };
+    let now = hookworks::time::Time(4_000_000_000);
+    let wall = hookworks::time::Wall(1_000_000);
+    let job = hookworks::sched::job::Job::decode(&record, now, wall).unwrap();
+    let a = job.live[&TaskIx(0)].attempt;
+    let mut d = Desk::set_up(2, vec![job], |c| c.teams[1].cpus_max = 0.0);
+    d.event(Event::Flavors(vec![g2()]));
+    d.beat(&machine(3, "a", false, 2));
+    assert_eq!(hosts(&d, "job-000001").len(), 2, "it may be running");
+    for n in 1..=2u32 {
+        let mut r = machine(n, "a", false, 2);
+        r.tasks = vec![task("job-000001", n - 1, a, TaskState::Waiting)];
+        d.beat(&r);
+    }
+    assert_eq!(d.attempt("job-000001", 2), Some(a));
+}
+
+#[test]
+fn operators_see_what_gangs_wait_for_and_which_replicas_are_missing() {
+    let mut d = desk();
+    d.beat(&machine(1, "a", false, 1));
+    d.submit(&gang(1, 3));
+    d.submit(&service(2, 3));
+    let v = d.s.overview(hookworks::time::Time(d.now));
+    assert_eq!(v["gangs_waiting"][0]["waits_for"], "machines");
+    assert!(v["gangs_waiting"][0]["zone"].is_string());
+    assert_eq!(v["replicas_missing"]["quick"], 3);
+    assert_eq!(v["room"]["accelerators"]["up"], 2.0);
+}
