Histories draw accelerators, services, gangs, hanging machines and cut zones; sums are audited

Best fit looks at the parts that a job asks for: on machines with accelerators nothing else counted for work that uses none, which now also prefers machines without.

--- a/src/sched/place.rs
+++ b/src/sched/place.rs
@@ -373,8 +373,9 @@
             class,
             image: self.by_image && no_image,
             plain: self.spares_plain && !c.m.spot,
+            strands: j.need.gpu == 0 && c.m.capacity.gpu > 0,
             extends: c.span.is_some_and(|(_, high)| high < self.est),
-            left: c.free.minus(&j.need).share_of(&c.m.capacity),
+            left: c.free.minus(&j.need).share_left(&c.m.capacity, &j.need),
             no_image,
         })
     }
@@ -407,6 +408,8 @@
     class: u8,
     image: bool,
     plain: bool,
+    /// It would take CPUs beside accelerators that it has no use for.
+    strands: bool,
     /// The machine would have to stay up for longer: of those that pass the
     /// spread check, one that stays up anyway costs nothing more.
     extends: bool,
@@ -416,7 +419,7 @@
 
 impl Ord for Score {
     fn cmp(&self, o: &Score) -> Ordering {
-        let first = |s: &Score| (s.late, s.class, s.image, s.plain, s.extends);
+        let first = |s: &Score| (s.late, s.class, s.image, s.plain, s.strands, s.extends);
         let first = first(self).cmp(&first(o));
         let then = first.then_with(|| self.left.total_cmp(&o.left));
         then.then_with(|| self.no_image.cmp(&o.no_image))
--- a/src/sched/room.rs
+++ b/src/sched/room.rs
@@ -120,6 +120,17 @@
         self -= *o;
         self
     }
+    /// Share of `whole` that is left of what was asked for, by the part of
+    /// which most is left.
+    pub fn share_left(&self, whole: &Room, asked: &Room) -> f64 {
+        let one = |left: i64, n: i64| if n > 0 { left } else { 0 };
+        let left = Room {
+            cpu: one(self.cpu, asked.cpu),
+            gpu: one(self.gpu, asked.gpu),
+            mem: one(self.mem, asked.mem),
+        };
+        left.share_of(whole)
+    }
     /// Share of `whole` that this is, by its scarcest part.
     pub fn share_of(&self, whole: &Room) -> f64 {
         let one = |a: i64, b: i64| if b > 0 { a as f64 / b as f64 } else { 0.0 };
--- a/src/sched/team.rs
+++ b/src/sched/team.rs
@@ -29,6 +29,9 @@
         };
         Teams(limits.iter().map(|t| (t.name.clone(), one(t))).collect())
     }
+    pub fn used(&self, t: &Team) -> Option<Room> {
+        self.0.get(t).map(|o| o.used)
+    }
     pub fn limit(&self, t: &Team) -> Option<Room> {
         self.0.get(t).map(|o| o.limit)
     }
--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -3,6 +3,7 @@
 mod world;
 
 use hookworks::wire::peer::Ask;
+use hookworks::wire::user::{Kind, Priority};
 use rand::RngExt;
 use world::{Chaos, Ev, World, job};
 
@@ -16,7 +17,7 @@
         refuse_txn: 0.02,
     };
     w.run(2.0);
-    let mut ids = vec![];
+    let (mut ids, mut services) = (vec![], vec![]);
     for n in 0..14 {
         let tasks = w.rng.random_range(1..9);
         let mut j = job(n, tasks);
@@ -25,6 +26,19 @@
             j.spot = false;
         }
         j.one_zone = n % 5 == 4;
+        if n % 4 == 2 {
+            // An accelerator and memory besides, so that both run short.
+            (j.gpus, j.memory_gb) = (1.0, 9.0);
+        }
+        match n % 7 {
+            3 => (j.kind, j.tasks, j.one_zone) = (Kind::Gang, j.tasks.min(4), true),
+            5 => {
+                (j.kind, j.tasks) = (Kind::Service, j.tasks.min(3));
+                (j.priority, j.spread) = (Priority::Production, !j.one_zone);
+                services.push(j.id.clone());
+            }
+            _ => {}
+        }
         ids.push(j.id.clone());
         let body = serde_json::to_vec(&j).unwrap();
         w.specs.insert(j.id.clone(), j);
@@ -58,12 +72,20 @@
         let at = w.rng.random_range(20.0..200.0);
         if w.rng.random_bool(0.3) {
             w.at(at, Ev::Preempt(host));
+        } else if w.rng.random_bool(0.3) {
+            let long = w.rng.random_range(2.0..50.0);
+            w.at(at, Ev::Hang(host.clone(), true));
+            w.at(at + long, Ev::Hang(host, false));
         } else {
             let long = w.rng.random_range(2.0..50.0);
             w.at(at, Ev::Cut(host.clone(), true));
             w.at(at + long, Ev::Cut(host, false));
         }
     }
+    let at = w.rng.random_range(20.0..200.0);
+    let long = w.rng.random_range(5.0..60.0);
+    w.at(at, Ev::CutZone("b".into(), true));
+    w.at(at + long, Ev::CutZone("b".into(), false));
     w.run(240.0);
     // The storm is over: everything accepted must come to its end.
     w.chaos = Chaos::default();
@@ -72,12 +94,19 @@
             w.at(0.1, Ev::Restart(i));
         }
     }
+    for id in services {
+        for k in 0..6 {
+            let e = Ev::User(Ask::Cancel(id.to_string()));
+            w.at(1.0 + 8.0 * k as f64, e);
+        }
+    }
     w.run(240.0);
     w
 }
 
 #[test]
 fn rules_hold_in_many_random_histories() {
+    let mut gangs = 0;
     for seed in 0..40 {
         let mut w = history(seed);
         assert!(
@@ -91,5 +120,7 @@
         let left: Vec<_> = w.sched(i).jobs.keys().cloned().collect();
         assert!(left.is_empty(), "seed {seed}: never finished {left:?}");
         w.run(1.0);
+        gangs += w.gangs_begun;
     }
+    assert!(gangs > 40, "hardly any gang began: {gangs}");
 }
--- a/tests/world/given.rs
+++ b/tests/world/given.rs
@@ -11,7 +11,7 @@
         "params": {
             "count": 3, "zones": ["a", "b"],
             "teams": [
-                {"name": "red", "cpus": 8.0, "cpus_max": 12.0},
+                {"name": "red", "cpus": 8.0, "cpus_max": 12.0, "gpus_max": 3.0},
                 {"name": "blue", "cpus": 8.0, "cpus_max": 16.0}],
             "objectives": [{"kind": "wait", "class": "quick", "within_s": 2.0, "share": 0.9}],
             "workers": {"report_s": 3.0, "lease_s": 20.0, "gang_wait_s": 30.0,
@@ -32,7 +32,7 @@
 
 pub fn flavor() -> Flavor {
     serde_json::from_value(serde_json::json!({
-        "Label": "m8", "Vcpus": 8, "RamGb": 32, "LocalGb": 50, "FetchGbPerS": 1.0,
+        "Label": "m8", "Vcpus": 8, "Accelerators": 2, "RamGb": 32, "LocalGb": 50, "FetchGbPerS": 1.0,
         "Hourly": 1.0, "SpotPrice": 0.3, "BootS": 10, "Yards": ["a", "b"]
     }))
     .unwrap()
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -50,6 +50,8 @@
     Restart(usize),
     Kill(usize),
     Cut(Host, bool),
+    CutZone(Zone, bool),
+    Hang(Host, bool),
     StoreDown(bool),
     Preempt(Host),
 }
@@ -111,6 +113,10 @@
     pub capacity: usize,
     pub run_s: f64,
     on: BTreeMap<TaskId, BTreeSet<Host>>,
+    /// Gangs that run, and until when.
+    gangs: BTreeMap<(JobId, Attempt), u64>,
+    /// Gangs that began to run, all members at once.
+    pub gangs_begun: usize,
     pub done_tasks: BTreeSet<TaskId>,
 }
 
@@ -143,6 +149,8 @@
             capacity: 4,
             run_s: 15.0,
             on: BTreeMap::new(),
+            gangs: BTreeMap::new(),
+            gangs_begun: 0,
             done_tasks: BTreeSet::new(),
         };
         for i in 0..controllers {
@@ -335,6 +343,10 @@
                 let wall = self.wall();
                 if self.ctls[i].up {
                     self.event(i, Event::Tick(wall));
+                    if let Some(t) = &self.ctls[i].term {
+                        let wrong = t.sched.audit();
+                        self.broken.extend(wrong);
+                    }
                 }
                 self.at(0.25, Ev::Tick(i));
             }
@@ -367,7 +379,8 @@
                     return;
                 };
                 // Dropped once the worker has given up on that report.
-                if a.status == 200 && w.sent_at == sent && now - sent < 4 * S && !w.cut {
+                if a.status == 200 && w.sent_at == sent && now - sent < 4 * S && !w.cut && !w.hangs
+                {
                     let a: ReportAnswer = serde_json::from_str(&a.body).unwrap();
                     if w.answered(now, sent, a, &self.specs, self.run_s) {
                         self.at(0.5, Ev::Beat(h));
@@ -379,7 +392,7 @@
                 let Some(w) = self.workers.get_mut(&h) else {
                     return;
                 };
-                if w.cut {
+                if w.cut || w.hangs {
                     // Held back until the cut is over.
                     return self.at(1.0, Ev::Orders(i, epoch, call, h, orders));
                 }
@@ -451,6 +464,16 @@
                     w.cut = cut;
                 }
             }
+            Ev::CutZone(z, cut) => {
+                for w in self.workers.values_mut().filter(|w| w.zone == z) {
+                    w.cut = cut;
+                }
+            }
+            Ev::Hang(h, hangs) => {
+                if let Some(w) = self.workers.get_mut(&h) {
+                    w.hangs = hangs;
+                }
+            }
             Ev::StoreDown(d) => self.store.down(d),
             Ev::Preempt(h) => {
                 self.workers.remove(&h);
@@ -572,7 +595,7 @@
             return;
         }
         w.next_beat = now + S / 2;
-        let cut = w.cut;
+        let cut = w.cut || w.hangs;
         let body = serde_json::to_vec(&w.report()).unwrap();
         w.sent_at = now;
         let again = self.rng.random_range(2.3..3.6);
--- a/tests/world/rules.rs
+++ b/tests/world/rules.rs
@@ -4,6 +4,7 @@
 use hookworks::ids::*;
 use hookworks::wire::peer::{Answer, Ask};
 use hookworks::wire::user::{JobSpec, JobState, JobView};
+use hookworks::wire::worker::TaskState;
 use std::collections::{BTreeMap, BTreeSet};
 
 impl World {
@@ -51,17 +52,51 @@
         self.answers.push((ask, a));
     }
 
+    /// Gangs begin together, end together, and fall apart together.
+    fn step_gangs(&mut self) {
+        let mut members: BTreeMap<(JobId, Attempt), Vec<TaskState>> = BTreeMap::new();
+        for w in self.workers.values() {
+            for (t, a, state) in w.gang_members() {
+                members.entry((t.job, a)).or_default().push(state);
+            }
+        }
+        let now = self.now;
+        let ends = now + (self.run_s * 1e6) as u64;
+        for (gang, states) in members {
+            let n = self.specs[&gang.0].tasks as usize;
+            let are = |s: TaskState| states.iter().filter(|x| **x == s).count();
+            let until = match self.gangs.get(&gang) {
+                None if are(TaskState::Waiting) == n => Some(ends),
+                // Its time is not up and someone is missing.
+                Some(end) if now < *end && are(TaskState::Running) < n => None,
+                _ => continue,
+            };
+            for w in self.workers.values_mut() {
+                w.gang_goes(&gang.0, gang.1, until);
+            }
+            if until.is_some() {
+                self.gangs.insert(gang, ends);
+                self.gangs_begun += 1;
+            }
+        }
+    }
+
     /// The rules, after every event.
     pub(super) fn check(&mut self) {
         let mut on: BTreeMap<TaskId, BTreeSet<Host>> = BTreeMap::new();
         let mut used: BTreeMap<Team, f64> = BTreeMap::new();
+        let mut accelerators: BTreeMap<Team, f64> = BTreeMap::new();
         let now = self.now;
         for w in self.workers.values_mut() {
             w.step(now, 20 * S);
+        }
+        self.step_gangs();
+        for w in self.workers.values_mut() {
             for t in w.present() {
                 on.entry(t.clone()).or_default().insert(w.host.clone());
                 let s = &self.specs[&t.job];
                 *used.entry(s.team.clone()).or_default() += s.cpus;
+                *accelerators.entry(s.team.clone()).or_default() += s.gpus;
                 if w.spot && !s.spot || s.zone.as_ref().is_some_and(|z| *z != w.zone) {
                     self.broken.push(format!("wrong_place: {t}"));
                 }
@@ -84,6 +119,15 @@
                 }
             }
             let s = &self.specs[&t.job];
+            if s.spread && before != Some(hosts) {
+                let zone = |h: &Host| self.workers[h].zone.clone();
+                let here: BTreeSet<_> = hosts.iter().map(zone).collect();
+                let others = on.iter().filter(|(o, _)| o.job == t.job);
+                let near = others.filter(|(_, hs)| hs.iter().any(|h| here.contains(&zone(h))));
+                if near.count() > s.tasks.div_ceil(2) as usize {
+                    self.broken.push(format!("wrong_place: {t} not scattered"));
+                }
+            }
             if s.one_zone {
                 let zones: BTreeSet<_> = on
                     .iter()
@@ -96,6 +140,12 @@
             }
         }
         self.on = on;
+        for (team, n) in accelerators {
+            if team.as_str() == "red" && n > 3.0 + 1e-6 {
+                self.broken
+                    .push(format!("{now} quota: {team} {n} accelerators"));
+            }
+        }
         for (team, cpus) in used {
             let max = if team.as_str() == "red" { 12.0 } else { 16.0 };
             if cpus > max + 1e-6 {
--- a/tests/world/worker.rs
+++ b/tests/world/worker.rs
@@ -1,10 +1,13 @@
 //! A worker as the protocol describes it, in memory.
 
 use hookworks::ids::*;
-use hookworks::wire::user::JobSpec;
+use hookworks::wire::user::{JobSpec, Kind};
 use hookworks::wire::worker::*;
 use std::collections::{BTreeMap, BTreeSet};
 
+/// A member waits so long for the others.
+const GANG_WAIT: u64 = 30_000_000;
+
 #[derive(Clone)]
 struct Task {
     attempt: Attempt,
@@ -12,6 +15,7 @@
     cause: Option<Cause>,
     runs_at: u64,
     ends_at: u64,
+    kind: Kind,
 }
 
 pub struct Worker {
@@ -26,6 +30,8 @@
     pub sent_at: u64,
     pub next_beat: u64,
     pub cut: bool,
+    /// Neither tells nor does anything until it goes on.
+    pub hangs: bool,
     /// Fails every task that it starts.
     pub sick: bool,
     tasks: BTreeMap<(TaskId, Attempt), Task>,
@@ -48,6 +54,7 @@
             sent_at: 0,
             next_beat: 0,
             cut: false,
+            hangs: false,
             sick: false,
             tasks: BTreeMap::new(),
             done: vec![],
@@ -62,9 +69,19 @@
             self.session += 1;
             self.renewed = now;
         }
+        if self.hangs {
+            return;
+        }
         for ((id, _), t) in &mut self.tasks {
             if t.state == TaskState::Fetching && now >= t.runs_at {
-                t.state = TaskState::Running;
+                t.state = match t.kind {
+                    Kind::Gang => TaskState::Waiting,
+                    _ => TaskState::Running,
+                };
+            }
+            if t.state == TaskState::Waiting && now >= t.runs_at + GANG_WAIT {
+                t.state = TaskState::Ended;
+                t.cause = Some(Cause::Alone);
             }
             if t.state == TaskState::Running && self.sick {
                 t.state = TaskState::Ended;
@@ -79,11 +96,38 @@
     }
 
     pub fn present(&self) -> BTreeSet<TaskId> {
-        let on = |t: &&Task| matches!(t.state, TaskState::Running | TaskState::Saving);
+        let on = |t: &&Task| {
+            matches!(
+                t.state,
+                TaskState::Waiting | TaskState::Running | TaskState::Saving
+            )
+        };
         let here = self.tasks.iter().filter(|(_, t)| on(t));
         here.map(|((id, _), _)| id.clone()).collect()
     }
 
+    /// Members of gangs that wait or run here, and those whose gang has ended.
+    pub fn gang_members(&self) -> Vec<(TaskId, Attempt, TaskState)> {
+        let gang = self.tasks.iter().filter(|(_, t)| t.kind == Kind::Gang);
+        gang.map(|((id, a), t)| (id.clone(), *a, t.state)).collect()
+    }
+
+    /// Its gang is complete and begins, or has lost someone.
+    pub fn gang_goes(&mut self, job: &JobId, attempt: Attempt, until: Option<u64>) {
+        let mine = |id: &TaskId, a: &Attempt| id.job == *job && *a == attempt;
+        for ((id, a), t) in &mut self.tasks {
+            match (t.state, until) {
+                (TaskState::Waiting, Some(end)) if mine(id, a) => {
+                    (t.state, t.ends_at) = (TaskState::Running, end);
+                }
+                (TaskState::Running, None) if mine(id, a) => {
+                    (t.state, t.cause) = (TaskState::Ended, Some(Cause::PeersGone));
+                }
+                _ => {}
+            }
+        }
+    }
+
     pub fn take_done(&mut self) -> Vec<TaskId> {
         std::mem::take(&mut self.done)
     }
@@ -122,19 +166,29 @@
                     let busy = |((id, _), t): (&(TaskId, Attempt), &Task)| {
                         *id == task && t.state != TaskState::Ended
                     };
-                    let used: f64 = self
-                        .tasks
-                        .iter()
-                        .filter(|(_, t)| t.state != TaskState::Ended)
-                        .map(|((id, _), _)| specs[&id.job].cpus)
-                        .sum();
+                    let spec = &specs[&task.job];
+                    let here = self.tasks.iter();
+                    let here = here.filter(|(_, t)| t.state != TaskState::Ended);
+                    let here: Vec<&JobSpec> = here.map(|((id, _), _)| &specs[&id.job]).collect();
+                    let sum = |part: fn(&JobSpec) -> f64| {
+                        here.iter().map(|s| part(s)).sum::<f64>() + part(spec)
+                    };
+                    let full = sum(|s| s.cpus) > 8.0 + 1e-6
+                        || sum(|s| s.gpus) > 2.0 + 1e-6
+                        || sum(|s| s.memory_gb) > 32.0 + 1e-6;
                     let cause = if self.tasks.iter().any(busy) {
                         Some(Cause::InUse)
-                    } else if used + specs[&task.job].cpus > 8.0 + 1e-6 {
+                    } else if full {
                         Some(Cause::NoRoom)
                     } else {
                         None
                     };
+                    let kind = spec.kind;
+                    let lasts = match kind {
+                        Kind::Array => (run_s * 1e6) as u64,
+                        // Until it is cancelled, or its gang ends.
+                        Kind::Service | Kind::Gang => u64::MAX / 4,
+                    };
                     self.runs.push((task, attempt));
                     let state = match cause {
                         Some(_) => TaskState::Ended,
@@ -145,7 +199,8 @@
                         state,
                         cause,
                         runs_at: now + 500_000,
-                        ends_at: now + 500_000 + (run_s * 1e6) as u64,
+                        ends_at: now + 500_000 + lasts,
+                        kind,
                     };
                     self.tasks.insert(key, t);
                 }
