--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -31,6 +31,8 @@
     pub placed: Time,
     pub placed_wall: Wall,
     pub running_since: Option<Time>,
+    /// Started under an earlier leader, and not seen before it ran.
+    pub inherited: bool,
     /// The report in whose answer `run` was last sent.
     pub told: Option<Seq>,
     /// `run` has left by some way or other.
@@ -273,6 +275,7 @@
                 placed: Time(now.0.saturating_sub(ago.0)),
                 placed_wall: Wall(at),
                 running_since: None,
+                inherited: true,
                 told: None,
                 sent: true,
                 stop: None,
--- a/src/sched/place.rs
+++ b/src/sched/place.rs
@@ -255,6 +255,7 @@
                 placed: now,
                 placed_wall: wall,
                 running_since: None,
+                inherited: false,
                 told: None,
                 sent: false,
                 stop: None,
--- a/src/sched/report.rs
+++ b/src/sched/report.rs
@@ -228,20 +228,32 @@
                 return false;
             }
         };
+        let fetched = matches!(phase, Phase::Waiting | Phase::Running);
+        if fetched
+            && l.phase != phase
+            && let Some(m) = self.machines.get_mut(host)
+        {
+            m.saw_image(&image, gb);
+        }
         l.phase = phase;
         job.note_phase(phase);
         let Some(l) = job.live.get_mut(&r.task.ix) else {
             return false;
         };
+        // What is seen to fetch or to wait has not begun to run.
+        l.inherited &= phase == Phase::Running;
         if phase == Phase::Running && l.running_since.is_none() {
-            l.running_since = Some(now);
+            // After a take-over every task seemed to have just begun: machines
+            // looked busy for longer than they were, and runtimes were learnt
+            // that were far too short. The time of its start is on record.
+            let since = if l.inherited { l.placed } else { now };
+            l.running_since = Some(since);
             let after_s = (now - l.placed).as_secs();
             let waited_s = (now - job.arrived).as_secs();
             tracing::debug!(task = %r.task, class = %job.spec.class, %host, after_s, waited_s, %image, gb, "running");
             if let Some(m) = self.machines.get_mut(host) {
-                m.saw_image(&image, gb);
                 if let Some(s) = m.slots.get_mut(&r.task) {
-                    s.start = now;
+                    s.start = since;
                 }
             }
         }
@@ -284,10 +296,10 @@
         let Some(j) = self.jobs.get_mut(&t.job) else {
             return;
         };
-        j.live.remove(&t.ix);
+        let inherited = j.live.remove(&t.ix).is_some_and(|l| l.inherited);
         j.set_done(t.ix);
         j.errors = 0;
-        if let Some(s) = since {
+        if let Some(s) = since.filter(|_| !inherited) {
             j.learn_runtime((now - s).as_secs());
             if j.runtimes.len() == estimate::ENOUGH {
                 self.refresh_estimates(&t.job);
