--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -6,9 +6,10 @@
 use super::order::{Order, Rank};
 use super::place::allowed;
 use super::{Room, Sched, estimate};
-use crate::ids::{JobId, TaskIx};
+use crate::ids::{JobId, TaskIx, Zone};
 use crate::time::{Span, Time};
 use crate::wire::user::{Kind, Priority};
+use std::collections::BTreeSet;
 
 /// Tasks stopped in one go; the next pass sees what came of it.
 const MAX_STOPS: usize = 12;
@@ -39,10 +40,13 @@
 
 /// A job that found no room and may have some made.
 struct Claim<'a> {
+    now: Time,
     job: &'a Job,
     rank: &'a Rank,
     within: bool,
     tasks: i64,
+    /// Zones in which its tasks may not be, given where the others are.
+    closed: BTreeSet<&'a Zone>,
 }
 
 impl Sched {
@@ -107,6 +111,7 @@
             return vec![];
         }
         let spare = self.spare(now);
+        let zones: BTreeSet<&Zone> = self.machines.values().map(|m| &m.zone).collect();
         let claim = |s: &Short| {
             let id = &s.job;
             let job = self.jobs.get(id)?;
@@ -119,11 +124,16 @@
             let gang = job.spec.kind == Kind::Gang;
             let may = (job.spec.priority != Priority::Low || within) && !gang;
             let rank = order.rank(id)?;
+            let alone = job.spec.one_zone || job.spec.spread;
+            let shut = |z: &&Zone| alone && !self.zone_suits(job, z);
+            let closed = zones.iter().copied().filter(shut).collect();
             (may && (quick || spare.holds(&job.need, job.spec.spot))).then_some(Claim {
+                now,
                 job,
                 rank,
                 within,
                 tasks: s.tasks,
+                closed,
             })
         };
         self.fleet.short.iter().filter_map(claim).collect()
@@ -180,6 +190,11 @@
     /// A task may be stopped for work of higher priority, or if its team has
     /// borrowed beyond its guarantee and the other is within its own.
     fn gives_way(&self, v: &Victim, c: &Claim, order: &Order) -> bool {
+        // Replicas that were to be in other zones had tasks stopped by the
+        // hundred, while a zone was cut off, where they could not go.
+        if c.closed.contains(&v.machine.zone) {
+            return false;
+        }
         // Room left by one that is served earlier would go back to it: tasks
         // were stopped and placed anew many times a second.
         if v.rank <= c.rank {
@@ -191,8 +206,13 @@
         if lower && (urgent || v.cheap) {
             return allowed(ours, v.machine);
         }
+        // What is fetched for longer than is lost for nothing gains nobody
+        // time: arrays stopped each other all day.
+        let spec = &c.job.spec;
+        let fetch = v.machine.fetch_time(c.now, &spec.image, spec.image_gb);
         c.within
             && v.lost < BORROWED_S
+            && fetch.as_secs() < BORROWED_S
             && theirs.team != ours.team
             && theirs.priority >= ours.priority
             && !order.within(v.job.id())
