Workers of a controller out of reach get time to find another; a gang that began is not patched

Such controllers now point workers to the leader at once, and the leader is patient with machines that it heard by way of a controller out of reach. Ruled out: the balancing of workers.

--- a/src/node/asks.rs
+++ b/src/node/asks.rs
@@ -23,6 +23,7 @@
                 since,
                 limit: limit_of(ask),
                 submits: matches!(ask, Ask::Submit(_)),
+                reports: matches!(ask, Ask::Report(_)),
                 with: None,
             },
         );
@@ -31,8 +32,15 @@
 
     pub(super) fn ask_from_peer(&mut self, now: Time, origin: Origin, ask: Ask) {
         let req = self.new_req(now, origin, &ask);
-        if matches!(self.role, Role::Leader(_)) {
-            self.lead_ask(now, req, ask);
+        if let Role::Leader(t) = &self.role {
+            let epoch = t.epoch;
+            let event = match (&self.pending.get(&req).map(|p| &p.origin), ask) {
+                (Some(Origin::Peer { from, .. }), Ask::Report(body)) => {
+                    Event::Relayed(req, from.clone(), body)
+                }
+                (_, ask) => Event::Ask(req, ask),
+            };
+            self.event(now, epoch, event);
         } else {
             self.answer(now, req, Answer::later("not the leader", 1));
         }
@@ -116,6 +124,23 @@
         }
     }
 
+    /// No answer will come from the leader. A worker may have a way of its own
+    /// to it, and takes that sooner than it tries one controller after another.
+    pub(super) fn give_up(&mut self, now: Time, req: ReqId, why: &str) {
+        let leader = match self.pending.get(&req) {
+            Some(p) if p.reports => p.with.clone(),
+            _ => None,
+        };
+        let answer = match leader {
+            Some(_) => {
+                let body = serde_json::to_string(&Redirect { leader }).unwrap_or_default();
+                Answer::new(421, body)
+            }
+            None => Answer::later(why, 1),
+        };
+        self.answer(now, req, answer);
+    }
+
     pub(super) fn no_leader(&mut self, now: Time, req: ReqId, ask: Ask) {
         match ask {
             Ask::Poll(id) if JobId::well_formed(&id) => {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -80,6 +80,7 @@
     limit: Span,
     /// A submission, whose refusal operators would ask about.
     submits: bool,
+    reports: bool,
     /// The leader that it was passed on to.
     with: Option<Label>,
 }
@@ -479,6 +480,8 @@
         }
         if let Role::Leader(t) = &self.role {
             let epoch = t.epoch;
+            let away = self.peers.out_of_reach();
+            self.event(now, epoch, Event::OutOfReach(away));
             self.event(now, epoch, Event::Tick(wall()));
         }
         let late: Vec<ReqId> = self
@@ -488,7 +491,7 @@
             .map(|(r, _)| *r)
             .collect();
         for req in late {
-            self.answer(now, req, Answer::later("no answer in time", 1));
+            self.give_up(now, req, "no answer in time");
         }
         // What was passed to a leader that has fallen silent is not waited for.
         let lost: Vec<ReqId> = self
@@ -498,7 +501,7 @@
             .map(|(r, _)| *r)
             .collect();
         for req in lost {
-            self.answer(now, req, Answer::later("the leader is out of reach", 1));
+            self.give_up(now, req, "the leader is out of reach");
         }
         self.balance(now);
         let ok = self.stopping.is_none() && self.can_serve(now);
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -149,6 +149,12 @@
         self.links.keys().any(|l| self.both_ways(l))
     }
 
+    /// Controllers that can't be talked to directly.
+    pub fn out_of_reach(&self) -> Vec<Label> {
+        let all = self.links.keys().cloned();
+        all.filter(|l| !self.both_ways(l)).collect()
+    }
+
     /// The neighbour through which `to` can be reached, if any.
     fn route(&self, to: &Label) -> Option<Label> {
         if self.both_ways(to) {
--- a/src/sched/fleet.rs
+++ b/src/sched/fleet.rs
@@ -6,7 +6,7 @@
 use super::machine::{Life, Machine};
 use super::place::allowed;
 use super::{Effect, Sched};
-use crate::ids::{Build, CallId, Epoch, Host, JobId, Session, TaskId, Zone};
+use crate::ids::{Build, CallId, Epoch, Host, JobId, Label, Session, TaskId, Zone};
 use crate::time::{Span, Time};
 use crate::wire::cloud::{Hire, Listed};
 use crate::wire::user::Kind;
@@ -21,6 +21,8 @@
 const MIN_PAID: Span = Span(60_000_000);
 /// Machines asked for in one request.
 const MAX_HIRE: u32 = 50;
+/// A worker whose controller has lost the leader is elsewhere after so long.
+const FINDS_WAY: Span = Span(8_000_000);
 /// Errors in a row that put a machine aside.
 const FAILS: u32 = 2;
 
@@ -58,6 +60,8 @@
     pending: BTreeMap<String, Pending>,
     refused: HashMap<Flavoured, Time>,
     gone: HashSet<Host>,
+    /// When other controllers were last found out of reach.
+    pub out_of_reach: HashMap<Label, Time>,
 }
 
 impl Fleet {
@@ -69,10 +73,17 @@
             pending: BTreeMap::new(),
             refused: HashMap::new(),
             gone: HashSet::new(),
+            out_of_reach: HashMap::new(),
         }
     }
 
     /// Released for certain: whatever still arrives from there is a ghost.
+    /// Reports by way of that controller may not have come through.
+    fn cut_off(&self, now: Time, via: &Option<Label>) -> bool {
+        let at = via.as_ref().and_then(|l| self.out_of_reach.get(l));
+        at.is_some_and(|t| now - *t < FINDS_WAY)
+    }
+
     pub fn is_gone(&self, h: &Host) -> bool {
         self.gone.contains(h)
     }
@@ -182,6 +193,12 @@
         let mut lost: Vec<Host> = vec![];
         let mut drain: Vec<TaskId> = vec![];
         for m in self.machines.values_mut() {
+            // While controllers refused each other a quarter of the fleet was
+            // released, whose reports did not come through.
+            let patience = match self.fleet.cut_off(now, &m.via) {
+                true => patience.max(Span::secs(w.lease_s)),
+                false => patience,
+            };
             match m.life {
                 Life::Booting => {
                     let boot = self.flavors.get(&m.build).map_or(60.0, |f| f.boot_s);
--- a/src/sched/machine.rs
+++ b/src/sched/machine.rs
@@ -1,7 +1,9 @@
 //! A rented machine as the leader knows it.
 
 use super::room::Room;
-use crate::ids::{Attempt, Build, CallId, Host, Image, JobId, Seq, Session, TaskId, Token, Zone};
+use crate::ids::{
+    Attempt, Build, CallId, Host, Image, JobId, Label, Seq, Session, TaskId, Token, Zone,
+};
 use crate::time::{Span, Time};
 use crate::wire::cloud::Flavor;
 use std::collections::{BTreeMap, BTreeSet};
@@ -49,6 +51,8 @@
     pub direct: Option<CallId>,
     pub no_push_until: Time,
     pub heard: Time,
+    /// The controller that passed its last report on, if not the leader itself.
+    pub via: Option<Label>,
     /// When the last answer to one of its reports left; its lease counts from
     /// an earlier moment.
     pub answered: Time,
@@ -91,6 +95,7 @@
             direct: None,
             no_push_until: Time::default(),
             heard: now,
+            via: None,
             answered: now,
             reported: false,
             notice_until: None,
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -22,7 +22,7 @@
 pub use room::Room;
 pub use users::answer_final;
 
-use crate::ids::{Attempt, Build, CallId, Class, Epoch, Host, JobId, ReqId, TaskId, Token};
+use crate::ids::{Attempt, Build, CallId, Class, Epoch, Host, JobId, Label, ReqId, TaskId, Token};
 use crate::settings::{Settings, Tuning, Workers};
 use crate::time::{Span, Time, Wall};
 use crate::wire::cloud::{Flavor, Hire, Listed};
@@ -36,6 +36,10 @@
 #[derive(Debug)]
 pub enum Event {
     Ask(ReqId, Ask),
+    /// A worker's report by way of another controller.
+    Relayed(ReqId, Label, Vec<u8>),
+    /// Controllers that can't be talked to at the moment.
+    OutOfReach(Vec<Label>),
     /// A part of a job, or its final state, is in the store for certain.
     Stored(Key, u64),
     /// The state service refuses to store anything of this job for now.
@@ -219,6 +223,12 @@
         self.dirty.now = now;
         match event {
             Event::Ask(req, ask) => self.ask(now, req, ask),
+            Event::Relayed(req, by, body) => self.beat(now, req, &body, Some(by)),
+            Event::OutOfReach(away) => {
+                for l in away {
+                    self.fleet.out_of_reach.insert(l, now);
+                }
+            }
             Event::Stored(key, ver) => self.stored(key, ver),
             Event::NotStored(job) => self.not_stored(&job),
             Event::AlreadyFinal(job, f) => self.already_final(now, job, f),
--- a/src/sched/report.rs
+++ b/src/sched/report.rs
@@ -4,7 +4,7 @@
 use super::job::{Phase, Stop};
 use super::machine::{Life, Machine};
 use super::{DirectResult, Effect, Sched, estimate};
-use crate::ids::{Attempt, CallId, Host, JobId, ReqId, Session, TaskId, TaskIx};
+use crate::ids::{Attempt, CallId, Host, JobId, Label, ReqId, Session, TaskId, TaskIx};
 use crate::time::{Span, Time};
 use crate::wire::peer::Answer;
 use crate::wire::user::Kind;
@@ -26,7 +26,7 @@
 }
 
 impl Sched {
-    pub(super) fn beat(&mut self, now: Time, req: ReqId, body: &[u8]) {
+    pub(super) fn beat(&mut self, now: Time, req: ReqId, body: &[u8], via: Option<Label>) {
         let report: Report = match serde_json::from_slice(body) {
             Ok(r) => r,
             Err(e) => return self.answer(req, Answer::error(400, &e.to_string())),
@@ -44,6 +44,9 @@
         let slots = |s: &Sched| s.machines.get(&host).map_or(0, |m| m.slots.len());
         let before = slots(self);
         let newer = self.take_report(now, &report, true);
+        if newer && let Some(m) = self.machines.get_mut(&host) {
+            m.via = via;
+        }
         let freed = slots(self) < before;
         // A worker has one report in flight, so it has given that one up.
         if let Some(h) = self.held.remove(&host) {
@@ -251,10 +254,10 @@
             let after_s = (now - l.placed).as_secs();
             let waited_s = (now - job.arrived).as_secs();
             tracing::debug!(task = %r.task, class = %job.spec.class, %host, after_s, waited_s, %image, gb, "running");
-            if let Some(m) = self.machines.get_mut(host) {
-                if let Some(s) = m.slots.get_mut(&r.task) {
-                    s.start = since;
-                }
+            if let Some(m) = self.machines.get_mut(host)
+                && let Some(s) = m.slots.get_mut(&r.task)
+            {
+                s.start = since;
             }
         }
         true
@@ -287,7 +290,15 @@
                 }
                 self.gone(now, t);
             }
-            Some(Cause::Stopped | Cause::PeersGone | Cause::Alone) => self.gone(now, t),
+            Some(Cause::PeersGone) => {
+                // So the gang had begun, even if no report said so: members
+                // added under its number would wait for ever.
+                if let Some(j) = self.jobs.get_mut(&t.job) {
+                    j.gang_ran = true;
+                }
+                self.gone(now, t);
+            }
+            Some(Cause::Stopped | Cause::Alone) => self.gone(now, t),
         }
     }
 
--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -245,6 +245,39 @@
     assert!(d.beat(&r).is_none());
 }
 
+/// While controllers refused each other, a quarter of the fleet was released:
+/// its reports went to controllers that had no way to the leader any more.
+#[test]
+fn workers_of_a_controller_out_of_reach_get_time_to_find_another() {
+    let mut d = Desk::new(1);
+    for n in 1..=4u32 {
+        let body = serde_json::to_vec(&report(n, 1, Token(0))).unwrap();
+        let by = if n == 1 { "near" } else { "cut" };
+        d.event(Event::Relayed(ReqId(900 + n as u64), by.into(), body));
+    }
+    let mut r = report(1, 2, Token(0));
+    for seq in 2..6 {
+        d.wait(3.0);
+        d.event(Event::OutOfReach(vec!["cut".into()]));
+        r.seq = Seq(seq);
+        let body = serde_json::to_vec(&r).unwrap();
+        d.event(Event::Relayed(ReqId(910 + seq), "near".into(), body));
+    }
+    // Three of four are silent: that is put down to the leader's side.
+    for n in 5..=20 {
+        d.beat(&report(n, 1, Token(0)));
+    }
+    d.event(Event::OutOfReach(vec!["cut".into()]));
+    d.wait(1.0);
+    assert!(d.released().is_empty(), "{:?}", d.released());
+    // Not for ever: their leases run out.
+    for n in 5..=20 {
+        d.beat(&report(n, 2, Token(0)));
+    }
+    d.wait(7.5);
+    assert_eq!(d.released().len(), 3);
+}
+
 #[test]
 fn without_the_cloud_only_the_lease_by_any_clock_proves_it() {
     let (mut d, a) = one_task(false);
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -189,6 +189,35 @@
     assert_eq!(d.attempt("job-000001", 0), Some(a));
 }
 
+/// A member that was replaced before any report said that its gang ran.
+#[test]
+fn a_gang_that_fell_apart_begins_anew_under_another_number() {
+    let mut d = Desk::new(1);
+    d.refuses = true;
+    d.beat(&report(1, 1, Token(0)));
+    d.submit(&gang(1, 3));
+    let id = JobId::from("job-000001");
+    let old = d.attempt("job-000001", 0).unwrap();
+    let seen = |seq: u64, states: &[TaskReport]| {
+        let mut r = report(1, seq, Token(0));
+        r.tasks = states.to_vec();
+        r
+    };
+    let on = |t: u32| task("job-000001", t, old, TaskState::Waiting);
+    let lost = |t: u32| ended("job-000001", t, old, Cause::PeersGone);
+    let alone = ended("job-000001", 0, old, Cause::Alone);
+    d.beat(&seen(2, &[alone, on(1), on(2)]));
+    assert_eq!(d.attempt("job-000001", 0), Some(old), "replaced");
+    let a = d.beat(&seen(3, &[on(1), on(2)])).unwrap();
+    assert!(a.orders.iter().any(|o| matches!(o, Order::Run { .. })));
+    d.beat(&seen(4, &[on(0), lost(1), lost(2)]));
+    assert!(d.s.jobs[&id].live[&TaskIx(0)].stop.is_some());
+    assert_eq!(d.s.jobs[&id].live.len(), 1, "none joins it any more");
+    d.beat(&report(1, 5, Token(0)));
+    let again = d.attempt("job-000001", 0).unwrap();
+    assert!(again != old && d.s.jobs[&id].live.len() == 3);
+}
+
 #[test]
 fn one_zone_and_scatter_count_what_may_still_be_there() {
     let mut d = Desk::new(1);
