--- a/src/sched/order.rs
+++ b/src/sched/order.rs
@@ -1,11 +1,12 @@
 //! The order in which jobs are served, worked out once for each pass.
 
+use super::fleet::Short;
 use super::job::Job;
 use super::{Room, Sched, estimate};
 use crate::ids::{JobId, Team};
 use crate::settings::Objective;
 use crate::time::{Span, Time};
-use crate::wire::user::Priority;
+use crate::wire::user::{Kind, Priority};
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 /// How much the time for which a job would fill the fleet counts against it.
@@ -24,6 +25,8 @@
     within: HashSet<JobId>,
     /// Some work may not use machines that the cloud can take back.
     pub plain_wanted: bool,
+    /// A gang found no room at the last pass.
+    pub gang_waits: bool,
     ranks: HashMap<JobId, Rank>,
 }
 
@@ -71,9 +74,15 @@
         };
         let ranks = self.jobs.values().map(rank).collect();
         let plain_wanted = self.jobs.values().any(|j| !j.spec.spot);
+        let gang = |s: &Short| {
+            let j = self.jobs.get(&s.job);
+            j.is_some_and(|j| j.spec.kind == Kind::Gang && !j.spec.spot)
+        };
+        let gang_waits = self.fleet.short.iter().any(gang);
         Order {
             within,
             plain_wanted,
+            gang_waits,
             ranks,
         }
     }
--- a/src/sched/place.rs
+++ b/src/sched/place.rs
@@ -304,6 +304,8 @@
     begin_by: Option<Time>,
     /// Work that may go elsewhere leaves plain machines to what may not.
     spares_plain: bool,
+    /// A gang waits for whole plain machines, and may have them soon.
+    gang_waits: bool,
     /// Spot machines for it can be rented.
     spot_to_rent: bool,
 }
@@ -333,6 +335,7 @@
             failed_all: j.error_hosts.len() >= s.machines.len(),
             begin_by: s.begin_by(now, j, order.within(j.id())),
             spares_plain,
+            gang_waits: spares_plain && order.gang_waits,
             spot_to_rent: spares_plain && s.spot_rentable(now, j),
         }
     }
@@ -354,6 +357,11 @@
             return None;
         }
         let mut class = class_of(c.span, self.est, self.delta);
+        // One that services hold open will not empty for a gang, but others do,
+        // unless what is lendable fills them up again and again.
+        if self.gang_waits && !c.m.spot && c.span.is_none_or(|(_, high)| high < ENDLESS) {
+            return None;
+        }
         // An empty plain machine costs several times what a spot one does, be
         // it for work that needs one or until it is given back.
         if self.spot_to_rent && !c.m.spot && c.span.is_none() {
--- a/tests/accelerators.rs
+++ b/tests/accelerators.rs
@@ -362,6 +362,30 @@
     assert_eq!(d.attempt("job-000001", 2), Some(a));
 }
 
+#[test]
+fn while_a_gang_waits_lendable_work_joins_only_what_services_hold_open() {
+    let joins = |gang_waits: bool, held_open: bool| {
+        let mut d = desk();
+        d.beat(&machine(1, "a", false, 1));
+        let mut first = match held_open {
+            true => service(1, 1),
+            false => half(1, 1),
+        };
+        (first.spot, first.class) = (false, "work".into());
+        d.submit(&first);
+        if gang_waits {
+            d.submit(&gang(2, 2));
+        }
+        let mut array = half(3, 1);
+        array.team = "blue".into();
+        d.submit(&array);
+        !hosts(&d, "job-000003").is_empty()
+    };
+    assert!(joins(false, false));
+    assert!(joins(true, true));
+    assert!(!joins(true, false), "the gang would wait for ever");
+}
+
 /// Every task seemed to have begun at the take-over, so that machines looked
 /// busy for longer than they were and runtimes were learnt far too short.
 #[test]
