In the tests' world gangs end together too, hanging members included

A history in which a member hung at the end called its job done without it, which was the fake's mistake.

--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -113,8 +113,8 @@
     pub capacity: usize,
     pub run_s: f64,
     on: BTreeMap<TaskId, BTreeSet<Host>>,
-    /// Gangs that run, and until when.
-    gangs: BTreeMap<(JobId, Attempt), u64>,
+    /// Gangs that have begun, and until when those that still run will.
+    gangs: BTreeMap<(JobId, Attempt), Option<u64>>,
     /// Gangs that began to run, all members at once.
     pub gangs_begun: usize,
     pub done_tasks: BTreeSet<TaskId>,
--- a/tests/world/rules.rs
+++ b/tests/world/rules.rs
@@ -1,5 +1,6 @@
 //! The rules: of what users are told, and of what is on the machines.
 
+use super::worker::Goes;
 use super::{S, World};
 use hookworks::ids::*;
 use hookworks::wire::peer::{Answer, Ask};
@@ -55,28 +56,36 @@
     /// Gangs begin together, end together, and fall apart together.
     fn step_gangs(&mut self) {
         let mut members: BTreeMap<(JobId, Attempt), Vec<TaskState>> = BTreeMap::new();
-        for w in self.workers.values() {
+        for w in self.workers.values().filter(|w| !w.hangs) {
             for (t, a, state) in w.gang_members() {
                 members.entry((t.job, a)).or_default().push(state);
             }
         }
         let now = self.now;
-        let ends = now + (self.run_s * 1e6) as u64;
         for (gang, states) in members {
             let n = self.specs[&gang.0].tasks as usize;
             let are = |s: TaskState| states.iter().filter(|x| **x == s).count();
-            let until = match self.gangs.get(&gang) {
-                None if are(TaskState::Waiting) == n => Some(ends),
-                // Its time is not up and someone is missing.
-                Some(end) if now < *end && are(TaskState::Running) < n => None,
+            let goes = match self.gangs.get(&gang) {
+                None if are(TaskState::Waiting) == n => {
+                    self.gangs_begun += 1;
+                    let ends = now + (self.run_s * 1e6) as u64;
+                    self.gangs.insert(gang.clone(), Some(ends));
+                    Goes::Begins
+                }
+                // Someone is missing, or hangs: the others notice.
+                Some(Some(_)) if are(TaskState::Running) < n => {
+                    self.gangs.insert(gang.clone(), None);
+                    Goes::Apart
+                }
+                Some(Some(end)) if now >= *end => {
+                    self.gangs.insert(gang.clone(), None);
+                    Goes::Home
+                }
+                Some(None) if are(TaskState::Running) > 0 => Goes::Apart,
                 _ => continue,
             };
-            for w in self.workers.values_mut() {
-                w.gang_goes(&gang.0, gang.1, until);
-            }
-            if until.is_some() {
-                self.gangs.insert(gang, ends);
-                self.gangs_begun += 1;
+            for w in self.workers.values_mut().filter(|w| !w.hangs) {
+                w.gang_goes(&gang.0, gang.1, goes);
             }
         }
     }
--- a/tests/world/worker.rs
+++ b/tests/world/worker.rs
@@ -8,6 +8,15 @@
 /// A member waits so long for the others.
 const GANG_WAIT: u64 = 30_000_000;
 
+/// What happens to a gang: it begins, falls apart or has completed, in each
+/// case all members at once.
+#[derive(Clone, Copy)]
+pub enum Goes {
+    Begins,
+    Apart,
+    Home,
+}
+
 #[derive(Clone)]
 struct Task {
     attempt: Attempt,
@@ -112,19 +121,21 @@
         gang.map(|((id, a), t)| (id.clone(), *a, t.state)).collect()
     }
 
-    /// Its gang is complete and begins, or has lost someone.
-    pub fn gang_goes(&mut self, job: &JobId, attempt: Attempt, until: Option<u64>) {
-        let mine = |id: &TaskId, a: &Attempt| id.job == *job && *a == attempt;
+    /// What becomes of the members of a gang that are here.
+    pub fn gang_goes(&mut self, job: &JobId, attempt: Attempt, goes: Goes) {
         for ((id, a), t) in &mut self.tasks {
-            match (t.state, until) {
-                (TaskState::Waiting, Some(end)) if mine(id, a) => {
-                    (t.state, t.ends_at) = (TaskState::Running, end);
-                }
-                (TaskState::Running, None) if mine(id, a) => {
-                    (t.state, t.cause) = (TaskState::Ended, Some(Cause::PeersGone));
-                }
-                _ => {}
+            if id.job != *job || *a != attempt {
+                continue;
             }
+            (t.state, t.cause) = match (t.state, goes) {
+                (TaskState::Waiting, Goes::Begins) => (TaskState::Running, None),
+                (TaskState::Running, Goes::Apart) => (TaskState::Ended, Some(Cause::PeersGone)),
+                (TaskState::Running, Goes::Home) => {
+                    self.done.push(id.clone());
+                    (TaskState::Ended, Some(Cause::Done))
+                }
+                (state, _) => (state, t.cause),
+            };
         }
     }
 
