--- /dev/null
+++ b/tests/rentals.rs
@@ -0,0 +1,47 @@
+//! What is rented, under which name, and what becomes of machines that nobody
+//! expected.
+
+mod world;
+
+use hookworks::ids::*;
+use hookworks::sched::{Effect, Event, HireResult};
+use world::desk::{Desk, report};
+use world::job;
+
+#[test]
+fn request_names_are_never_used_twice_and_repeated_only_when_unclear() {
+    let mut names = std::collections::BTreeSet::new();
+    for epoch in [5, 6] {
+        let mut d = Desk::new(epoch);
+        d.submit(&job(1, 3));
+        d.wait(1.0);
+        let hires = |d: &Desk| -> Vec<_> {
+            let h = |f: &Effect| match f {
+                Effect::Hire(h) => Some(h.clone()),
+                _ => None,
+            };
+            d.fx.iter().filter_map(h).collect()
+        };
+        let first = hires(&d).remove(0);
+        assert!(names.insert(first.name.clone()));
+        d.event(Event::Hired(first.clone(), HireResult::Unclear));
+        d.wait(2.0);
+        assert_eq!(hires(&d).last(), Some(&first), "the same, again");
+        d.event(Event::Hired(first.clone(), HireResult::NoCapacity));
+        d.wait(1.0);
+        let next = hires(&d).pop().unwrap();
+        assert!(names.insert(next.name.clone()));
+        assert_ne!((next.zone, next.spot), (first.zone, first.spot));
+    }
+}
+
+#[test]
+fn a_machine_that_nobody_expected_is_used_or_given_back() {
+    let mut d = Desk::new(5);
+    d.beat(&report(7, 1, Token(0)));
+    for seq in 2..45 {
+        d.wait(3.0);
+        d.beat(&report(7, seq, Token(0)));
+    }
+    assert!(d.released().contains(&Host::from("n-000007")));
+}
--- /dev/null
+++ b/tests/world/cloud.rs
@@ -0,0 +1,51 @@
+//! The cloud: which machines there are, and rents more as far as it has any.
+
+use super::worker::Worker;
+use super::{Ev, World};
+use hookworks::ids::*;
+use hookworks::sched::{Event, HireResult};
+use hookworks::wire::cloud::{Hire, Listed};
+use rand::RngExt;
+
+impl World {
+    pub(super) fn list(&self) -> Vec<Listed> {
+        let age = |w: &Worker| (self.now - w.born) as f64 / 1e6;
+        let one = |w: &Worker| {
+            serde_json::from_value(serde_json::json!({
+                "Id": w.host, "Endpoint": "x:1", "Build": "m8", "Yard": w.zone,
+                "Lendable": w.spot, "Status": "running", "HeldS": age(w)
+            }))
+            .unwrap()
+        };
+        self.workers.values().map(one).collect()
+    }
+
+    pub(super) fn hire(&mut self, i: usize, epoch: Epoch, h: Hire) {
+        let r = match self.hires.get(&h.name) {
+            Some(hosts) => HireResult::Ok(hosts.clone()),
+            None => {
+                let same = |w: &&Worker| w.zone == h.zone && w.spot == h.spot;
+                let have = self.workers.values().filter(same).count();
+                let n = (h.count as usize).min(self.capacity.saturating_sub(have));
+                if n == 0 {
+                    HireResult::NoCapacity
+                } else {
+                    let mut hosts = vec![];
+                    for _ in 0..n {
+                        let host = Host::from(format!("n-{:06}", self.next_host).as_str());
+                        self.next_host += 1;
+                        let boot = self.rng.random_range(6.0..14.0);
+                        let w = Worker::new(host.clone(), h.zone.clone(), h.spot, self.now);
+                        self.workers.insert(host.clone(), w);
+                        self.at(boot, Ev::Beat(host.clone()));
+                        hosts.push(host);
+                    }
+                    self.hires.insert(h.name.clone(), hosts.clone());
+                    HireResult::Ok(hosts)
+                }
+            }
+        };
+        let e = Box::new(Event::Hired(h, r));
+        self.at(0.1, Ev::CloudDone(i, epoch, e));
+    }
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -4,6 +4,7 @@
 
 #![allow(dead_code)]
 
+mod cloud;
 pub mod desk;
 pub mod given;
 mod rules;
@@ -14,11 +15,11 @@
 use hookworks::ids::*;
 use hookworks::lead::{Elect, Elector};
 use hookworks::node::load::load;
-use hookworks::sched::{Config, DirectResult, Effect, Event, HireResult, Sched};
+use hookworks::sched::{Config, DirectResult, Effect, Event, Sched};
 use hookworks::store::commit::{Committer, Step};
 use hookworks::store::{Outcome, final_key};
 use hookworks::time::{Span, Time, Wall};
-use hookworks::wire::cloud::{Hire, Listed};
+use hookworks::wire::cloud::Hire;
 use hookworks::wire::peer::{Answer, Ask};
 use hookworks::wire::state::{Item, Txn};
 use hookworks::wire::user::{JobSpec, JobState, JobView};
@@ -543,47 +544,6 @@
         self.at(pause, Ev::Elect(i));
     }
 
-    fn list(&self) -> Vec<Listed> {
-        let age = |w: &Worker| (self.now - w.born) as f64 / 1e6;
-        let one = |w: &Worker| {
-            serde_json::from_value(serde_json::json!({
-                "Id": w.host, "Endpoint": "x:1", "Build": "m8", "Yard": w.zone,
-                "Lendable": w.spot, "Status": "running", "HeldS": age(w)
-            }))
-            .unwrap()
-        };
-        self.workers.values().map(one).collect()
-    }
-
-    fn hire(&mut self, i: usize, epoch: Epoch, h: Hire) {
-        let r = match self.hires.get(&h.name) {
-            Some(hosts) => HireResult::Ok(hosts.clone()),
-            None => {
-                let same = |w: &&Worker| w.zone == h.zone && w.spot == h.spot;
-                let have = self.workers.values().filter(same).count();
-                let n = (h.count as usize).min(self.capacity.saturating_sub(have));
-                if n == 0 {
-                    HireResult::NoCapacity
-                } else {
-                    let mut hosts = vec![];
-                    for _ in 0..n {
-                        let host = Host::from(format!("n-{:06}", self.next_host).as_str());
-                        self.next_host += 1;
-                        let boot = self.rng.random_range(6.0..14.0);
-                        let w = Worker::new(host.clone(), h.zone.clone(), h.spot, self.now);
-                        self.workers.insert(host.clone(), w);
-                        self.at(boot, Ev::Beat(host.clone()));
-                        hosts.push(host);
-                    }
-                    self.hires.insert(h.name.clone(), hosts.clone());
-                    HireResult::Ok(hosts)
-                }
-            }
-        };
-        let e = Box::new(Event::Hired(h, r));
-        self.at(0.1, Ev::CloudDone(i, epoch, e));
-    }
-
     fn beat(&mut self, h: Host) {
         let now = self.now;
         let lease = 20 * S;
