A new leader places anew what an earlier one never began

What was placed and is not on its machine, once the worker has confirmed the new token, is now placed anew. Ruled out: the new leader's own placing, and workers that started late. Direct commands are in a file of their own.

--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -31,7 +31,7 @@
     pub placed: Time,
     pub placed_wall: Wall,
     pub running_since: Option<Time>,
-    /// Started under an earlier leader, and not seen before it ran.
+    /// Placed under an earlier leader, and not seen before it ran.
     pub inherited: bool,
     /// The report in whose answer `run` was last sent.
     pub told: Option<Seq>,
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -2,6 +2,7 @@
 //! in as an event with its time; what is to be done goes out as effects.
 
 mod audit;
+mod direct;
 mod estimate;
 mod fleet;
 mod gang;
--- a/src/sched/report.rs
+++ b/src/sched/report.rs
@@ -3,16 +3,14 @@
 
 use super::job::{Phase, Stop};
 use super::machine::{Life, Machine};
-use super::{DirectResult, Effect, Sched, estimate};
-use crate::ids::{Attempt, CallId, Host, JobId, Label, ReqId, Session, TaskId, TaskIx};
+use super::{Sched, estimate};
+use crate::ids::{Attempt, Host, JobId, Label, ReqId, Session, TaskId, TaskIx};
 use crate::time::{Span, Time};
 use crate::wire::peer::Answer;
 use crate::wire::user::Kind;
-use crate::wire::worker::{Cause, Order, Orders, Report, ReportAnswer, TaskReport, TaskState};
+use crate::wire::worker::{Cause, Order, Report, ReportAnswer, TaskReport, TaskState};
 use std::collections::BTreeSet;
 
-/// After a refused or unanswered direct call, the next report has to do.
-const PUSH_REST: Span = Span(4_000_000);
 /// Reports whose answers wait at a time.
 const MAX_HELD: usize = 400;
 /// Commands in one message.
@@ -67,7 +65,7 @@
         }
     }
 
-    fn answer_beat(&mut self, now: Time, host: &Host, b: Beat, orders: bool) {
+    pub(super) fn answer_beat(&mut self, now: Time, host: &Host, b: Beat, orders: bool) {
         if !self.may_report(now) {
             return self.answer(b.req, Answer::later("not entitled to answer", 1));
         }
@@ -120,7 +118,7 @@
     }
 
     /// Takes what a report says, unless a newer one was there before.
-    fn take_report(&mut self, now: Time, r: &Report, beat: bool) -> bool {
+    pub(super) fn take_report(&mut self, now: Time, r: &Report, beat: bool) -> bool {
         let token = self.base_token();
         let renewed = self.maybe_renewed(now);
         let m = self.machines.entry(r.host.clone()).or_insert_with(|| {
@@ -390,8 +388,10 @@
         for t in missing {
             let Some(l) = self.live_mut(&t) else { continue };
             let over = match (l.phase, l.stop) {
-                // It was there and no longer is.
-                (Phase::Placed, None) => false,
+                // Never begun under an earlier leader, who may have given its
+                // room to others since: a successor that began it after all
+                // took a team past its limit. It is placed anew.
+                (Phase::Placed, None) => l.inherited && clear,
                 // It is not to start any more: gone once no command that may
                 // still be carried out could start it.
                 (Phase::Placed, Some(_)) => {
@@ -407,7 +407,7 @@
 
     /// What the worker is to do. In an answer to a report nothing is lost: a
     /// worker that did not get it reports again, and hears the same.
-    fn orders_for(&mut self, now: Time, host: &Host, answer: bool) -> Vec<Order> {
+    pub(super) fn orders_for(&mut self, now: Time, host: &Host, answer: bool) -> Vec<Order> {
         // Without proof of the leadership nothing new is started.
         let up = self.machines.get(host).is_some_and(|m| m.life == Life::Up);
         let may_run = up && self.may_start(now);
@@ -447,6 +447,7 @@
             };
             let attempt = l.attempt;
             match (l.phase, l.stop) {
+                (Phase::Placed, None) if l.inherited => {}
                 (Phase::Placed, None) if may_run && !only_kill && stored >= l.ver => {
                     l.sent = true;
                     if answer {
@@ -488,112 +489,4 @@
         let host = l.host.clone();
         self.push(now, &host);
     }
-
-    /// Sends what waits for this worker straight to it, not to lose the time
-    /// until its next report.
-    pub(super) fn push(&mut self, now: Time, host: &Host) {
-        if let Some(b) = self.held.remove(host) {
-            return self.answer_beat(now, host, b, true);
-        }
-        let Some(m) = self.machines.get(host) else {
-            return;
-        };
-        let fresh = Span::secs(self.cfg.workers.report_s * 1.5);
-        let ready = m.reported
-            && m.life == Life::Up
-            && m.direct.is_none()
-            && m.doubt.is_none()
-            && now >= m.no_push_until
-            && now - m.heard < fresh;
-        let Some(addr) = m.addr.clone().filter(|_| ready) else {
-            return;
-        };
-        if !self.may_start(now) {
-            return;
-        }
-        let orders = self.orders_for(now, host, false);
-        let worth = |o: &Order| !matches!(o, Order::Clear { .. });
-        if !orders.iter().any(worth) {
-            return;
-        }
-        let call = CallId(self.next_call);
-        self.next_call += 1;
-        let Some(m) = self.machines.get_mut(host) else {
-            return;
-        };
-        m.direct = Some(call);
-        let orders = Orders {
-            token: m.token,
-            session: m.session,
-            orders,
-        };
-        self.out.push(Effect::Orders {
-            call,
-            host: host.clone(),
-            addr,
-            orders,
-        });
-    }
-
-    /// Something of this job is stored: what waited for that may leave.
-    pub(super) fn note_ready(&mut self, id: &JobId) {
-        let Some(j) = self.jobs.get(id) else { return };
-        let waits = |l: &&super::job::Live| l.phase == Phase::Placed && !l.sent;
-        for l in j.live.values().filter(waits) {
-            self.ready.insert(l.host.clone());
-        }
-    }
-
-    pub(super) fn push_ready(&mut self, now: Time) {
-        for h in std::mem::take(&mut self.ready) {
-            self.push(now, &h);
-        }
-    }
-
-    pub(super) fn push_all(&mut self, now: Time) {
-        for h in std::mem::take(&mut self.unsent) {
-            let waits = |m: &Machine| {
-                m.slots.keys().any(|t| {
-                    let live = self.jobs.get(&t.job).and_then(|j| j.live.get(&t.ix));
-                    live.is_some_and(|l| l.phase == Phase::Placed && !l.sent)
-                })
-            };
-            if self.machines.get(&h).is_some_and(waits) {
-                self.push(now, &h);
-                self.unsent.insert(h);
-            }
-        }
-    }
-
-    pub(super) fn direct_result(&mut self, now: Time, call: CallId, host: Host, r: DirectResult) {
-        let fresh = self.next_token();
-        let Some(m) = self.machines.get_mut(&host) else {
-            return;
-        };
-        if m.direct != Some(call) {
-            return;
-        }
-        m.direct = None;
-        match r {
-            DirectResult::Done(report) => {
-                self.take_report(now, &report, false);
-                self.push(now, &host);
-            }
-            DirectResult::Conflict(report) => {
-                // A probe of a machine that had not reported yet ends so, too.
-                if m.reported {
-                    m.no_push_until = now + PUSH_REST;
-                }
-                self.take_report(now, &report, false);
-            }
-            DirectResult::Refused => m.no_push_until = now + PUSH_REST,
-            DirectResult::Unclear => {
-                // It may be carried out minutes from now, unless the worker has
-                // heard a higher token by then.
-                m.no_push_until = now + PUSH_REST;
-                m.token = fresh;
-                m.doubt = Some(fresh);
-            }
-        }
-    }
 }
