A report that finds no way to its leader goes to the next one as soon as there is one

They now pass such reports on to the successor, and name an old leader only while the state service still does. Ruled out: spot machines taken, the zone that is cut off.

--- a/src/node/asks.rs
+++ b/src/node/asks.rs
@@ -8,6 +8,8 @@
 use crate::wire::user::JobSpec;
 use crate::wire::worker::Redirect;
 
+/// A leader that is gone is no longer named by the state service after so long.
+const LOST_AFTER: Span = Span(2_600_000);
 /// More open requests are turned away at once.
 const MAX_PENDING: usize = 1500;
 
@@ -23,7 +25,7 @@
                 since,
                 limit: limit_of(ask),
                 submits: matches!(ask, Ask::Submit(_)),
-                reports: matches!(ask, Ask::Report(_)),
+                report: None,
                 with: None,
             },
         );
@@ -101,6 +103,10 @@
         self.tell(leader.clone(), msg);
         if let Some(p) = self.pending.get_mut(&req) {
             p.with = Some(leader);
+            p.report = match ask {
+                Ask::Report(body) => Some(body),
+                _ => None,
+            };
         }
     }
 
@@ -124,15 +130,42 @@
         }
     }
 
-    /// No answer will come from the leader. A worker may have a way of its own
-    /// to it, and takes that sooner than it tries one controller after another.
-    pub(super) fn give_up(&mut self, now: Time, req: ReqId, why: &str) {
-        let leader = match self.pending.get(&req) {
-            Some(p) if p.reports => p.with.clone(),
-            _ => None,
+    /// What was passed on finds no way there any more. A report goes to the next
+    /// leader as soon as there is one: workers that were sent to a leader that
+    /// had lost the network came back too late, and were taken for lost.
+    pub(super) fn look_elsewhere(&mut self, now: Time, req: ReqId) {
+        let Some(p) = self.pending.get_mut(&req) else {
+            return;
         };
-        let answer = match leader {
-            Some(_) => {
+        let next = self.peers.best_leader().map(|l| l.0);
+        let changed = next.is_some() && next != p.with;
+        let patient = now - p.since < LOST_AFTER;
+        match p.report.take() {
+            Some(body) if changed => match self.role {
+                Role::Follower => self.pass_on(now, req, Ask::Report(body)),
+                _ => self.give_up(now, req, "the leader has changed"),
+            },
+            Some(body) if patient => p.report = Some(body),
+            Some(body) => {
+                p.report = Some(body);
+                self.give_up(now, req, "the leader is out of reach");
+            }
+            None => self.give_up(now, req, "the leader is out of reach"),
+        }
+    }
+
+    /// No answer will come. If the state service says that the same one still
+    /// leads, a worker may well have a way of its own there, and takes that
+    /// sooner than it tries one controller after another.
+    pub(super) fn give_up(&mut self, now: Time, req: ReqId, why: &str) {
+        let p = self.pending.get(&req).filter(|p| p.report.is_some());
+        let seen = self.seen.as_ref().map(|l| l.label.clone());
+        let answer = match p
+            .and_then(|p| p.with.clone())
+            .filter(|l| seen.as_ref() == Some(l))
+        {
+            Some(l) => {
+                let leader = Some(l);
                 let body = serde_json::to_string(&Redirect { leader }).unwrap_or_default();
                 Answer::new(421, body)
             }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -80,7 +80,9 @@
     limit: Span,
     /// A submission, whose refusal operators would ask about.
     submits: bool,
-    reports: bool,
+    /// A worker's report that was passed on, in case that another leader
+    /// comes before the answer.
+    report: Option<Vec<u8>>,
     /// The leader that it was passed on to.
     with: Option<Label>,
 }
@@ -501,7 +503,7 @@
             .map(|(r, _)| *r)
             .collect();
         for req in lost {
-            self.give_up(now, req, "the leader is out of reach");
+            self.look_elsewhere(now, req);
         }
         self.balance(now);
         let ok = self.stopping.is_none() && self.can_serve(now);
