--- a/tests/accelerators.rs
+++ b/tests/accelerators.rs
@@ -340,7 +340,9 @@
     for n in 1..=3 {
         first.beat(&machine(n, "a", false, 1));
     }
-    first.submit(&gang(1, 3));
+    let mut anywhere = gang(1, 3);
+    anywhere.one_zone = false;
+    first.submit(&anywhere);
     let record = {
         let j = first.s.jobs.get_mut(&JobId::from("job-000001")).unwrap();
         j.live.remove(&TaskIx(2));
