A connection layer with a bound on sockets, threads and memory

Need: the HTTP side started a thread for each connection without any bound; 4,500 connections made 2,039 threads, and after a hundred failures to accept the process lived on without listening, for good. Change: crates/gate, a small HTTP/1.1 server on httparse with a routine per connection. Bounds are worked out at start from sockets, descriptors, memory and a thread limit; lanes (workers, users, watch, without a request) have shares that no other can take; the longest idle makes room; time limits count in all; what is turned away comes back spread out; accepting survives whatever fails. tiny_http's accept loop can't be bounded, so it is a dev-dependency now, to measure against. Pings tell how many workers a controller can hold, behind the message, so that earlier versions still read them. Two kinds of libraries come in: arc-swap (lock-free), arbitrary with arbtest (fuzzing).

--- /dev/null
+++ b/crates/gate/tests/floods.rs
@@ -0,0 +1,374 @@
+//! Crowds, slow clients and broken ones, on real sockets. What is held against
+//! bounds are counts: threads, sockets, answers.
+
+mod common;
+
+use common::*;
+use hookworks_gate::*;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+
+const WORKERS: usize = 1321;
+const SILENT: usize = 5000;
+
+/// Descriptors for both sides; less of everything where the system gives less.
+fn scale() -> f64 {
+    let all = descriptors(SILENT + 2 * WORKERS + 2000).unwrap_or(1024);
+    (all as f64 / (SILENT + 2 * WORKERS + 2000) as f64).min(1.0)
+}
+
+/// Reports over open connections, again and again; opens another one where
+/// the answer says that this one ends.
+fn report(addr: SocketAddr, workers: usize, rounds: usize) -> Vec<u16> {
+    let mut open: Vec<Option<Client>> = (0..workers).map(|_| None).collect();
+    let mut odd = vec![];
+    for round in 0..rounds {
+        for c in &mut open {
+            let text = format!("{{\"Tally\":{round}}}");
+            let conn = c.get_or_insert_with(|| Client::to(addr));
+            // A connection closed between two reports is opened again.
+            let got = conn.ask("/beat", &text).or_else(|| {
+                *conn = Client::to(addr);
+                conn.ask("/beat", &text)
+            });
+            match got {
+                Some(g) if g.status == 200 && g.body == text => {
+                    if g.close {
+                        *c = None;
+                    }
+                }
+                g => odd.push(g.map_or(0, |g| g.status)),
+            }
+        }
+    }
+    odd
+}
+
+/// 4,500 connections once made 2,039 threads, and accepting ended for good.
+#[test]
+fn thousands_that_say_nothing_hold_up_neither_workers_nor_users() {
+    let scale = scale();
+    let (workers, silent) = (
+        (WORKERS as f64 * scale) as usize,
+        (SILENT as f64 * scale) as usize,
+    );
+    let server = server((1500.0 * scale) as usize, Limits::default());
+    let addr = server.addr();
+    let flooded = AtomicBool::new(false);
+    let (odd, submitted) = std::thread::scope(|s| {
+        let flood = s.spawn(|| {
+            let held: Vec<TcpStream> = (0..silent)
+                .filter_map(|_| TcpStream::connect(addr).ok())
+                .collect();
+            flooded.store(true, Ordering::SeqCst);
+            held
+        });
+        let reports: Vec<_> = (0..8)
+            .map(|_| s.spawn(move || report(addr, workers / 8, 4)))
+            .collect();
+        let flooded = &flooded;
+        let users = s.spawn(move || {
+            let mut statuses = vec![];
+            while !flooded.load(Ordering::SeqCst) || statuses.len() < 200 {
+                let got = Client::to(addr).ask("/submit", "{}");
+                statuses.push(got.map_or(0, |g| g.status));
+            }
+            statuses
+        });
+        let odd: Vec<u16> = reports
+            .into_iter()
+            .flat_map(|r| r.join().unwrap())
+            .collect();
+        let submitted = users.join().unwrap();
+        assert!(flood.join().unwrap().len() >= silent / 2);
+        (odd, submitted)
+    });
+    let f = server.figures();
+    assert_eq!(odd, [0u16; 0], "{f:?}");
+    assert!(submitted.iter().all(|s| *s == 200), "{submitted:?} {f:?}");
+    assert!(f.most_threads <= f.bounds.connections, "{f:?}");
+    assert!(f.open <= f.bounds.connections, "{f:?}");
+    assert!(f.lanes[&Lane::Fresh].made_room > 0, "{f:?}");
+    // It goes on listening to everybody once they are gone.
+    assert_eq!(Client::to(addr).ask("/submit", "{}").unwrap().status, 200);
+}
+
+/// As after the end of the two others.
+#[test]
+fn all_workers_find_the_only_controller_left() {
+    let server = server(200, Limits::default());
+    let (addr, bounds) = (server.addr(), server.figures().bounds);
+    let odd: Vec<u16> = std::thread::scope(|s| {
+        // A third more than it can hold at a time.
+        let each = bounds.most(Lane::Workers) * 4 / 3 / 4;
+        let all: Vec<_> = (0..4)
+            .map(|_| s.spawn(move || report(addr, each, 5)))
+            .collect();
+        all.into_iter().flat_map(|r| r.join().unwrap()).collect()
+    });
+    let f = server.figures();
+    assert_eq!(odd, [0u16; 0], "{f:?}");
+    assert!(f.most_threads <= bounds.connections, "{f:?}");
+    // Users still find their share.
+    assert_eq!(Client::to(addr).ask("/submit", "{}").unwrap().status, 200);
+}
+
+#[test]
+fn a_worker_without_a_place_is_sent_where_there_is_one() {
+    let server = server(60, Limits::default());
+    let most = server.figures().bounds.most(Lane::Workers);
+    let mut open: Vec<Client> = vec![];
+    for n in 1..=most {
+        let mut c = Client::to(server.addr());
+        c.send("POST /beat/hold HTTP/1.1\r\nContent-Length: 0\r\n\r\n")
+            .unwrap();
+        until("asked", || server.service().held.lock().unwrap().len() == n);
+        open.push(c);
+    }
+    server.service().rooms.store(2, Ordering::SeqCst);
+    let next = || {
+        let mut c = Client::to(server.addr());
+        let got = c.ask("/beat", "{}").unwrap();
+        (got, c)
+    };
+    for _ in 0..2 {
+        let (got, mut c) = next();
+        assert_eq!((got.status, got.close), (421, true));
+        assert!(got.body.contains("Foreman") && c.ended());
+    }
+    // Nobody has room, and none is idle that could make some.
+    let (got, _c) = next();
+    assert_eq!((got.status, got.close), (503, true));
+    // One that is answered now is asked not to stay, which makes some.
+    let reply = server.service().held.lock().unwrap().remove(0);
+    reply.answer(Answer::new(200, "{}".into()));
+    let got = open[0].answer().unwrap();
+    assert_eq!((got.status, got.close), (200, true));
+    until("room", || {
+        server.figures().lanes[&Lane::Workers].open < most
+    });
+    assert_eq!(next().0.status, 200);
+}
+
+#[test]
+fn a_head_sent_a_byte_at_a_time_is_cut_off() {
+    let server = server(60, short());
+    let mut c = Client::to(server.addr());
+    let mut sent = 0;
+    for b in "POST /submit HTTP/1.1\r\nX-Slow: "
+        .bytes()
+        .chain(std::iter::repeat(b'a'))
+    {
+        sent += 1;
+        if c.send(&(b as char).to_string()).is_err() || sent > 5000 {
+            break;
+        }
+        std::thread::sleep(Duration::from_millis(10));
+        if server.figures().lanes[&Lane::Fresh].too_slow > 0 {
+            break;
+        }
+    }
+    assert_eq!(
+        c.answer().map(|g| g.status),
+        Some(408),
+        "after {sent} bytes"
+    );
+    assert!(c.ended());
+    until("gone", || server.figures().open == 0);
+}
+
+#[test]
+fn a_body_that_never_comes_is_cut_off_and_gives_its_memory_back() {
+    let server = server(60, short());
+    let free = server.figures().body_bytes_free;
+    let mut c = Client::to(server.addr());
+    c.send("POST /submit HTTP/1.1\r\nContent-Length: 60000\r\n\r\nabc")
+        .unwrap();
+    until("booked", || {
+        server.figures().body_bytes_free == free - 60000
+    });
+    assert_eq!(c.answer().map(|g| g.status), Some(408));
+    assert_eq!(server.figures().body_bytes_free, free);
+    // One that breaks off by itself is told so.
+    let mut c = Client::to(server.addr());
+    c.send("POST /submit HTTP/1.1\r\nContent-Length: 60000\r\n\r\nabc")
+        .unwrap();
+    c.0.get_ref().shutdown(std::net::Shutdown::Write).unwrap();
+    assert_eq!(c.answer().map(|g| g.status), Some(400));
+    assert_eq!(server.figures().body_bytes_free, free);
+}
+
+/// Five hundred bodies of 64 KiB at a time would be half of a machine.
+#[test]
+fn large_bodies_have_a_bound_together() {
+    let machine = Machine {
+        sockets: 1000,
+        descriptors: None,
+        memory: 2 << 20,
+        aside: 0,
+    };
+    let b = Bounds::plan(&machine, &Wishes::default()).unwrap();
+    let any = "127.0.0.1:0".parse().unwrap();
+    let server = Server::start(any, b, Limits::default(), Echo::default()).unwrap();
+    let head = "POST /submit HTTP/1.1\r\nContent-Length: 60000\r\n\r\n";
+    let mut held: Vec<Client> = (0..3).map(|_| Client::to(server.addr())).collect();
+    for c in &mut held {
+        c.send(head).unwrap();
+    }
+    until("booked", || server.figures().body_bytes_free < 60_000);
+    let mut c = Client::to(server.addr());
+    c.send(head).unwrap();
+    let got = c.answer().unwrap();
+    assert_eq!((got.status, got.retry_after), (503, Some(1)));
+    // A small one needs no leave.
+    assert_eq!(
+        Client::to(server.addr())
+            .ask("/submit", "{}")
+            .unwrap()
+            .status,
+        200
+    );
+    held[0].send(&"x".repeat(60_000)).unwrap();
+    assert_eq!(held[0].answer().unwrap().body.len(), 60_000);
+}
+
+#[test]
+fn requests_are_read_as_the_protocol_says() {
+    let server = server(60, Limits::default());
+    let mut c = Client::to(server.addr());
+    // Chunked, with a request right behind it.
+    c.send("POST /submit HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\nPOST /submit HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi").unwrap();
+    assert_eq!(c.answer().unwrap().body, "abcde");
+    assert_eq!(c.answer().unwrap().body, "hi");
+    // Asked before the body is sent.
+    c.send("POST /submit HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+        .unwrap();
+    assert_eq!(c.answer().unwrap().status, 100);
+    c.send("ok").unwrap();
+    assert_eq!(c.answer().unwrap().body, "ok");
+    assert_eq!(
+        c.ask("/submit", &"y".repeat(64 * 1024)).unwrap().body.len(),
+        64 * 1024
+    );
+    // What can't be read ends the connection, with an answer that arrives.
+    let ends = [
+        (
+            "POST /submit HTTP/1.1\r\nContent-Length: 65537\r\n\r\n".to_string(),
+            413,
+        ),
+        (
+            format!("GET / HTTP/1.1\r\nX: {}\r\n\r\n", "a".repeat(17_000)),
+            431,
+        ),
+        ("\u{1}\u{2}\r\n\r\n".to_string(), 400),
+        (
+            "POST /submit HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n".to_string(),
+            400,
+        ),
+    ];
+    for (text, status) in ends {
+        let mut c = Client::to(server.addr());
+        c.send(&text).unwrap();
+        let got = c.answer().unwrap();
+        assert_eq!((got.status, got.close), (status, true), "{text:.40}");
+        assert!(c.ended());
+    }
+}
+
+#[test]
+fn connections_reset_in_the_middle_of_an_answer_leave_nothing_behind() {
+    let server = server(60, Limits::default());
+    for round in 1..=3 {
+        for _ in 0..20 {
+            let mut c = Client::to(server.addr());
+            c.send("POST /hold HTTP/1.1\r\nContent-Length: 0\r\n\r\n")
+                .unwrap();
+            let linger = socket2::SockRef::from(c.0.get_ref());
+            linger.set_linger(Some(Duration::ZERO)).unwrap();
+            until("asked", || {
+                !server.service().held.lock().unwrap().is_empty()
+            });
+            drop(c);
+            let reply = server.service().held.lock().unwrap().pop().unwrap();
+            if round == 2 {
+                // No answer at all: the service gave up on it.
+                drop(reply);
+            } else {
+                reply.answer(Answer::new(200, "z".repeat(round * 100_000)));
+            }
+        }
+        until("gone", || server.figures().open == 0);
+    }
+    assert_eq!(
+        Client::to(server.addr())
+            .ask("/submit", "{}")
+            .unwrap()
+            .status,
+        200
+    );
+}
+
+#[test]
+fn at_the_end_answers_that_are_due_are_given_and_all_threads_end() {
+    let server = server(60, Limits::default());
+    let addr = server.addr();
+    let mut idle = Client::to(addr);
+    assert_eq!(idle.ask("/submit", "{}").unwrap().status, 200);
+    let mut silent = Client::to(addr);
+    let mut busy = Client::to(addr);
+    busy.send("POST /hold HTTP/1.1\r\nContent-Length: 0\r\n\r\n")
+        .unwrap();
+    until("asked", || {
+        !server.service().held.lock().unwrap().is_empty()
+    });
+    until("three", || server.figures().open == 3);
+    server.close();
+    assert!(idle.ended());
+    assert_eq!(silent.answer().map(|g| g.status), Some(503));
+    let reply = server.service().held.lock().unwrap().pop().unwrap();
+    reply.answer(Answer::new(200, "last".into()));
+    let got = busy.answer().unwrap();
+    assert_eq!((got.body.as_str(), got.close), ("last", true));
+    assert!(server.stop(Duration::from_secs(30)));
+    assert!(TcpStream::connect(addr).is_err());
+}
+
+/// What was turned away is told different times to come back.
+#[test]
+fn a_wave_past_the_bound_is_spread_out() {
+    let server = server(40, Limits::default());
+    let most = server.figures().bounds.most(Lane::Users);
+    let asked = AtomicUsize::new(0);
+    // All places that users can have are taken by requests under way.
+    let mut held: Vec<Client> = vec![];
+    for n in 1..=most {
+        let mut c = Client::to(server.addr());
+        c.send("POST /hold HTTP/1.1\r\nContent-Length: 0\r\n\r\n")
+            .unwrap();
+        until("asked", || server.service().held.lock().unwrap().len() == n);
+        held.push(c);
+    }
+    let mut seconds = vec![];
+    for _ in 0..200 {
+        asked.fetch_add(1, Ordering::SeqCst);
+        let got = Client::to(server.addr()).ask("/submit", "{}").unwrap();
+        assert_eq!((got.status, got.close), (503, true));
+        seconds.push(got.retry_after.unwrap());
+    }
+    let wave = 20;
+    for s in 1..=30 {
+        let n = seconds.iter().filter(|x| **x == s).count();
+        assert!(n <= 2 * wave, "{n} in second {s}");
+    }
+    assert!(seconds.iter().all(|s| (1..=30).contains(s)));
+    // Workers have their places all the same, and so have health checks.
+    assert_eq!(
+        Client::to(server.addr()).ask("/beat", "{}").unwrap().status,
+        200
+    );
+    assert_eq!(
+        Client::to(server.addr()).ask("/health", "").unwrap().status,
+        200
+    );
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,7 @@
 use clap::{Parser, Subcommand};
 use hookworks::settings::Settings;
-use hookworks::{client, node};
+use hookworks::{api, client, node};
+use hookworks_gate::Lane;
 use std::process::ExitCode;
 
 /// A cluster scheduler that balances machines in time.
@@ -97,6 +98,26 @@
             let s = load(&config, tuning.as_deref())?;
             println!("{:#?}", s.platform);
             println!("{:#?}", s.tuning);
+            let b = api::bounds(&s).map_err(|_| ExitCode::from(2))?;
+            let one = |l: Lane| b.guaranteed[l as usize];
+            println!("connections: {} at a time, {}", b.connections, b.limited_by);
+            for (who, lane) in [
+                ("workers", Lane::Workers),
+                ("users", Lane::Users),
+                ("health checks and operators", Lane::Watch),
+                ("without a request yet (also the most)", Lane::Fresh),
+            ] {
+                println!(
+                    "  {who}: {} guaranteed, {} at the most",
+                    one(lane),
+                    match lane {
+                        Lane::Fresh => one(lane),
+                        _ => b.most(lane),
+                    }
+                );
+            }
+            println!("  large bodies: {} KiB together", b.body_bytes / 1024);
+            println!("  sockets set aside for calls to others: {}", b.set_aside);
             Ok(ExitCode::SUCCESS)
         }
         Verb::Submit { to, file } => Ok(tell(client::submit(&to, &file))),
--- a/src/node/asks.rs
+++ b/src/node/asks.rs
@@ -1,12 +1,12 @@
 //! Requests of users and workers: answered as the leader, or passed on to it.
 
 use super::{Node, Origin, Pending, Role, StoreJob};
+use crate::api::redirect;
 use crate::ids::{JobId, Label, ReqId};
 use crate::sched::Event;
 use crate::time::{Span, Time};
 use crate::wire::peer::{Answer, Ask, PeerMsg};
 use crate::wire::user::JobSpec;
-use crate::wire::worker::Redirect;
 
 /// A leader that is gone is no longer named by the state service after so long.
 const LOST_AFTER: Span = Span(2_600_000);
@@ -60,9 +60,7 @@
         if let Ask::Report(body) = &ask
             && let Some(other) = self.better_for(now, body)
         {
-            let leader = Some(other);
-            let body = serde_json::to_string(&Redirect { leader }).unwrap_or_default();
-            return self.answer(now, req, Answer::new(421, body));
+            return self.answer(now, req, redirect(Some(other)));
         }
         match &self.role {
             Role::Leader(_) => self.lead_ask(now, req, ask),
@@ -164,11 +162,7 @@
             .and_then(|p| p.with.clone())
             .filter(|l| seen.as_ref() == Some(l))
         {
-            Some(l) => {
-                let leader = Some(l);
-                let body = serde_json::to_string(&Redirect { leader }).unwrap_or_default();
-                Answer::new(421, body)
-            }
+            Some(l) => redirect(Some(l)),
             None => Answer::later(why, 1),
         };
         self.answer(now, req, answer);
@@ -186,11 +180,7 @@
                 let leader = self.seen.as_ref().map(|l| l.label.clone());
                 let leader = leader.filter(|l| *l != self.settings.platform.label);
                 match leader.and_then(|l| self.balance.sent(now, &body).then_some(l)) {
-                    Some(l) => {
-                        let leader = Some(l);
-                        let body = serde_json::to_string(&Redirect { leader }).unwrap_or_default();
-                        self.answer(now, req, Answer::new(421, body));
-                    }
+                    Some(l) => self.answer(now, req, redirect(Some(l))),
                     None => self.answer(now, req, Answer::later("no leader in reach", 1)),
                 }
             }
@@ -212,9 +202,7 @@
             tracing::debug!(status = answer.status, after_ms, "submission answered");
         }
         match p.origin {
-            Origin::Http(request) => {
-                let _ = self.answers.send((request, answer));
-            }
+            Origin::Http(reply) => reply.answer(answer.into()),
             Origin::Peer { from, id } => {
                 let to = from.to_string();
                 self.tell(from, PeerMsg::Tell { id, to, answer });
--- a/src/node/health.rs
+++ b/src/node/health.rs
@@ -58,6 +58,7 @@
             "answer_ms": quantiles(&self.latency),
             "loop_ms": quantiles(&self.turns),
             "messages_waiting": self.waiting,
+            "connections": self.server.figures(),
             "workers_reporting_here": self.balance.len(),
             "calls_waiting": {
                 "state": self.store.len(), "cloud": self.cloud.len(), "workers": self.agents.len(),
--- a/src/node/load.rs
+++ b/src/node/load.rs
@@ -12,6 +12,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+/// The loader's own.
+pub(super) const SOCKETS: usize = 2;
+
 pub struct Loaded {
     pub epoch: Epoch,
     pub stamp: Stamp,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -6,7 +6,7 @@
 mod health;
 pub mod load;
 
-use crate::api::{self, Incoming};
+use crate::api::{self, Incoming, Notice};
 use crate::ids::{Epoch, JobId, Label, ReqId, TxnId};
 use crate::lead::{Elect, Leader};
 use crate::peer::Peers;
@@ -21,28 +21,37 @@
 use crate::wire::state::{Item, Txn};
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, unbounded};
 use hdrhistogram::Histogram;
+use hookworks_gate::{Lane, Reply, Server};
 use load::Loaded;
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
-use tiny_http::Request;
 
 /// Small stacks: the machine is small, and nothing here recurses deeply.
 const STACK: usize = 256 * 1024;
 const TICK: Span = Span(250_000);
 /// Messages taken before the loop looks at its other duties.
 const AT_ONCE: usize = 50;
+/// At the end, answers that are due have so long to be written.
+const LAST_ANSWERS: Duration = Duration::from_millis(500);
 
-pub fn spawn(name: &str, f: impl FnOnce() + Send + 'static) {
+/// False if the system gives no more threads.
+pub fn spawn(name: &str, f: impl FnOnce() + Send + 'static) -> bool {
     let b = std::thread::Builder::new()
         .name(name.into())
         .stack_size(STACK);
-    if let Err(e) = b.spawn(f) {
+    let started = b.spawn(f);
+    if let Err(e) = &started {
         tracing::error!(name, error = %e, "a thread could not be started");
     }
+    started.is_ok()
 }
 
+/// The server, and how it reaches the main loop.
+type HttpInbox = Box<dyn Fn(Incoming) -> bool + Send + Sync>;
+type HttpSide = api::Api<HttpInbox>;
+
 /// Everything that reaches the main loop.
 pub enum Msg {
     Http(Incoming),
@@ -70,7 +79,7 @@
 }
 
 enum Origin {
-    Http(Request),
+    Http(Reply),
     Peer { from: Label, id: u64 },
 }
 
@@ -108,9 +117,9 @@
     state_ok_at: Time,
     led_at: Time,
     proven: Time,
-    healthy: Arc<AtomicBool>,
+    notice: Arc<Notice>,
+    server: Server<HttpSide>,
     term: Arc<AtomicU64>,
-    answers: Sender<(Request, Answer)>,
     store: Sender<StoreJob>,
     cloud: Sender<duties::CloudJob>,
     agents: Sender<duties::AgentJob>,
@@ -131,20 +140,32 @@
     election: Sender<Sender<()>>,
 }
 
+/// Sockets that this controller may need for its own calls.
+pub fn sockets_for_calls() -> usize {
+    duties::SOCKETS + load::SOCKETS
+}
+
 /// Runs a controller until the process ends.
 pub fn serve(settings: Settings) -> std::io::Result<()> {
     let clock = Clock::start();
     let (inbox, rx) = unbounded::<Msg>();
     let p = &settings.platform;
-    let healthy = Arc::new(AtomicBool::new(false));
+    let notice = Arc::new(Notice::default());
     let term = Arc::new(AtomicU64::new(0));
     let tx = inbox.clone();
-    let answers = api::start(p.listen, healthy.clone(), move |i| {
-        tx.send(Msg::Http(i)).is_ok()
-    })?;
+    let to_inbox: HttpInbox = Box::new(move |i| tx.send(Msg::Http(i)).is_ok());
+    let server = api::start(&settings, notice.clone(), to_inbox)?;
     let tx = inbox.clone();
     let to_inbox = move |m| tx.send(Msg::Peer(m)).is_ok();
-    let peers = Peers::start(p.label.clone(), clock, p.cluster_listen, &p.seeds, to_inbox)?;
+    let most = server.figures().bounds.most(Lane::Workers) as u32;
+    let peers = Peers::start(
+        p.label.clone(),
+        clock,
+        p.cluster_listen,
+        &p.seeds,
+        most,
+        to_inbox,
+    )?;
     let store = duties::store(&settings, inbox.clone());
     let cloud = duties::cloud(&settings, clock, term.clone(), inbox.clone());
     let agents = duties::agents(clock, inbox.clone());
@@ -166,9 +187,9 @@
         state_ok_at: Time::default(),
         led_at: Time::default(),
         proven: Time::default(),
-        healthy,
+        notice,
+        server,
         term,
-        answers,
         store,
         cloud,
         agents,
@@ -239,6 +260,7 @@
                 && (self.pending.is_empty() || now - since > Span::secs(3.0))
             {
                 self.resign();
+                self.server.stop(LAST_ANSWERS);
                 return;
             }
         }
@@ -256,12 +278,12 @@
     fn take(&mut self, m: Msg) {
         let now = self.clock.now();
         match m {
-            Msg::Http(Incoming::Ask(request, ask)) => {
-                self.ask(now, Origin::Http(request), ask);
+            Msg::Http(Incoming::Ask(reply, ask)) => {
+                self.ask(now, Origin::Http(reply), ask);
             }
-            Msg::Http(Incoming::Overview(request)) => {
+            Msg::Http(Incoming::Overview(reply)) => {
                 let body = self.overview(now).to_string();
-                let _ = self.answers.send((request, Answer::new(200, body)));
+                reply.answer(Answer::new(200, body).into());
             }
             Msg::Peer(PeerMsg::Ask { id, from, ask, .. }) => {
                 let from = Label::from(from.as_str());
@@ -295,7 +317,8 @@
             Msg::Stop => {
                 tracing::info!(open = self.pending.len(), "stopping");
                 self.stopping = Some(now);
-                self.healthy.store(false, Ordering::Relaxed);
+                self.notice.healthy.store(false, Ordering::Relaxed);
+                self.server.close();
             }
             Msg::Look(req, id, r) => {
                 let a = match r {
@@ -507,7 +530,7 @@
         }
         self.balance(now);
         let ok = self.stopping.is_none() && self.can_serve(now);
-        if ok != self.healthy.swap(ok, Ordering::Relaxed) {
+        if ok != self.notice.healthy.swap(ok, Ordering::Relaxed) {
             tracing::info!(healthy = ok, "health changed");
         }
     }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -5,7 +5,7 @@
 use crate::ids::{Epoch, Label};
 use crate::settings::Seed;
 use crate::time::{Clock, Span, Time};
-use crate::wire::peer::PeerMsg;
+use crate::wire::peer::{PeerMsg, PingMore};
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
 use std::collections::HashMap;
 use std::io::{BufReader, Read, Write};
@@ -21,17 +21,34 @@
 /// A connection over which we are not heard by then is made anew.
 const UNHEARD: Duration = Duration::from_millis(2500);
 const MAX_FRAME: usize = 128 * 1024;
-const MAX_INBOUND: usize = 32;
+/// Connections of each other controller; an old one may linger beside the new.
+const INBOUND_EACH: usize = 6;
 const QUEUE: usize = 1024;
 /// Messages that leave in one go.
 const BATCH: usize = 64;
 
+/// Sockets for talk with so many other controllers.
+pub fn sockets(others: usize) -> usize {
+    // To each, from each, the listening one, and one that is refused.
+    others * (2 + INBOUND_EACH) + 2
+}
+
 #[derive(Default)]
 struct Heard {
     at: Time,
     hears: Vec<String>,
     leader: Option<(Label, Epoch)>,
     workers: u32,
+    /// How many it can hold, if it says so.
+    most: Option<u32>,
+}
+
+/// How many workers report to a controller, and how many it can hold.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Load {
+    pub label: Label,
+    pub workers: u32,
+    pub most: Option<u32>,
 }
 
 /// Shared by the threads of this module and whoever sends.
@@ -42,6 +59,7 @@
     heard: Mutex<HashMap<Label, Heard>>,
     leader: Mutex<Option<(Label, Epoch)>>,
     workers: AtomicU32,
+    most: u32,
 }
 
 impl Peers {
@@ -51,6 +69,7 @@
         clock: Clock,
         listen: SocketAddr,
         seeds: &[Seed],
+        most: u32,
         inbox: F,
     ) -> std::io::Result<Arc<Peers>>
     where
@@ -71,6 +90,7 @@
             heard: Mutex::default(),
             leader: Mutex::new(None),
             workers: AtomicU32::new(0),
+            most,
         });
         for (to, addr, rx) in queues {
             let p = peers.clone();
@@ -100,17 +120,34 @@
         }
     }
 
+    /// How many workers this controller can hold; told to the others.
+    pub fn most(&self) -> u32 {
+        self.most
+    }
+
+    fn more(&self) -> PingMore {
+        PingMore {
+            workers_most: Some(self.most),
+        }
+    }
+
     /// How many workers report to this controller; told to the others.
     pub fn set_workers(&self, n: u32) {
         self.workers.store(n, Ordering::Relaxed);
     }
 
     /// How many workers report to each controller that can be talked to.
-    pub fn workers(&self) -> Vec<(Label, u32)> {
+    pub fn workers(&self) -> Vec<Load> {
         let near = self.links.keys().filter(|l| self.both_ways(l));
         let near: Vec<Label> = near.cloned().collect();
         let heard = self.heard();
-        let load = |l: Label| heard.get(&l).map(|h| (l, h.workers));
+        let load = |l: Label| {
+            heard.get(&l).map(|h| Load {
+                label: l,
+                workers: h.workers,
+                most: h.most,
+            })
+        };
         near.into_iter().filter_map(load).collect()
     }
 
@@ -195,26 +232,45 @@
             let _ = s.set_write_timeout(Some(CALL));
             let mut sent = std::time::Instant::now();
             let since = std::time::Instant::now();
-            let mut ok = write(&mut s, vec![self.ping()], &queue).is_ok();
+            let mut ok = self.write(&mut s, vec![self.ping()], &queue).is_ok();
             // A peer that came back after a crash may leave the old connection
             // unanswered for long; only its own word says that we are heard.
             while ok && (since.elapsed() < UNHEARD || self.both_ways(to)) {
                 match queue.recv_timeout(PING.saturating_sub(sent.elapsed())) {
-                    Ok(m) => ok = write(&mut s, m, &queue).is_ok(),
+                    Ok(m) => ok = self.write(&mut s, m, &queue).is_ok(),
                     Err(RecvTimeoutError::Timeout) => {
                         sent = std::time::Instant::now();
-                        ok = write(&mut s, vec![self.ping()], &queue).is_ok();
+                        ok = self.write(&mut s, vec![self.ping()], &queue).is_ok();
                     }
                     Err(RecvTimeoutError::Disconnected) => return,
                 }
                 if sent.elapsed() >= PING {
                     sent = std::time::Instant::now();
-                    ok = ok && write(&mut s, vec![self.ping()], &queue).is_ok();
+                    ok = ok && self.write(&mut s, vec![self.ping()], &queue).is_ok();
                 }
             }
         }
     }
 
+    /// Sends messages, along with some of what waits behind them.
+    fn write(
+        &self,
+        s: &mut TcpStream,
+        msgs: Vec<PeerMsg>,
+        queue: &Receiver<Vec<PeerMsg>>,
+    ) -> std::io::Result<()> {
+        let mut out = vec![];
+        let more = queue.try_iter().take(BATCH);
+        for m in std::iter::once(msgs).chain(more).flatten() {
+            frame(&m, self.more(), &mut out)?;
+            if out.len() > MAX_FRAME {
+                s.write_all(&out)?;
+                out.clear();
+            }
+        }
+        s.write_all(&out)
+    }
+
     fn accept<F>(self: Arc<Self>, listener: TcpListener, inbox: F)
     where
         F: Fn(PeerMsg) -> bool + Send + Clone + 'static,
@@ -225,15 +281,18 @@
                 std::thread::sleep(Duration::from_millis(50));
                 continue;
             };
-            if open.fetch_add(1, Ordering::SeqCst) >= MAX_INBOUND {
+            if open.fetch_add(1, Ordering::SeqCst) >= INBOUND_EACH * self.links.len() {
                 open.fetch_sub(1, Ordering::SeqCst);
                 continue;
             }
-            let (p, inbox, open) = (self.clone(), inbox.clone(), open.clone());
-            crate::node::spawn("peer-in", move || {
+            let (p, inbox, now_open) = (self.clone(), inbox.clone(), open.clone());
+            let started = crate::node::spawn("peer-in", move || {
                 p.listen_to(s, &inbox);
-                open.fetch_sub(1, Ordering::SeqCst);
+                now_open.fetch_sub(1, Ordering::SeqCst);
             });
+            if !started {
+                open.fetch_sub(1, Ordering::SeqCst);
+            }
         }
     }
 
@@ -241,7 +300,7 @@
         // A live peer pings twice a second.
         let _ = s.set_read_timeout(Some(Duration::from_secs(10)));
         let mut s = BufReader::with_capacity(32 * 1024, s);
-        while let Ok(msg) = read(&mut s) {
+        while let Ok((msg, more)) = read(&mut s) {
             let msg = match msg {
                 PeerMsg::Ping {
                     from,
@@ -255,6 +314,7 @@
                         hears,
                         leader,
                         workers,
+                        most: more.workers_most,
                     };
                     self.heard().insert(from.as_str().into(), heard);
                     continue;
@@ -282,34 +342,20 @@
     }
 }
 
-/// Sends messages, along with some of what waits behind them.
-fn write(
-    s: &mut TcpStream,
-    msgs: Vec<PeerMsg>,
-    queue: &Receiver<Vec<PeerMsg>>,
-) -> std::io::Result<()> {
-    let mut out = vec![];
-    let more = queue.try_iter().take(BATCH);
-    for m in std::iter::once(msgs).chain(more).flatten() {
-        frame(&m, &mut out)?;
-        if out.len() > MAX_FRAME {
-            s.write_all(&out)?;
-            out.clear();
-        }
-    }
-    s.write_all(&out)
-}
-
-fn frame(m: &PeerMsg, out: &mut Vec<u8>) -> std::io::Result<()> {
+fn frame(m: &PeerMsg, more: PingMore, out: &mut Vec<u8>) -> std::io::Result<()> {
     let start = out.len();
     out.extend_from_slice(&[0; 4]);
-    let len = bincode::encode_into_std_write(m, out, bincode::config::standard())
-        .map_err(|e| std::io::Error::other(e.to_string()))?;
+    let config = bincode::config::standard();
+    let failed = |e: bincode::error::EncodeError| std::io::Error::other(e.to_string());
+    let mut len = bincode::encode_into_std_write(m, out, config).map_err(failed)?;
+    if matches!(m, PeerMsg::Ping { .. }) {
+        len += bincode::encode_into_std_write(more, out, config).map_err(failed)?;
+    }
     out[start..start + 4].copy_from_slice(&(len as u32).to_be_bytes());
     Ok(())
 }
 
-fn read(s: &mut impl Read) -> std::io::Result<PeerMsg> {
+fn read(s: &mut impl Read) -> std::io::Result<(PeerMsg, PingMore)> {
     let mut len = [0; 4];
     s.read_exact(&mut len)?;
     let len = u32::from_be_bytes(len) as usize;
@@ -319,7 +365,43 @@
     let mut body = vec![0; len];
     s.read_exact(&mut body)?;
     let config = bincode::config::standard().with_limit::<MAX_FRAME>();
-    bincode::decode_from_slice(&body, config)
-        .map(|(m, _)| m)
-        .map_err(|e| std::io::Error::other(e.to_string()))
+    let (m, taken) = bincode::decode_from_slice(&body, config)
+        .map_err(|e| std::io::Error::other(e.to_string()))?;
+    // Of an earlier version nothing more comes.
+    let more = bincode::decode_from_slice(&body[taken..], config).map(|m| m.0);
+    Ok((m, more.unwrap_or_default()))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn ping() -> PeerMsg {
+        PeerMsg::Ping {
+            from: "a".into(),
+            leader: None,
+            hears: vec![],
+            workers: 3,
+        }
+    }
+
+    /// Controllers are restarted one after the other, so two versions talk.
+    #[test]
+    fn pings_are_understood_between_versions() {
+        let more = PingMore {
+            workers_most: Some(7),
+        };
+        let mut new = vec![];
+        frame(&ping(), more, &mut new).unwrap();
+        assert_eq!(read(&mut &new[..]).unwrap(), (ping(), more));
+        // An earlier version sends no more than the message, and reads no more.
+        let old = bincode::encode_to_vec(ping(), bincode::config::standard()).unwrap();
+        let mut framed = (old.len() as u32).to_be_bytes().to_vec();
+        framed.extend_from_slice(&old);
+        assert_eq!(
+            read(&mut &framed[..]).unwrap(),
+            (ping(), PingMore::default())
+        );
+        assert_eq!(new[4..4 + old.len()], old);
+    }
 }
--- /dev/null
+++ b/src/settings/connections.rs
@@ -0,0 +1,85 @@
+//! How many connections may be held, for whom and how long.
+
+use super::{SettingsError, bad};
+use hookworks_gate::Wishes;
+use serde::{Deserialize, Serialize};
+
+/// `<connections><threads>1500</threads>…</connections>`; all optional.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case", default)]
+pub struct Connections {
+    /// Most connections served at a time, a thread each.
+    pub threads: usize,
+    /// Share of the machine's memory that connections may take.
+    pub memory_share: f64,
+    /// Share of the memory that bodies over 8 KiB may take together.
+    pub body_share: f64,
+    /// Guaranteed share of workers.
+    pub workers_share: f64,
+    /// Guaranteed share of users.
+    pub users_share: f64,
+    /// Guaranteed share of health checks and operators.
+    pub watch_share: f64,
+    /// Share of connections without a request yet, and the most they get.
+    pub fresh_share: f64,
+    /// From a connection's opening, or the first byte, to a whole head.
+    pub head_s: f64,
+    /// From the end of the head to the end of the body.
+    pub body_s: f64,
+    /// Between two requests.
+    pub idle_s: f64,
+}
+
+impl Default for Connections {
+    fn default() -> Self {
+        let w = Wishes::default();
+        Connections {
+            threads: w.threads,
+            memory_share: w.memory_share,
+            body_share: w.body_share,
+            workers_share: w.workers,
+            users_share: w.users,
+            watch_share: w.watch,
+            fresh_share: w.fresh,
+            head_s: 8.0,
+            body_s: 10.0,
+            idle_s: 60.0,
+        }
+    }
+}
+
+impl Connections {
+    /// What the connection layer is asked for.
+    pub fn wishes(&self) -> Wishes {
+        Wishes {
+            threads: self.threads,
+            memory_share: self.memory_share,
+            body_share: self.body_share,
+            workers: self.workers_share,
+            users: self.users_share,
+            watch: self.watch_share,
+            fresh: self.fresh_share,
+        }
+    }
+
+    pub(super) fn check(&self, file: &str) -> Result<(), SettingsError> {
+        let all = [
+            ("memory-share", self.memory_share, 0.01, 0.9),
+            ("body-share", self.body_share, 0.01, 0.9),
+            ("workers-share", self.workers_share, 0.0, 1.0),
+            ("users-share", self.users_share, 0.0, 1.0),
+            ("watch-share", self.watch_share, 0.0, 1.0),
+            ("fresh-share", self.fresh_share, 0.0, 1.0),
+            ("head-s", self.head_s, 0.5, 600.0),
+            ("body-s", self.body_s, 0.5, 600.0),
+            ("idle-s", self.idle_s, 1.0, 3600.0),
+        ];
+        for (field, v, low, high) in all {
+            if !(v.is_finite() && (low..=high).contains(&v)) {
+                let field = format!("connections/{field}");
+                return Err(bad(file, &field, &format!("must be {low} to {high}")));
+            }
+        }
+        Ok(())
+    }
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,8 +1,10 @@
 //! Settings: the platform's JSON file and the operators' own XML file.
 
+mod connections;
 mod platform;
 mod tuning;
 
+pub use connections::Connections;
 pub use platform::{Limits, Objective, Params, Platform, Seed, StateLimits, TeamLimit, Workers};
 pub use tuning::Tuning;
 
@@ -29,13 +31,17 @@
 
 impl Settings {
     /// Reads both files; without an XML file the defaults hold.
-    pub fn load(platform: &str, tuning: Option<&str>) -> Result<Settings, SettingsError> {
+    pub fn load(platform: &str, tuning_file: Option<&str>) -> Result<Settings, SettingsError> {
         let platform = Platform::parse(platform, &read(platform)?)?;
-        let tuning = match tuning {
+        let tuning = match tuning_file {
             Some(f) => Tuning::parse(f, &read(f)?)?,
             None => Tuning::default(),
         };
-        Ok(Settings { platform, tuning })
+        let settings = Settings { platform, tuning };
+        // What can't be served is refused now, not when the first caller comes.
+        let file = tuning_file.unwrap_or("connections");
+        crate::api::bounds(&settings).map_err(|e| bad(file, "connections", &e.to_string()))?;
+        Ok(settings)
     }
 }
 
--- a/src/settings/tuning.rs
+++ b/src/settings/tuning.rs
@@ -1,6 +1,6 @@
 //! The operators' own settings, in XML.
 
-use super::{SettingsError, bad};
+use super::{Connections, SettingsError, bad};
 use serde::{Deserialize, Serialize};
 
 /// `<hookworks><delta-factor>0.5</delta-factor>…</hookworks>`; all optional.
@@ -28,6 +28,8 @@
     pub hold_ms: f64,
     /// Room that tasks leave within this share of a boot time is waited for.
     pub wait_share: f64,
+    /// What callers may take of this controller.
+    pub connections: Connections,
 }
 
 impl Default for Tuning {
@@ -43,6 +45,7 @@
             pass_ms: 40.0,
             hold_ms: 300.0,
             wait_share: 0.8,
+            connections: Connections::default(),
         }
     }
 }
@@ -70,6 +73,7 @@
                 return Err(bad(file, field, &format!("must be {low} to {high}")));
             }
         }
+        t.connections.check(file)?;
         Ok(t)
     }
 }
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -43,6 +43,14 @@
     },
 }
 
+/// Follows a ping in its frame. Earlier versions neither send nor read it, and
+/// ignore what stands behind a message.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct PingMore {
+    /// How many workers the sender can hold.
+    pub workers_most: Option<u32>,
+}
+
 impl Answer {
     pub fn new(status: u16, body: String) -> Answer {
         Answer {
