--- a/crates/gate/benches/connections.rs
+++ b/crates/gate/benches/connections.rs
@@ -3,6 +3,8 @@
 //! thread for each connection and no bound. Each server is a process of its own.
 //!
 //!     cargo bench -p hookworks-gate
+//!
+//! `CONNECTIONS=1500` measures that number only.
 
 #[path = "../tests/common/mod.rs"]
 mod common;
@@ -198,7 +200,10 @@
                 "| server | connections tried | answered | told no | failed | stay open | threads | MiB | KiB each | answers a second |"
             );
             println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
-            for n in [100, 1000, 1500, 2500, 4500] {
+            let asked = std::env::var("CONNECTIONS")
+                .ok()
+                .and_then(|n| n.parse().ok());
+            for n in asked.map_or(vec![100, 1000, 1500, 2500, 4500], |n| vec![n]) {
                 for which in ["before", "gate"] {
                     measure(which, n);
                 }
--- a/crates/gate/src/conn.rs
+++ b/crates/gate/src/conn.rs
@@ -13,7 +13,7 @@
 use std::net::{Shutdown, TcpStream};
 use std::time::{Duration, Instant};
 
-/// Read at a time; an idle connection keeps no more for its next request.
+/// Read at a time of a head.
 const CHUNK: usize = 1024;
 /// Read at a time of a body that is longer.
 const LARGE: usize = 16 * 1024;
@@ -76,6 +76,16 @@
     }
 }
 
+/// Bytes read; 0 at the end, whatever the reason.
+fn read(mut from: &TcpStream, into: &mut [u8]) -> usize {
+    loop {
+        match from.read(into) {
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            r => return r.unwrap_or(0),
+        }
+    }
+}
+
 impl<S: Service> Conn<'_, S> {
     /// One request and its answer.
     fn one(&mut self) -> Result<(), End> {
@@ -120,7 +130,9 @@
         if close {
             return Err(End::Said);
         }
-        self.buf.shrink_to(CHUNK);
+        if self.buf.is_empty() {
+            self.buf = vec![];
+        }
         match self.enter(Phase::Idle) {
             None if self.shared.stopping() => Err(End::Close),
             None => Ok(()),
@@ -155,7 +167,7 @@
                 }
             }
             seen = self.buf.len();
-            if !self.fill(CHUNK) {
+            if !self.fill() {
                 let why = self.shared.lanes().told(self.id);
                 return Err(match why {
                     // Between two requests there is nothing to answer.
@@ -166,18 +178,20 @@
         }
     }
 
-    /// Reads some more, up to so many bytes. False: there is no more. Straight
-    /// into the buffer: a chunk on the stack would cost every thread a page.
-    fn fill(&mut self, most: usize) -> bool {
+    /// Reads some more. False: there is no more. By way of the stack, so that
+    /// a connection that waits holds no memory for what may come.
+    fn fill(&mut self) -> bool {
+        let mut chunk = [0; CHUNK];
+        let got = read(self.stream, &mut chunk);
+        self.buf.extend_from_slice(&chunk[..got]);
+        got > 0
+    }
+
+    /// Reads up to so many bytes of a body that is known to come.
+    fn fill_large(&mut self, most: usize) -> bool {
         let at = self.buf.len();
         self.buf.resize(at + most, 0);
-        let mut from = self.stream;
-        let got = loop {
-            match from.read(&mut self.buf[at..]) {
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                r => break r.unwrap_or(0),
-            }
-        };
+        let got = read(self.stream, &mut self.buf[at..]);
         self.buf.truncate(at + got);
         got > 0
     }
@@ -248,7 +262,7 @@
         }
         while self.buf.len() < length {
             let missing = length - self.buf.len();
-            if !self.fill(missing.clamp(CHUNK, LARGE)) {
+            if !self.fill_large(missing.min(LARGE)) {
                 return Err(self.broken_off());
             }
         }
--- a/src/settings/connections.rs
+++ b/src/settings/connections.rs
@@ -83,3 +83,24 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use crate::settings::Tuning;
+
+    #[test]
+    fn operators_set_what_they_name_and_mistakes_name_the_field() {
+        let xml = |inner: &str| {
+            let text = format!("<hookworks><connections>{inner}</connections></hookworks>");
+            Tuning::parse("t.xml", &text)
+        };
+        let t = xml("<threads>300</threads><users-share>0.2</users-share>").unwrap();
+        assert_eq!(
+            (t.connections.threads, t.connections.users_share),
+            (300, 0.2)
+        );
+        assert_eq!(t.connections.workers_share, 0.7);
+        let e = xml("<head-s>0</head-s>").unwrap_err().to_string();
+        assert!(e.contains("connections/head-s"), "{e}");
+    }
+}
