--- a/crates/life/src/ledger.rs
+++ b/crates/life/src/ledger.rs
@@ -42,7 +42,8 @@
 }
 
 /// The same, some times in a row.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "PascalCase")]
 pub struct Entry {
     pub what: What,
     /// The first and the last of them, in milliseconds from the submission.
--- a/src/api.rs
+++ b/src/api.rs
@@ -64,6 +64,9 @@
     Report,
     Poll(String),
     Cancel(String),
+    Hold(String),
+    Release(String),
+    Show(String),
     Overview,
 }
 
@@ -143,13 +146,23 @@
         "/agent/beat" => only(Method::POST).map(|()| (Lane::Workers, Wanted::Report)),
         "/v2/overview" => only(Method::GET).map(|()| (Lane::Watch, Wanted::Overview)),
         _ => {
+            if let Some(id) = path.strip_prefix("/v2/jobs/") {
+                let show = || (Lane::Users, Wanted::Show(id.into()));
+                return only(Method::GET).map(|()| show());
+            }
             let id = path.strip_prefix("/v2/runs/").ok_or_else(none)?;
             match id.split_once('/') {
                 None => only(Method::GET).map(|()| (Lane::Users, Wanted::Poll(id.into()))),
-                Some((id, "abort")) => {
-                    only(Method::POST).map(|()| (Lane::Users, Wanted::Cancel(id.into())))
+                Some((id, what)) => {
+                    let id = id.to_string();
+                    let wanted = match what {
+                        "abort" => Wanted::Cancel(id),
+                        "hold" => Wanted::Hold(id),
+                        "release" => Wanted::Release(id),
+                        _ => return Err(none()),
+                    };
+                    only(Method::POST).map(|()| (Lane::Users, wanted))
                 }
-                Some(_) => Err(none()),
             }
         }
     }
@@ -184,6 +197,9 @@
             Wanted::Report => Ask::Report(body),
             Wanted::Poll(id) => Ask::Poll(id),
             Wanted::Cancel(id) => Ask::Cancel(id),
+            Wanted::Hold(id) => Ask::Hold(id, body),
+            Wanted::Release(id) => Ask::Release(id, body),
+            Wanted::Show(id) => Ask::Show(id),
             Wanted::Overview => {
                 (self.inbox)(Incoming::Overview(reply));
                 return;
--- a/src/node/asks.rs
+++ b/src/node/asks.rs
@@ -98,6 +98,10 @@
         if !self.peers.reachable(&leader) {
             return self.no_leader(now, req, ask);
         }
+        if !self.peers.speaks(&leader, ask.needs()) {
+            let text = "the leader runs an earlier version";
+            return self.answer(now, req, Answer::later(text, 5));
+        }
         self.tell(leader.clone(), msg);
         if let Some(p) = self.pending.get_mut(&req) {
             p.with = Some(leader);
@@ -214,8 +218,8 @@
 /// How long an asker waits, less some for the way back.
 pub(super) fn limit_of(ask: &Ask) -> Span {
     match ask {
-        Ask::Poll(_) => Span::millis(1600),
+        Ask::Poll(_) | Ask::Show(_) => Span::millis(1600),
         Ask::Report(_) => Span::millis(3500),
-        Ask::Submit(_) | Ask::Cancel(_) => Span::millis(4200),
+        Ask::Submit(_) | Ask::Cancel(_) | Ask::Hold(..) | Ask::Release(..) => Span::millis(4200),
     }
 }
--- a/src/node/duties.rs
+++ b/src/node/duties.rs
@@ -52,6 +52,11 @@
                         let r = client.get(&key_of_final(&id)).map_err(|_| ());
                         Msg::Event(epoch, Event::FinalRead(id, r.and_then(final_of)))
                     }
+                    StoreJob::Record(epoch, req, id) => {
+                        let r = client.get(&key_of_final(&id)).map_err(|_| ());
+                        let r = r.map(|i| i.map(|i| i.value));
+                        Msg::Event(epoch, Event::RecordRead(req, id, r))
+                    }
                     StoreJob::Look(req, id) => {
                         let r = client.get(&key_of_final(&id)).map_err(|_| ());
                         Msg::Look(req, id, r.and_then(final_of))
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -75,6 +75,8 @@
     Txn(Epoch, TxnId, Txn),
     ReadBack(Epoch, String),
     Final(Epoch, JobId),
+    /// The whole record of a finished job, for whoever asks.
+    Record(Epoch, ReqId, JobId),
     Look(ReqId, JobId),
 }
 
@@ -350,6 +352,9 @@
                 Effect::ReadFinal(id) => {
                     let _ = self.store.send(StoreJob::Final(epoch, id));
                 }
+                Effect::ReadRecord(req, id) => {
+                    let _ = self.store.send(StoreJob::Record(epoch, req, id));
+                }
                 Effect::Orders {
                     call,
                     host,
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -5,7 +5,7 @@
 use crate::ids::{Epoch, Label};
 use crate::settings::Seed;
 use crate::time::{Clock, Span, Time};
-use crate::wire::peer::{PeerMsg, PingMore};
+use crate::wire::peer::{PeerMsg, PingMore, SPEAKS};
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
 use std::collections::HashMap;
 use std::io::{BufReader, Read, Write};
@@ -39,8 +39,8 @@
     hears: Vec<String>,
     leader: Option<(Label, Epoch)>,
     workers: u32,
-    /// How many it can hold, if it says so.
-    most: Option<u32>,
+    /// What it says besides; of an earlier version nothing.
+    more: PingMore,
 }
 
 /// How many workers report to a controller, and how many it can hold.
@@ -128,6 +128,7 @@
     fn more(&self) -> PingMore {
         PingMore {
             workers_most: Some(self.most),
+            speaks: SPEAKS,
         }
     }
 
@@ -145,7 +146,7 @@
             heard.get(&l).map(|h| Load {
                 label: l,
                 workers: h.workers,
-                most: h.most,
+                most: h.more.workers_most,
             })
         };
         near.into_iter().filter_map(load).collect()
@@ -207,6 +208,11 @@
         self.links.keys().find(via).cloned()
     }
 
+    /// Whether that controller understands what needs this.
+    pub fn speaks(&self, to: &Label, needs: u32) -> bool {
+        needs == 0 || self.heard().get(to).is_some_and(|h| h.more.speaks >= needs)
+    }
+
     pub fn reachable(&self, to: &Label) -> bool {
         self.route(to).is_some()
     }
@@ -314,7 +320,7 @@
                         hears,
                         leader,
                         workers,
-                        most: more.workers_most,
+                        more,
                     };
                     self.heard().insert(from.as_str().into(), heard);
                     continue;
@@ -390,6 +396,7 @@
     fn pings_are_understood_between_versions() {
         let more = PingMore {
             workers_most: Some(7),
+            speaks: 1,
         };
         let mut new = vec![];
         frame(&ping(), more, &mut new).unwrap();
--- a/src/sched/fleet.rs
+++ b/src/sched/fleet.rs
@@ -11,6 +11,7 @@
 use crate::wire::cloud::{Hire, Listed};
 use crate::wire::user::Kind;
 use crate::wire::worker::Orders;
+use hookworks_life::Failure;
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 type Flavoured = (Build, Zone, bool);
@@ -251,7 +252,7 @@
             tracing::info!(%host, tasks = tasks.len(), "lease has run out, tasks restart");
         }
         for t in tasks {
-            self.gone(now, &t);
+            self.gone_by(now, &t, Some(Failure::Lost), false);
         }
     }
 
@@ -316,6 +317,7 @@
         if m.fails >= FAILS && blamed && !m.quarantined {
             tracing::info!(%host, fails = m.fails, "quarantined");
             m.quarantined = true;
+            self.forgive(host);
         }
     }
 
@@ -390,7 +392,7 @@
             }
             let tasks: Vec<TaskId> = m.slots.keys().cloned().collect();
             for t in tasks {
-                self.gone(now, &t);
+                self.gone_by(now, &t, Some(Failure::Lost), false);
             }
             self.machines.remove(&h);
             self.fleet.gone.insert(h);
--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -5,6 +5,7 @@
 use crate::ids::{Attempt, Host, JobId, ReqId, Seq, TaskIx};
 use crate::time::{Time, Wall};
 use crate::wire::user::{JobSpec, JobState, Kind};
+use hookworks_life::{At, Attempts, History, Holds};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -53,13 +54,19 @@
     pub stored: u64,
     /// It waits to be written, for this purpose.
     pub queued: Option<Purpose>,
+    /// Fields of a later version, which are not to be lost.
+    rest: Rest,
 }
 
+type Rest = serde_json::Map<String, serde_json::Value>;
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Waiting {
     Accept,
     Known,
     Cancel,
+    /// A hold, or a release.
+    Hold(bool),
 }
 
 #[derive(Clone, Debug)]
@@ -90,8 +97,25 @@
     /// All tasks of the gang's attempt were running at some time.
     pub gang_ran: bool,
     pub waiters: Vec<(u64, ReqId, Waiting)>,
+    pub holds: Holds,
+    /// Version of the first part with the latest release; nothing starts
+    /// before that is stored.
+    pub release_ver: u64,
+    /// Failures that count.
+    pub attempts: Attempts,
+    pub history: History,
+    pub ended: Option<Wall>,
+    /// Fields of a later version, which are not to be lost.
+    rest: Rest,
 }
 
+/// Bytes that a started task takes in a record, and one hold.
+const PER_TASK: f64 = 42.0;
+const HOLD: usize = 320;
+/// Bytes for a job's history: what it has at least, and at the most.
+const LEAST_HISTORY: usize = 130;
+const MOST_HISTORY: usize = 700;
+
 /// Enough finished tasks for a median that later ones hardly move.
 const RUNTIMES_KEPT: usize = 15;
 
@@ -106,6 +130,13 @@
     #[serde(default)]
     runtimes: Vec<f64>,
     first: PartRecord,
+    #[serde(default, skip_serializing_if = "Holds::is_empty")]
+    holds: Holds,
+    /// Of a record from before there were histories there is none.
+    #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
+    history: Option<serde_json::Value>,
+    #[serde(flatten)]
+    rest: Rest,
 }
 
 #[derive(Default, Serialize, Deserialize)]
@@ -115,6 +146,11 @@
     done: String,
     #[serde(rename = "a", default)]
     live: Vec<(u32, u64, Host, u64)>,
+    /// Failures that count, a hex digit for each task.
+    #[serde(rename = "e", default, skip_serializing_if = "String::is_empty")]
+    failures: String,
+    #[serde(flatten)]
+    rest: Rest,
 }
 
 /// The final state of a job, kept for ever.
@@ -150,6 +186,12 @@
             error_hosts: BTreeSet::new(),
             gang_ran: false,
             waiters: vec![],
+            holds: Holds::default(),
+            release_ver: 0,
+            attempts: Attempts::default(),
+            history: History::new(At(wall.0)),
+            ended: None,
+            rest: Rest::default(),
         }
     }
 
@@ -187,7 +229,7 @@
 
     /// Tasks that neither run nor are done.
     pub fn pending(&self) -> u32 {
-        if self.cancelled || self.closing.is_some() {
+        if self.cancelled || self.closing.is_some() || self.held() {
             return 0;
         }
         if self.spec.kind == Kind::Gang && self.done_count > 0 {
@@ -232,9 +274,14 @@
         p.stored >= p.ver
     }
 
-    fn part_record(&self, part: usize) -> PartRecord {
+    /// The tasks of a part.
+    pub fn part_range(&self, part: usize) -> (u32, u32) {
         let from = part as u32 * self.part_size;
-        let to = (from + self.part_size).min(self.spec.tasks);
+        (from, (from + self.part_size).min(self.spec.tasks))
+    }
+
+    fn part_record(&self, part: usize) -> PartRecord {
+        let (from, to) = self.part_range(part);
         let words = &self.done[from as usize / 64..to.div_ceil(64) as usize];
         let done = if words.iter().all(|w| *w == 0) {
             String::new()
@@ -247,6 +294,8 @@
             live: live
                 .map(|(t, l)| (t.0, l.attempt.0, l.host.clone(), l.placed_wall.0))
                 .collect(),
+            failures: self.attempts.encode(from, to),
+            rest: self.parts[part].rest.clone(),
         }
     }
 
@@ -282,6 +331,8 @@
             };
             self.live.insert(TaskIx(t), live);
         }
+        self.attempts.decode(from, self.spec.tasks, &r.failures)?;
+        self.parts[part].rest = r.rest;
         Some(())
     }
 
@@ -289,6 +340,11 @@
     pub fn encode(&self, part: usize) -> serde_json::Value {
         let record = self.part_record(part);
         let value = if part == 0 {
+            // What the tasks leave of the room that their number was made for.
+            let used = PER_TASK as usize * record.live.len() + record.done.len();
+            let used = used + record.failures.len() + HOLD * self.holds.iter().count();
+            let room = (PER_TASK as usize * self.part_size as usize).saturating_sub(used);
+            let history = self.history.encode(room.clamp(LEAST_HISTORY, MOST_HISTORY));
             serde_json::to_value(Header {
                 spec: self.spec.clone(),
                 at: self.submitted.0,
@@ -297,6 +353,9 @@
                 part_size: self.part_size,
                 runtimes: self.runtimes.clone(),
                 first: record,
+                holds: self.holds.clone(),
+                history: Some(history),
+                rest: self.rest.clone(),
             })
         } else {
             serde_json::to_value(record)
@@ -315,6 +374,10 @@
         job.cancelled = h.cancelled;
         job.median = super::estimate::median(&h.runtimes);
         job.runtimes = h.runtimes;
+        job.holds = h.holds;
+        let history = h.history.and_then(|v| History::decode(At(h.at), &v));
+        job.history = history.unwrap_or_else(|| History::new(At(h.at)));
+        job.rest = h.rest;
         job.take_part(0, h.first, now, wall)?;
         Some(job)
     }
@@ -345,7 +408,6 @@
 /// How many tasks share a record, so that a full one stays under the limit.
 pub fn part_size(value_kb: f64) -> u32 {
     const HEADER: f64 = 1100.0;
-    const PER_TASK: f64 = 42.0;
     let n = ((value_kb * 1024.0 - HEADER) / PER_TASK).max(64.0) as u32;
     (n / 64 * 64).clamp(64, 512)
 }
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod gang;
 pub mod job;
+mod life;
 pub mod machine;
 mod order;
 mod overview;
@@ -29,6 +30,7 @@
 use crate::wire::cloud::{Flavor, Hire, Listed};
 use crate::wire::peer::{Answer, Ask};
 use crate::wire::worker::{Orders, Report};
+use hookworks_life::RetryRule;
 use job::{Final, Job};
 use machine::{Life, Machine, Slot};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -49,6 +51,8 @@
     AlreadyFinal(JobId, Final),
     /// A consistent read of a final state came back, or failed.
     FinalRead(JobId, Result<Option<Final>, ()>),
+    /// The same for the whole record, which somebody wants to see.
+    RecordRead(ReqId, JobId, Result<Option<serde_json::Value>, ()>),
     Direct(CallId, Host, DirectResult),
     Flavors(Vec<Flavor>),
     Listed(Vec<Listed>),
@@ -88,6 +92,7 @@
 pub enum Effect {
     Answer(ReqId, Answer),
     ReadFinal(JobId),
+    ReadRecord(ReqId, JobId),
     Orders {
         call: CallId,
         host: Host,
@@ -142,11 +147,14 @@
     teams: team::Teams,
     /// Classes that want to start sooner than a machine can be rented.
     quick: BTreeSet<Class>,
+    /// How often tasks of a class may fail.
+    rules: BTreeMap<Class, RetryRule>,
     arrivals: spare::Arrivals,
     fleet: fleet::Fleet,
     finals: HashMap<JobId, Final>,
     finals_order: VecDeque<JobId>,
     reads: HashMap<JobId, Vec<(ReqId, Ask)>>,
+    record_reads: usize,
     counter: u64,
     next_seq: u64,
     next_call: u64,
@@ -186,6 +194,8 @@
         Sched {
             teams: team::Teams::new(&cfg.teams),
             quick: BTreeSet::new(),
+            rules: cfg.tuning.rules(),
+            record_reads: 0,
             arrivals: Default::default(),
             fleet: fleet::Fleet::new(epoch),
             cfg,
@@ -234,6 +244,7 @@
             Event::NotStored(job) => self.not_stored(&job),
             Event::AlreadyFinal(job, f) => self.already_final(now, job, f),
             Event::FinalRead(job, r) => self.final_read(now, job, r),
+            Event::RecordRead(req, job, r) => self.record_read(now, req, job, r),
             Event::Direct(call, host, r) => self.direct_result(now, call, host, r),
             Event::Flavors(f) => self.take_flavors(f),
             Event::Listed(l) => self.listed(now, l),
--- a/src/sched/records.rs
+++ b/src/sched/records.rs
@@ -162,6 +162,7 @@
         } else {
             return;
         }
+        j.ended = Some(self.wall);
         j.touch(0, &mut self.dirty, Purpose::End);
     }
 
--- a/src/sched/report.rs
+++ b/src/sched/report.rs
@@ -9,6 +9,7 @@
 use crate::wire::peer::Answer;
 use crate::wire::user::Kind;
 use crate::wire::worker::{Cause, Order, Report, ReportAnswer, TaskReport, TaskState};
+use hookworks_life::{Failure, What};
 use std::collections::BTreeSet;
 
 /// Reports whose answers wait at a time.
@@ -197,7 +198,7 @@
             let sent = self.live_mut(&t).is_some_and(|l| l.sent);
             if sent {
                 tracing::debug!(%host, task = %t, "gone with its worker's session");
-                self.gone(now, &t);
+                self.gone_by(now, &t, Some(Failure::Lost), false);
             }
         }
     }
@@ -252,6 +253,9 @@
             let after_s = (now - l.placed).as_secs();
             let waited_s = (now - job.arrived).as_secs();
             tracing::debug!(task = %r.task, class = %job.spec.class, %host, after_s, waited_s, %image, gb, "running");
+            if !l.inherited {
+                job.history.note(What::Started, self.wall.into());
+            }
             if let Some(m) = self.machines.get_mut(host)
                 && let Some(s) = m.slots.get_mut(&r.task)
             {
@@ -273,7 +277,7 @@
             }
             Some(Cause::Error) => {
                 self.failed(now, host, t);
-                self.gone(now, t);
+                self.gone_by(now, t, Some(Failure::Error), false);
             }
             Some(Cause::NoRoom | Cause::InUse) => {
                 tracing::info!(%host, task = %t, cause = ?r.cause, "start refused");
@@ -296,7 +300,8 @@
                 }
                 self.gone(now, t);
             }
-            Some(Cause::Stopped | Cause::Alone) => self.gone(now, t),
+            Some(Cause::Stopped) => self.gone_by(now, t, Some(Failure::Stopped), r.kept),
+            Some(Cause::Alone) => self.gone_by(now, t, None, false),
         }
     }
 
@@ -305,7 +310,13 @@
         let Some(j) = self.jobs.get_mut(&t.job) else {
             return;
         };
-        let inherited = j.live.remove(&t.ix).is_some_and(|l| l.inherited);
+        let live = j.live.remove(&t.ix);
+        let inherited = live.as_ref().is_some_and(|l| l.inherited);
+        if let Some(l) = &live {
+            j.account(now, l, true, false);
+            j.history.note(What::Done, self.wall.into());
+        }
+        j.attempts.done(t.ix.0);
         j.set_done(t.ix);
         j.errors = 0;
         if let Some(s) = since.filter(|_| !inherited) {
@@ -354,13 +365,29 @@
         self.replan = true;
     }
 
-    /// The attempt is proven gone without being done.
+    /// The attempt is proven gone, and nobody is to blame.
     pub(super) fn gone(&mut self, now: Time, t: &TaskId) {
+        self.gone_by(now, t, None, false);
+    }
+
+    /// The attempt is proven gone without being done; `kept`: what it had
+    /// worked out was saved.
+    pub(super) fn gone_by(&mut self, now: Time, t: &TaskId, why: Option<Failure>, kept: bool) {
         self.release_slot(now, t);
         let Some(j) = self.jobs.get_mut(&t.job) else {
             return;
         };
-        if j.live.remove(&t.ix).is_some() {
+        let live = j.live.remove(&t.ix);
+        if let Some(l) = &live {
+            j.account(now, l, false, kept);
+        }
+        if let (Some(l), Some(why)) = (&live, why) {
+            self.note_failure(now, t, l, why);
+        }
+        let Some(j) = self.jobs.get_mut(&t.job) else {
+            return;
+        };
+        if live.is_some() {
             if j.spec.kind == Kind::Gang && j.done_count > 0 {
                 // A gang completes together: this one's word was lost.
                 j.set_done(t.ix);
--- a/src/sched/users.rs
+++ b/src/sched/users.rs
@@ -16,7 +16,7 @@
 /// Reads of old final states under way at a time.
 const MAX_READS: usize = 64;
 
-fn view(id: &JobId, state: JobState, done: u32, running: u32) -> String {
+pub(super) fn view(id: &JobId, state: JobState, done: u32, running: u32) -> String {
     let v = JobView {
         id: id.clone(),
         state,
@@ -45,10 +45,13 @@
             },
             Ask::Poll(id) => self.poll(now, req, id.as_str().into()),
             Ask::Cancel(id) => self.cancel(now, req, id.as_str().into()),
+            Ask::Hold(id, body) => self.hold(now, req, id.as_str().into(), body),
+            Ask::Release(id, body) => self.release(now, req, id.as_str().into(), body),
+            Ask::Show(id) => self.show(now, req, id.as_str().into()),
         }
     }
 
-    fn no_proof(&mut self, req: ReqId) {
+    pub(super) fn no_proof(&mut self, req: ReqId) {
         let text = "leadership is not proven at the moment";
         self.answer(req, Answer::later(text, 1));
     }
@@ -245,7 +248,7 @@
         }
     }
 
-    fn look_up(&mut self, req: ReqId, id: JobId, ask: Ask) {
+    pub(super) fn look_up(&mut self, req: ReqId, id: JobId, ask: Ask) {
         // No job of another form can ever have been accepted.
         if !JobId::well_formed(id.as_str()) {
             return self.answer(req, Answer::error(404, "no such job"));
@@ -268,6 +271,9 @@
         for (req, ask) in asked {
             let a = match (&r, &ask) {
                 (Err(()), _) => Answer::later("the state service does not answer", 1),
+                (Ok(Some(f)), Ask::Hold(..) | Ask::Release(..)) => {
+                    Answer::new(409, view(&id, f.state, f.done, 0))
+                }
                 (Ok(Some(f)), _) => final_answer(&id, *f),
                 (Ok(None), _) if !self.may_start(now) => {
                     self.no_proof(req);
@@ -295,6 +301,11 @@
                 Waiting::Accept => (201, JobState::Queued),
                 Waiting::Known => (200, JobState::Queued),
                 Waiting::Cancel => (200, JobState::Cancelled),
+                Waiting::Hold(held) => {
+                    let a = self.hold_answer(id, held);
+                    self.answer(req, a);
+                    continue;
+                }
             };
             let stored = |j: &Job| j.cancelled && j.parts[0].stored >= j.cancel_ver;
             let cancelled = self.jobs.get(id).is_some_and(stored);
@@ -313,8 +324,12 @@
         waiters: Vec<(u64, ReqId, Waiting)>,
         f: Final,
     ) {
-        for (_, req, _) in waiters {
-            self.answer(req, final_answer(id, f));
+        for (_, req, what) in waiters {
+            let mut a = final_answer(id, f);
+            if matches!(what, Waiting::Hold(_)) {
+                a.status = 409;
+            }
+            self.answer(req, a);
         }
     }
 }
--- /dev/null
+++ b/src/settings/classes.rs
@@ -0,0 +1,150 @@
+//! What operators allow each class of jobs.
+
+use super::{SettingsError, bad};
+use crate::ids::Class;
+use hookworks_life::{Causes, Failure, RetryRule};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Counts are stored as one digit each.
+const MOST_ATTEMPTS: u8 = 15;
+
+/// `<classes><class name="…"><attempts>3</attempts>…</class></classes>`.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default)]
+pub struct Classes {
+    #[serde(rename = "class")]
+    list: Vec<ClassRule>,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+struct ClassRule {
+    #[serde(rename = "@name")]
+    name: Class,
+    /// Most attempts of a task that may fail; 0: no limit.
+    #[serde(default)]
+    attempts: u8,
+    /// Which failures count, by their names with spaces between.
+    #[serde(default)]
+    counts: Option<String>,
+    /// A job waits so long after its first failure, then twice as long each.
+    #[serde(default)]
+    backoff_s: f64,
+    #[serde(default)]
+    backoff_most_s: Option<f64>,
+}
+
+fn cause(name: &str) -> Option<Failure> {
+    let all = [
+        ("error", Failure::Error),
+        ("timed-out", Failure::TimedOut),
+        ("lost", Failure::Lost),
+        ("stopped", Failure::Stopped),
+    ];
+    all.iter().find(|(n, _)| *n == name).map(|(_, f)| *f)
+}
+
+impl ClassRule {
+    fn causes(&self) -> Result<Causes, String> {
+        let Some(text) = &self.counts else {
+            return Ok(Causes::default());
+        };
+        let mut c = Causes {
+            error: false,
+            timed_out: false,
+            lost: false,
+            stopped: false,
+        };
+        for name in text.split_whitespace() {
+            match cause(name) {
+                Some(Failure::Error) => c.error = true,
+                Some(Failure::TimedOut) => c.timed_out = true,
+                Some(Failure::Lost) => c.lost = true,
+                Some(Failure::Stopped) => c.stopped = true,
+                None => return Err(format!("{name}: not error, timed-out, lost or stopped")),
+            }
+        }
+        Ok(c)
+    }
+}
+
+impl Classes {
+    pub(super) fn rules(&self) -> BTreeMap<Class, RetryRule> {
+        let rule = |c: &ClassRule| RetryRule {
+            most: c.attempts,
+            counts: c.causes().unwrap_or_default(),
+            backoff: Duration::from_secs_f64(c.backoff_s),
+            backoff_most: Duration::from_secs_f64(c.backoff_most_s.unwrap_or(60.0)),
+        };
+        self.list
+            .iter()
+            .map(|c| (c.name.clone(), rule(c)))
+            .collect()
+    }
+
+    pub(super) fn check(&self, file: &str) -> Result<(), SettingsError> {
+        for (n, c) in self.list.iter().enumerate() {
+            let wrong = |field: &str, why: &str| {
+                Err(bad(file, &format!("classes/{}/{field}", c.name), why))
+            };
+            if self.list[..n].iter().any(|o| o.name == c.name) {
+                return wrong("name", "stands there twice");
+            }
+            if c.attempts > MOST_ATTEMPTS {
+                return wrong("attempts", &format!("must be 0 to {MOST_ATTEMPTS}"));
+            }
+            if let Err(e) = c.causes() {
+                return wrong("counts", &e);
+            }
+            for (field, v) in [
+                ("backoff-s", c.backoff_s),
+                ("backoff-most-s", c.backoff_most_s.unwrap_or(60.0)),
+            ] {
+                if !(v.is_finite() && (0.0..=86_400.0).contains(&v)) {
+                    return wrong(field, "must be 0 to 86400");
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use crate::settings::Tuning;
+
+    #[test]
+    fn classes_have_rules_of_their_own_and_mistakes_are_named() {
+        let parse = |inner: &str| {
+            let text = format!("<hookworks><classes>{inner}</classes></hookworks>");
+            Tuning::parse("t.xml", &text)
+        };
+        let t = parse(
+            "<class name='a'><attempts>3</attempts><counts>error lost</counts></class><class name='b'><backoff-s>2</backoff-s></class>",
+        );
+        let rules = t.unwrap().rules();
+        let a = &rules[&"a".into()];
+        assert_eq!(
+            (a.most, a.counts.lost, a.counts.timed_out),
+            (3, true, false)
+        );
+        assert_eq!(rules[&"b".into()].most, 0);
+        for (inner, field) in [
+            (
+                "<class name='a'><attempts>16</attempts></class>",
+                "classes/a/attempts",
+            ),
+            ("<class name='a'><counts>eror</counts></class>", "eror"),
+            ("<class name='a'/><class name='a'/>", "twice"),
+            (
+                "<class name='a'><backoff-s>-1</backoff-s></class>",
+                "backoff-s",
+            ),
+        ] {
+            let e = parse(inner).unwrap_err().to_string();
+            assert!(e.contains(field), "{e}");
+        }
+    }
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,9 +1,11 @@
 //! Settings: the platform's JSON file and the operators' own XML file.
 
+mod classes;
 mod connections;
 mod platform;
 mod tuning;
 
+pub use classes::Classes;
 pub use connections::Connections;
 pub use platform::{Limits, Objective, Params, Platform, Seed, StateLimits, TeamLimit, Workers};
 pub use tuning::Tuning;
--- a/src/settings/tuning.rs
+++ b/src/settings/tuning.rs
@@ -1,7 +1,10 @@
 //! The operators' own settings, in XML.
 
-use super::{Connections, SettingsError, bad};
+use super::{Classes, Connections, SettingsError, bad};
+use crate::ids::Class;
+use hookworks_life::RetryRule;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 
 /// `<hookworks><delta-factor>0.5</delta-factor>…</hookworks>`; all optional.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -30,6 +33,8 @@
     pub wait_share: f64,
     /// What callers may take of this controller.
     pub connections: Connections,
+    /// What classes of jobs may do.
+    pub classes: Classes,
 }
 
 impl Default for Tuning {
@@ -46,11 +51,17 @@
             hold_ms: 300.0,
             wait_share: 0.8,
             connections: Connections::default(),
+            classes: Classes::default(),
         }
     }
 }
 
 impl Tuning {
+    /// How often tasks may fail, by class.
+    pub fn rules(&self) -> BTreeMap<Class, RetryRule> {
+        self.classes.rules()
+    }
+
     pub fn parse(file: &str, text: &str) -> Result<Tuning, SettingsError> {
         let t: Tuning = quick_xml::de::from_str(text).map_err(|e| SettingsError::Read {
             file: file.into(),
@@ -74,6 +85,7 @@
             }
         }
         t.connections.check(file)?;
+        t.classes.check(file)?;
         Ok(t)
     }
 }
--- a/src/store/commit.rs
+++ b/src/store/commit.rs
@@ -128,7 +128,7 @@
         let what = if j.closing.is_some() {
             let key = final_key(job);
             let f = sched.final_of(job)?;
-            changes.push(put(&key, serde_json::to_value(f).ok()?));
+            changes.push(put(&key, j.final_record(f)));
             keys.push((key, true));
             let known = (0..j.parts.len()).map(|p| part_key(job, p));
             let most = self.limits.txn_ops - 1;
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -9,6 +9,23 @@
     Poll(String),
     Cancel(String),
     Report(Vec<u8>),
+    /// Understood by those that speak 1; so are all that follow.
+    Hold(String, Vec<u8>),
+    Release(String, Vec<u8>),
+    Show(String),
+}
+
+/// What this version understands.
+pub const SPEAKS: u32 = 1;
+
+impl Ask {
+    /// What a controller must speak to understand this.
+    pub fn needs(&self) -> u32 {
+        match self {
+            Ask::Submit(_) | Ask::Poll(_) | Ask::Cancel(_) | Ask::Report(_) => 0,
+            Ask::Hold(..) | Ask::Release(..) | Ask::Show(_) => 1,
+        }
+    }
 }
 
 /// A finished answer, ready to be written to the asker.
@@ -49,6 +66,8 @@
 pub struct PingMore {
     /// How many workers the sender can hold.
     pub workers_most: Option<u32>,
+    /// What it understands, see [`SPEAKS`].
+    pub speaks: u32,
 }
 
 impl Answer {
--- a/src/wire/user.rs
+++ b/src/wire/user.rs
@@ -1,7 +1,9 @@
 //! Talk with users.
 
 use crate::ids::{Build, Class, Image, JobId, Team, Zone};
+use hookworks_life::{Entry, Hold, What};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 
 /// Most tasks a job may have.
 pub const MAX_TASKS: u32 = 100_000;
@@ -94,6 +96,62 @@
     pub running: u32,
 }
 
+/// The answer to a hold or a release that is stored.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct HoldView {
+    #[serde(flatten)]
+    pub job: JobView,
+    #[serde(rename = "Held")]
+    pub held: bool,
+}
+
+/// Run time times what a task takes of its machine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct TaskSeconds {
+    #[serde(rename = "CpuS")]
+    pub cpu: f64,
+    #[serde(rename = "AcceleratorS")]
+    pub accelerator: f64,
+    #[serde(rename = "MemoryGbS")]
+    pub memory_gb: f64,
+}
+
+/// A job whole, for operators and consoles. Times of day in milliseconds since
+/// 1970; of a job from before there were histories only the state is known.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct JobDetail {
+    #[serde(flatten)]
+    pub job: JobView,
+    #[serde(rename = "Class")]
+    pub class: Class,
+    #[serde(rename = "Team")]
+    pub team: Team,
+    #[serde(rename = "Tasks")]
+    pub tasks: u32,
+    #[serde(rename = "SubmittedMs")]
+    pub submitted_ms: u64,
+    #[serde(
+        rename = "FirstStartMs",
+        default,
+        skip_serializing_if = "Option::is_none"
+    )]
+    pub first_start_ms: Option<u64>,
+    #[serde(rename = "EndedMs", default, skip_serializing_if = "Option::is_none")]
+    pub ended_ms: Option<u64>,
+    #[serde(rename = "DueMs", default, skip_serializing_if = "Option::is_none")]
+    pub due_ms: Option<u64>,
+    #[serde(rename = "Holds", default, skip_serializing_if = "Vec::is_empty")]
+    pub held: Vec<Hold>,
+    #[serde(rename = "Counts", default)]
+    pub counts: BTreeMap<What, u32>,
+    #[serde(rename = "Useful", default)]
+    pub useful: TaskSeconds,
+    #[serde(rename = "Lost", default)]
+    pub lost: TaskSeconds,
+    #[serde(rename = "History", default)]
+    pub history: Vec<Entry>,
+}
+
 impl JobSpec {
     /// Reads a submission; the error names the field that is wrong.
     pub fn parse(body: &[u8]) -> Result<JobSpec, String> {
--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -53,6 +53,9 @@
             let at = k as f64 * 5.0 + w.rng.random_range(0.0..2.0);
             w.at(at, Ev::User(Ask::Poll(id.to_string())));
         }
+        if w.rng.random_bool(0.4) {
+            hold_and_release(&mut w, id);
+        }
         if w.rng.random_bool(0.25) {
             let at = w.rng.random_range(60.0..200.0);
             w.at(at, Ev::User(Ask::Cancel(id.to_string())));
@@ -104,9 +107,35 @@
     w
 }
 
+/// Held by one or two, by way of whoever leads, and released again, at times
+/// that may cross; the job is looked at meanwhile.
+fn hold_and_release(w: &mut World, id: &hookworks::ids::JobId) {
+    for kind in ["user", "operator"] {
+        if w.rng.random_bool(0.4) {
+            continue;
+        }
+        let at = w.rng.random_range(1.0..150.0);
+        let long = w.rng.random_range(0.0..40.0);
+        let stop = w.rng.random_bool(0.3);
+        let hold = serde_json::json!({"By": "a", "Kind": kind, "Why": "b", "Stop": stop});
+        let release = serde_json::json!({"By": "a", "Kind": kind});
+        w.at(
+            at,
+            Ev::User(Ask::Hold(id.to_string(), hold.to_string().into())),
+        );
+        // Users try again until they are heard, also after the storm.
+        for k in 0..30 {
+            let body = release.to_string().into();
+            let at = at + long + 10.0 * k as f64;
+            w.at(at, Ev::User(Ask::Release(id.to_string(), body)));
+        }
+        w.at(at + 3.0, Ev::User(Ask::Show(id.to_string())));
+    }
+}
+
 #[test]
 fn rules_hold_in_many_random_histories() {
-    let mut gangs = 0;
+    let (mut gangs, mut holds) = (0, 0);
     for seed in 0..40 {
         let mut w = history(seed);
         assert!(
@@ -121,6 +150,8 @@
         assert!(left.is_empty(), "seed {seed}: never finished {left:?}");
         w.run(1.0);
         gangs += w.gangs_begun;
+        holds += w.holds_told;
     }
+    assert!(holds > 50, "hardly any hold was told: {holds}");
     assert!(gangs > 40, "hardly any gang began: {gangs}");
 }
--- /dev/null
+++ b/tests/life.rs
@@ -0,0 +1,497 @@
+//! Holds, limits of retries and histories: stored first, and intact after a
+//! take-over.
+
+mod world;
+
+use hookworks::ids::*;
+use hookworks::sched::job::Job;
+use hookworks::sched::{DirectResult, Event};
+use hookworks::time::{Span, Time, Wall};
+use hookworks::wire::peer::Ask;
+use hookworks::wire::user::{JobDetail, JobState, Kind};
+use hookworks::wire::worker::*;
+use hookworks_life::{Hold, HoldKind, What};
+use serde_json::{Value, json};
+use world::desk::{Desk, ended, report, task};
+use world::job;
+
+const JOB: &str = "job-000001";
+
+fn hold(d: &mut Desk, body: Value) -> ReqId {
+    d.ask(Ask::Hold(JOB.into(), body.to_string().into_bytes()))
+}
+
+fn release(d: &mut Desk, body: Value) -> ReqId {
+    d.ask(Ask::Release(JOB.into(), body.to_string().into_bytes()))
+}
+
+fn show(d: &mut Desk) -> JobDetail {
+    let req = d.ask(Ask::Show(JOB.into()));
+    serde_json::from_str(&d.answer(req).unwrap().body).unwrap()
+}
+
+fn held(d: &Desk) -> bool {
+    d.s.jobs[&JobId::from(JOB)].held()
+}
+
+/// The job as a new leader would find it.
+fn stored(d: &Desk) -> Job {
+    let v = d.s.jobs[&JobId::from(JOB)].encode(0);
+    let mut j = Job::decode(&v, Time(d.now), Wall(d.now / 1000)).unwrap();
+    for p in &mut j.parts {
+        (p.ver, p.stored) = (1, 1);
+    }
+    j
+}
+
+/// Whether anything of the job is told to run.
+fn runs(orders: &[Order]) -> bool {
+    orders.iter().any(|o| matches!(o, Order::Run { .. }))
+}
+
+/// A limit of three attempts, and a second's pause after the first failure.
+fn limited(epoch: u64, jobs: Vec<Job>) -> Desk {
+    let xml = "<hookworks><classes><class name='work'><attempts>3</attempts>\
+               <backoff-s>1</backoff-s></class></classes></hookworks>";
+    Desk::set_up(epoch, jobs, |cfg| {
+        cfg.tuning = hookworks::settings::Tuning::parse("t", xml).unwrap();
+    })
+}
+
+/// Two machines up that take commands by their reports only.
+fn machines(d: &mut Desk) {
+    for n in [1, 2] {
+        d.beat(&Report {
+            addr: None,
+            ..report(n, 1, Token(0))
+        });
+    }
+}
+
+/// The task fails wherever it is; answers where that was.
+fn fail_once(d: &mut Desk, seq: u64) -> Option<Host> {
+    let j = d.s.jobs.get(&JobId::from(JOB))?;
+    let l = j.live.get(&TaskIx(0))?;
+    let (host, attempt) = (l.host.clone(), l.attempt);
+    let n = if host.as_str().ends_with('1') { 1 } else { 2 };
+    let mut r = report(n, seq, Token(5 << 24));
+    d.beat(&r);
+    r.seq = Seq(seq + 1);
+    r.tasks = vec![ended(JOB, 0, attempt, Cause::Error)];
+    d.beat(&r);
+    Some(host)
+}
+
+#[test]
+fn a_hold_is_told_only_once_stored_and_outlives_its_leader() {
+    let mut d = Desk::new(5);
+    d.submit(&job(1, 2));
+    d.stores = false;
+    let asked = hold(&mut d, json!({"By": "ann", "Why": "wrong table"}));
+    assert_eq!(d.status(asked), None, "told before it was stored");
+    d.event(Event::NotStored(JOB.into()));
+    assert_eq!(d.status(asked), Some(503));
+    let again = hold(&mut d, json!({"By": "ann"}));
+    assert_eq!(d.status(again), None, "told by what is to be stored yet");
+    d.store();
+    assert_eq!(d.status(again), Some(200));
+    // One that stands already is told at once.
+    let again = hold(&mut d, json!({"By": "ann"}));
+    assert_eq!(d.status(again), Some(200));
+    let mut next = Desk::with(6, vec![stored(&d)]);
+    machines(&mut next);
+    next.wait(5.0);
+    assert_eq!(next.attempt(JOB, 0), None, "a held job was started");
+    let seen = show(&mut next);
+    assert_eq!(
+        (seen.held[0].by.as_str(), seen.held[0].why.as_str()),
+        ("ann", "wrong table")
+    );
+    assert_eq!(seen.job.state, JobState::Queued);
+}
+
+#[test]
+fn what_runs_goes_on_and_what_has_not_begun_is_called_back() {
+    let mut d = Desk::new(5);
+    machines(&mut d);
+    d.submit(&job(1, 2));
+    let (a, b) = (d.attempt(JOB, 0).unwrap(), d.attempt(JOB, 1).unwrap());
+    let host = |d: &Desk, t| d.s.jobs[&JobId::from(JOB)].live[&TaskIx(t)].host.clone();
+    assert_eq!(host(&d, 0), host(&d, 1), "a machine of their own each");
+    let n = if host(&d, 0).as_str().ends_with('1') {
+        1
+    } else {
+        2
+    };
+    let mut r = Report {
+        addr: None,
+        ..report(n, 2, Token(5 << 24))
+    };
+    assert!(runs(&d.beat(&r).unwrap().orders));
+    // The first is seen to run; the second's command is still under way.
+    r.seq = Seq(3);
+    r.tasks = vec![task(JOB, 0, a, TaskState::Running)];
+    d.beat(&r);
+    let asked = hold(&mut d, json!({"By": "ann"}));
+    assert_eq!(d.status(asked), Some(200));
+    r.seq = Seq(4);
+    r.tasks.push(task(JOB, 1, b, TaskState::Fetching));
+    let orders = d.beat(&r).unwrap().orders;
+    assert!(!runs(&orders));
+    let killed = |o: &Order| matches!(o, Order::Kill { attempt, .. } if *attempt == b);
+    assert!(orders.iter().any(killed), "{orders:?}");
+    assert_eq!(orders.len(), 1, "what ran was told something: {orders:?}");
+    r.seq = Seq(5);
+    r.tasks = vec![
+        ended(JOB, 0, a, Cause::Done),
+        ended(JOB, 1, b, Cause::Stopped),
+    ];
+    d.beat(&r);
+    d.wait(5.0);
+    assert!(d.attempt(JOB, 1).is_none() && held(&d));
+    assert_eq!(show(&mut d).job.done, 1);
+}
+
+/// A direct command that is not answered may be carried out minutes later.
+#[test]
+fn a_hold_that_meets_a_start_under_way_ends_it_when_it_is_seen() {
+    let mut d = Desk::new(5);
+    d.beat(&report(1, 1, Token(0)));
+    d.submit(&job(1, 1));
+    let a = d.attempt(JOB, 0).unwrap();
+    let (call, host, orders) = d.direct().remove(0);
+    assert!(runs(&orders.orders));
+    let asked = hold(&mut d, json!({"By": "ann"}));
+    assert_eq!(d.status(asked), Some(200));
+    d.event(Event::Direct(call, host, DirectResult::Unclear));
+    assert_eq!(d.attempt(JOB, 0), Some(a), "it may still begin");
+    let mut r = report(1, 2, Token(5 << 24));
+    r.tasks = vec![task(JOB, 0, a, TaskState::Running)];
+    let orders = d.beat(&r).unwrap().orders;
+    assert!(matches!(orders[..], [Order::Kill { .. }]), "{orders:?}");
+}
+
+#[test]
+fn stopped_by_a_hold_it_may_save_and_a_gang_does_so_together() {
+    let mut d = Desk::new(5);
+    machines(&mut d);
+    let mut j = job(1, 2);
+    (j.kind, j.checkpoint_s, j.save_s) = (Kind::Gang, 10.0, 4.0);
+    d.submit(&j);
+    let (a, b) = (d.attempt(JOB, 0).unwrap(), d.attempt(JOB, 1).unwrap());
+    let n = if d.s.jobs[&JobId::from(JOB)].live[&TaskIx(0)]
+        .host
+        .as_str()
+        .ends_with('1')
+    {
+        1
+    } else {
+        2
+    };
+    let mut r = Report {
+        addr: None,
+        ..report(n, 2, Token(5 << 24))
+    };
+    d.beat(&r);
+    r.seq = Seq(3);
+    r.tasks = vec![
+        task(JOB, 0, a, TaskState::Running),
+        task(JOB, 1, b, TaskState::Running),
+    ];
+    d.beat(&r);
+    hold(&mut d, json!({"By": "ann"}));
+    r.seq = Seq(4);
+    assert_eq!(d.beat(&r).unwrap().orders, [], "a gang that runs goes on");
+    hold(&mut d, json!({"By": "ann", "Stop": true}));
+    r.seq = Seq(5);
+    let orders = d.beat(&r).unwrap().orders;
+    let saves = |o: &&Order| matches!(o, Order::Kill { leeway_s, .. } if *leeway_s >= 4.0);
+    assert_eq!(orders.iter().filter(saves).count(), 2, "{orders:?}");
+}
+
+#[test]
+fn kinds_of_holds_are_separate_and_nothing_starts_before_a_release_is_stored() {
+    let mut d = Desk::new(5);
+    let bodies = [
+        json!({"By": "ann"}),
+        json!({"By": "ops", "Kind": "operator"}),
+    ];
+    d.submit(&job(1, 1));
+    for b in &bodies {
+        hold(&mut d, b.clone());
+    }
+    machines(&mut d);
+    release(&mut d, bodies[0].clone());
+    d.wait(1.0);
+    assert_eq!(d.attempt(JOB, 0), None, "the operators' hold still stands");
+    d.stores = false;
+    let asked = release(&mut d, bodies[1].clone());
+    d.wait(1.0);
+    assert_eq!((d.status(asked), d.attempt(JOB, 0)), (None, None));
+    d.store();
+    assert_eq!(d.status(asked), Some(200));
+    d.stores = true;
+    d.wait(1.0);
+    assert!(d.attempt(JOB, 0).is_some());
+    // Releasing what is not held changes nothing, and says so.
+    let asked = release(&mut d, bodies[0].clone());
+    d.wait(0.5);
+    assert_eq!(d.status(asked), Some(200));
+}
+
+#[test]
+fn what_is_wrong_is_refused_clearly() {
+    let mut d = Desk::new(5);
+    for (body, field) in [
+        ("[]", "object"),
+        ("{}", "By"),
+        (r#"{"By":"a","Kind":"x"}"#, "Kind"),
+    ] {
+        let asked = d.ask(Ask::Hold(JOB.into(), body.into()));
+        let a = d.answer(asked).unwrap();
+        assert!(a.status == 400 && a.body.contains(field), "{a:?}");
+    }
+    // Unknown only after a consistent read; over: with its final state.
+    let asked = hold(&mut d, json!({"By": "a"}));
+    assert_eq!(d.status(asked), None);
+    d.event(Event::FinalRead(JOB.into(), Ok(None)));
+    assert_eq!(d.status(asked), Some(404));
+    d.submit(&job(1, 1));
+    d.ask(Ask::Cancel(JOB.into()));
+    for asked in [
+        hold(&mut d, json!({"By": "a"})),
+        release(&mut d, json!({"By": "a"})),
+    ] {
+        let a = d.answer(asked).unwrap();
+        assert!(a.status == 409 && a.body.contains("cancelled"), "{a:?}");
+    }
+}
+
+#[test]
+fn a_job_at_its_limit_is_held_with_its_cause_and_never_called_over() {
+    let mut d = limited(5, vec![]);
+    machines(&mut d);
+    d.submit(&job(1, 1));
+    let mut failed = vec![];
+    for k in 0..3 {
+        d.wait(2.0 + k as f64 * 4.0);
+        failed.extend(fail_once(&mut d, 10 + 10 * k));
+    }
+    assert_eq!(failed.len(), 3);
+    d.wait(30.0);
+    assert_eq!(d.attempt(JOB, 0), None, "tried once more than it may");
+    let seen = show(&mut d);
+    assert_eq!(
+        (seen.job.state, seen.held[0].kind),
+        (JobState::Queued, HoldKind::System)
+    );
+    assert!(
+        seen.held[0].why.contains("failed 3 times"),
+        "{:?}",
+        seen.held
+    );
+    assert_eq!(seen.counts[&What::Failed], 3);
+    // The next leader knows, and whoever releases it lets it begin anew.
+    let mut next = limited(6, vec![stored(&d)]);
+    machines(&mut next);
+    next.wait(5.0);
+    assert_eq!(next.attempt(JOB, 0), None);
+    release(&mut next, json!({"By": "ops", "Kind": "system"}));
+    next.wait(1.0);
+    assert!(next.attempt(JOB, 0).is_some());
+    assert_eq!(next.s.jobs[&JobId::from(JOB)].attempts.of(0), 0);
+}
+
+/// The worker shows a failed task until it is told to clear it, which waits
+/// for the count to be stored: a take-over in between counts it once.
+#[test]
+fn a_failure_is_counted_once_by_two_leaders() {
+    let mut d = limited(5, vec![]);
+    machines(&mut d);
+    d.submit(&job(1, 1));
+    d.wait(1.0);
+    let before = stored(&d);
+    fail_once(&mut d, 10);
+    assert_eq!(d.s.jobs[&JobId::from(JOB)].attempts.of(0), 1);
+    for found in [before, stored(&d)] {
+        let a = found
+            .live
+            .get(&TaskIx(0))
+            .map(|l| (l.host.clone(), l.attempt));
+        let mut next = limited(6, vec![found]);
+        if let Some((host, a)) = a {
+            let mut r = report(
+                if host.as_str().ends_with('1') { 1 } else { 2 },
+                20,
+                Token(5 << 24),
+            );
+            r.tasks = vec![ended(JOB, 0, a, Cause::Error)];
+            next.beat(&r);
+        }
+        assert_eq!(next.s.jobs[&JobId::from(JOB)].attempts.of(0), 1);
+    }
+}
+
+#[test]
+fn a_job_held_for_a_faulty_machine_goes_on() {
+    let mut d = limited(5, vec![]);
+    d.beat(&Report {
+        addr: None,
+        ..report(1, 1, Token(0))
+    });
+    d.submit(&job(1, 1));
+    d.wait(1.0);
+    let host = d.s.jobs[&JobId::from(JOB)].live[&TaskIx(0)].host.clone();
+    let j = d.s.jobs.get_mut(&JobId::from(JOB)).unwrap();
+    let rule = d.s.cfg.tuning.rules()[&Class::from("work")];
+    for _ in 0..2 {
+        j.attempts
+            .failed((0, 1), host.as_str(), hookworks_life::Failure::Error, &rule);
+    }
+    fail_once(&mut d, 10);
+    assert!(held(&d), "three failures are the limit");
+    // Others fail there, too: the machine is set aside, and it is to blame.
+    d.submit(&job(2, 1));
+    d.wait(6.0);
+    let a = d.attempt("job-000002", 0).expect("placed");
+    let mut r = report(1, 30, Token(5 << 24));
+    d.beat(&r);
+    r.seq = Seq(31);
+    r.tasks = vec![ended("job-000002", 0, a, Cause::Error)];
+    d.beat(&r);
+    assert!(!held(&d), "held for what a faulty machine did");
+}
+
+#[test]
+fn a_history_tells_use_and_loss_also_of_a_finished_job() {
+    let mut d = Desk::new(5);
+    machines(&mut d);
+    d.submit(&job(1, 2));
+    let n = if d.s.jobs[&JobId::from(JOB)].live[&TaskIx(0)]
+        .host
+        .as_str()
+        .ends_with('1')
+    {
+        1
+    } else {
+        2
+    };
+    let (a, b) = (d.attempt(JOB, 0).unwrap(), d.attempt(JOB, 1).unwrap());
+    let mut r = Report {
+        addr: None,
+        ..report(n, 2, Token(5 << 24))
+    };
+    d.beat(&r);
+    r.seq = Seq(3);
+    r.tasks = vec![
+        task(JOB, 0, a, TaskState::Running),
+        task(JOB, 1, b, TaskState::Running),
+    ];
+    d.beat(&r);
+    d.now += Span::secs(8.0).0;
+    r.seq = Seq(4);
+    r.tasks = vec![
+        ended(JOB, 0, a, Cause::Done),
+        ended(JOB, 1, b, Cause::Error),
+    ];
+    d.stores = false;
+    d.beat(&r);
+    let seen = &d.s.jobs[&JobId::from(JOB)];
+    let u = seen.history.usage();
+    assert_eq!((u.useful_ms, u.lost_ms), (8_000, 8_000));
+    let detail = seen.detail();
+    assert_eq!((detail.useful.cpu, detail.lost.memory_gb), (16.0, 16.0));
+    // The final record has all that, and still reads as a final state.
+    let f = hookworks::sched::job::Final {
+        state: JobState::Done,
+        done: 2,
+    };
+    let record = seen.final_record(f);
+    assert!(record.to_string().len() < 1024, "{record}");
+    let read: hookworks::sched::job::Final = serde_json::from_value(record.clone()).unwrap();
+    assert_eq!(read, f);
+    let asked = d.ask(Ask::Show("job-000009".into()));
+    d.event(Event::RecordRead(
+        asked,
+        "job-000009".into(),
+        Ok(Some(record)),
+    ));
+    let told: JobDetail = serde_json::from_str(&d.answer(asked).unwrap().body).unwrap();
+    assert_eq!(
+        (told.job.state, told.counts[&What::Done]),
+        (JobState::Done, 1)
+    );
+    // Of one from before there were histories the state is known.
+    let asked = d.ask(Ask::Show("job-000008".into()));
+    let old = json!({"state": "cancelled", "done": 3});
+    d.event(Event::RecordRead(asked, "job-000008".into(), Ok(Some(old))));
+    assert!(d.answer(asked).unwrap().body.contains("cancelled"));
+    // And of one that never was, nothing; told after a consistent read.
+    let asked = d.ask(Ask::Show("job-000007".into()));
+    assert_eq!(d.status(asked), None);
+    d.event(Event::RecordRead(asked, "job-000007".into(), Ok(None)));
+    assert_eq!(d.status(asked), Some(404));
+}
+
+/// As written by version 0.1.0, before there were holds.
+const OLD: &str = r#"{"at":1700000000000,"cancelled":false,"first":{"a":[[1,83886081,"n-000001",1700000000500]],"d":"0000000000000001"},"part_size":128,"runtimes":[1.5],"seq":3,"spec":{"Accelerators":0.0,"BookmarkS":0.0,"Bundle":"img","Crew":"red","GuessS":20.0,"Id":"job-000001","Jobline":"work","Lendable":true,"OneZone":false,"Pieces":4,"RamGb":2.0,"Scatter":false,"Shape":"batch","SizeGb":1.0,"StowS":0.0,"Urgency":"normal","Vcpus":2.0}}"#;
+
+#[test]
+fn records_of_earlier_versions_load_and_what_a_later_one_adds_is_kept() {
+    let mut v: Value = serde_json::from_str(OLD).unwrap();
+    let j = Job::decode(&v, Time(1), Wall(2)).expect("an old record");
+    assert!((j.done_count, j.live.len()) == (1, 1) && !j.held());
+    // A later version's fields come back out of an earlier one's hands.
+    v["later"] = json!({"x": [1, 2]});
+    v["first"]["more"] = json!("y");
+    let back = Job::decode(&v, Time(1), Wall(2)).unwrap().encode(0);
+    assert_eq!(back["later"], v["later"]);
+    assert_eq!(back["first"]["more"], v["first"]["more"]);
+    assert_eq!(back["first"]["a"], v["first"]["a"]);
+    let mut large = Job::new(job(1, 300), 1, Time(0), Wall(0), 128);
+    large
+        .decode_part(1, &json!({"d": "", "a": [], "new": 5}), Time(1), Wall(1))
+        .unwrap();
+    assert_eq!(large.encode(1)["new"], 5);
+}
+
+#[test]
+fn the_fullest_record_fits_the_smallest_store() {
+    let size = hookworks::sched::job::part_size(4.0);
+    let mut d = limited(5, vec![]);
+    machines(&mut d);
+    d.submit(&job(1, 1));
+    let live = d.s.jobs[&JobId::from(JOB)].live[&TaskIx(0)].clone();
+    let rule = d.s.cfg.tuning.rules()[&Class::from("work")];
+    let now = Wall(1_700_000_000_000);
+    let mut j = Job::new(job(2, 100_000), 1, Time(1), now, size);
+    for t in 0..size {
+        let mut l = live.clone();
+        (l.attempt, l.placed_wall) = (Attempt(Epoch(900).base() + 77), now);
+        j.live.insert(TaskIx(t), l);
+    }
+    for t in 0..100_000 {
+        for _ in 0..3 {
+            j.attempts.failed(
+                (t, 100_000),
+                "n-000001",
+                hookworks_life::Failure::Error,
+                &rule,
+            );
+        }
+        j.history.note(
+            What::ALL[t as usize % 8],
+            hookworks_life::At(now.0 + t as u64 * 1000),
+        );
+    }
+    j.holds.put(Hold {
+        kind: HoldKind::System,
+        by: "retry-limit".into(),
+        why: "task 99999 failed 3 times, at last on n-000001".into(),
+        at: hookworks_life::At(now.0),
+    });
+    for part in [0, 1] {
+        let bytes = j.encode(part).to_string().len();
+        assert!(bytes <= 4096, "part {part}: {bytes}");
+    }
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -24,6 +24,7 @@
 use hookworks::wire::state::{Item, Txn};
 use hookworks::wire::user::{JobSpec, JobState, JobView};
 use hookworks::wire::worker::{Orders, ReportAnswer};
+use hookworks_life::{HoldKind, HoldRequest, ReleaseRequest};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
@@ -43,6 +44,7 @@
     Read(usize, Epoch, String),
     ReadDone(usize, Epoch, String, Option<Item>),
     Final(usize, Epoch, JobId),
+    Record(usize, Epoch, ReqId, JobId),
     Hire(usize, Epoch, Hire),
     Release(usize, Epoch, Vec<Host>),
     CloudDone(usize, Epoch, Box<Event>),
@@ -106,6 +108,12 @@
     beats: BTreeMap<ReqId, (Host, u64)>,
     next_req: u64,
     next_host: u64,
+    /// Holds that users were told of, and how many releases they have sent.
+    pub held: BTreeSet<(JobId, HoldKind)>,
+    releases: BTreeMap<(JobId, HoldKind), u64>,
+    holds_asked: BTreeMap<ReqId, u64>,
+    /// Holds that were told, all in all.
+    pub holds_told: u64,
     pub answers: Vec<(Ask, Answer)>,
     pub broken: Vec<String>,
     pub started: u64,
@@ -143,6 +151,10 @@
             beats: BTreeMap::new(),
             next_req: 1,
             next_host: 1,
+            held: BTreeSet::new(),
+            releases: BTreeMap::new(),
+            holds_asked: BTreeMap::new(),
+            holds_told: 0,
             answers: vec![],
             broken: vec![],
             started: 0,
@@ -247,13 +259,30 @@
         let req = ReqId(self.next_req);
         self.next_req += 1;
         self.asks.insert(req, ask.clone());
+        match &ask {
+            Ask::Release(id, body) => {
+                let key = (
+                    id.as_str().into(),
+                    ReleaseRequest::parse(body).unwrap().kind,
+                );
+                self.held.remove(&key);
+                *self.releases.entry(key).or_default() += 1;
+            }
+            Ask::Hold(id, body) => {
+                let key = (id.as_str().into(), HoldRequest::parse(body).unwrap().kind);
+                let sent = self.releases.get(&key).copied().unwrap_or(0);
+                self.holds_asked.insert(req, sent);
+            }
+            _ => {}
+        }
         self.event(i, Event::Ask(req, ask));
     }
 
     pub fn answers_to(&self, id: &str) -> Vec<u16> {
         let of = |a: &Ask| match a {
             Ask::Submit(b) => JobSpec::parse(b).unwrap().id.to_string(),
-            Ask::Poll(i) | Ask::Cancel(i) => i.clone(),
+            Ask::Poll(i) | Ask::Cancel(i) | Ask::Show(i) => i.clone(),
+            Ask::Hold(i, _) | Ask::Release(i, _) => i.clone(),
             Ask::Report(_) => String::new(),
         };
         let mine = self.answers.iter().filter(|(a, _)| of(a) == id);
@@ -315,17 +344,23 @@
         match f {
             Effect::Answer(req, a) => {
                 if let Some(ask) = self.asks.remove(&req) {
+                    self.note_hold(req, &ask, &a);
                     self.heard(ask, a);
                 } else if let Some((host, sent)) = self.beats.remove(&req)
                     && !self.rng.random_bool(self.chaos.lose_answer)
                 {
+                    if let Ok(a) = serde_json::from_str::<ReportAnswer>(&a.body) {
+                        self.check_held(&a.orders);
+                    }
                     self.at(d, Ev::ToWorker(host, sent, a));
                 }
             }
             Effect::ReadFinal(id) => self.at(d, Ev::Final(i, epoch, id)),
+            Effect::ReadRecord(req, id) => self.at(d, Ev::Record(i, epoch, req, id)),
             Effect::Orders {
                 call, host, orders, ..
             } => {
+                self.check_held(&orders.orders);
                 if d > 1.0 {
                     let e = Ev::Direct(i, epoch, call, host.clone(), DirectResult::Unclear);
                     self.at(2.5, e);
@@ -442,6 +477,11 @@
                 let f = r.map(|o| o.map(|x| serde_json::from_value(x.value).unwrap()));
                 self.in_term(i, epoch, Event::FinalRead(id, f));
             }
+            Ev::Record(i, epoch, req, id) => {
+                let r = self.store.read(&final_key(&id)).map_err(|_| ());
+                let r = r.map(|o| o.map(|x| x.value));
+                self.in_term(i, epoch, Event::RecordRead(req, id, r));
+            }
             Ev::Hire(i, epoch, h) => self.hire(i, epoch, h),
             Ev::Release(i, epoch, hosts) => {
                 for h in &hosts {
--- a/tests/world/rules.rs
+++ b/tests/world/rules.rs
@@ -5,7 +5,8 @@
 use hookworks::ids::*;
 use hookworks::wire::peer::{Answer, Ask};
 use hookworks::wire::user::{JobSpec, JobState, JobView};
-use hookworks::wire::worker::TaskState;
+use hookworks::wire::worker::{Order, TaskState};
+use hookworks_life::HoldRequest;
 use std::collections::{BTreeMap, BTreeSet};
 
 impl World {
@@ -13,7 +14,8 @@
         let view = serde_json::from_str::<JobView>(&a.body).ok();
         let id: JobId = match &ask {
             Ask::Submit(b) => JobSpec::parse(b).unwrap().id,
-            Ask::Poll(i) | Ask::Cancel(i) => i.as_str().into(),
+            Ask::Poll(i) | Ask::Cancel(i) | Ask::Show(i) => i.as_str().into(),
+            Ask::Hold(i, _) | Ask::Release(i, _) => i.as_str().into(),
             Ask::Report(_) => return,
         };
         let tasks = self.specs.get(&id).map_or(0, |s| s.tasks);
@@ -28,7 +30,7 @@
                 self.broken.push(format!("invented: {id}"));
             }
             told.accepted |= matches!(ask, Ask::Submit(_));
-            let state = view.unwrap().state;
+            let state = view.unwrap_or_else(|| panic!("{}", a.body)).state;
             if told.over.is_some_and(|o| o != state) {
                 self.broken.push(format!("went_back: {id} {state:?}"));
             }
@@ -53,6 +55,35 @@
         self.answers.push((ask, a));
     }
 
+    /// A hold that is told stands until somebody asks for its release.
+    pub(super) fn note_hold(&mut self, req: ReqId, ask: &Ask, a: &Answer) {
+        let (Some(sent), Ask::Hold(id, body)) = (self.holds_asked.remove(&req), ask) else {
+            return;
+        };
+        let key = (
+            JobId::from(id.as_str()),
+            HoldRequest::parse(body).unwrap().kind,
+        );
+        let released = self.releases.get(&key).copied().unwrap_or(0);
+        if a.status == 200 {
+            self.holds_told += 1;
+            if released == sent {
+                self.held.insert(key);
+            }
+        }
+    }
+
+    /// Nothing of a held job is told to run.
+    pub(super) fn check_held(&mut self, orders: &[Order]) {
+        for o in orders {
+            if let Order::Run { task, .. } = o
+                && self.held.iter().any(|(id, _)| *id == task.job)
+            {
+                self.broken.push(format!("held_started: {task}"));
+            }
+        }
+    }
+
     /// Gangs begin together, end together, and fall apart together.
     fn step_gangs(&mut self) {
         let mut members: BTreeMap<(JobId, Attempt), Vec<TaskState>> = BTreeMap::new();
