Jobs that wait for others, and limits on how long a task may run

Need: scripts and pipelines hand over chains of jobs; a task that hangs holds its machine for ever. Change: submissions may name jobs to wait for (After: start, end, success, failure) and a limit on a task's run time (LimitS). What a condition has come to is stored with the job that waits; an end counts once it is stored; what ended during a take-over is read; unknown jobs and other teams' are refused after a consistent read. A task past its limit is told to save, then ended, and counted as an attempt.

--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -39,6 +39,8 @@
     /// `run` has left by some way or other.
     pub sent: bool,
     pub stop: Option<Stop>,
+    /// It was stopped for having run for too long.
+    pub timed_out: bool,
 }
 
 /// An attempt that must end.
@@ -105,6 +107,8 @@
     pub attempts: Attempts,
     pub history: History,
     pub ended: Option<Wall>,
+    /// Which of the conditions to start are met, a bit each.
+    pub met: u32,
     /// Fields of a later version, which are not to be lost.
     rest: Rest,
 }
@@ -132,6 +136,8 @@
     first: PartRecord,
     #[serde(default, skip_serializing_if = "Holds::is_empty")]
     holds: Holds,
+    #[serde(default, skip_serializing_if = "none_met")]
+    met: u32,
     /// Of a record from before there were histories there is none.
     #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
     history: Option<serde_json::Value>,
@@ -139,6 +145,10 @@
     rest: Rest,
 }
 
+fn none_met(met: &u32) -> bool {
+    *met == 0
+}
+
 #[derive(Default, Serialize, Deserialize)]
 struct PartRecord {
     /// Bits of the finished tasks, in hex words.
@@ -191,6 +201,7 @@
             attempts: Attempts::default(),
             history: History::new(At(wall.0)),
             ended: None,
+            met: 0,
             rest: Rest::default(),
         }
     }
@@ -229,7 +240,7 @@
 
     /// Tasks that neither run nor are done.
     pub fn pending(&self) -> u32 {
-        if self.cancelled || self.closing.is_some() || self.held() {
+        if self.cancelled || self.closing.is_some() || self.held() || self.blocked() {
             return 0;
         }
         if self.spec.kind == Kind::Gang && self.done_count > 0 {
@@ -328,6 +339,7 @@
                 told: None,
                 sent: true,
                 stop: None,
+                timed_out: false,
             };
             self.live.insert(TaskIx(t), live);
         }
@@ -354,6 +366,7 @@
                 runtimes: self.runtimes.clone(),
                 first: record,
                 holds: self.holds.clone(),
+                met: self.met,
                 history: Some(history),
                 rest: self.rest.clone(),
             })
@@ -375,6 +388,7 @@
         job.median = super::estimate::median(&h.runtimes);
         job.runtimes = h.runtimes;
         job.holds = h.holds;
+        job.met = h.met;
         let history = h.history.and_then(|v| History::decode(At(h.at), &v));
         job.history = history.unwrap_or_else(|| History::new(At(h.at)));
         job.rest = h.rest;
--- a/src/sched/life.rs
+++ b/src/sched/life.rs
@@ -1,6 +1,7 @@
 //! A job's life beyond placing: holds, limits of retries, what has happened and
 //! what was used. All of it is stored with the job's records, and told once it is.
 
+use super::after::Came;
 use super::job::{Final, Job, Live, Phase, Waiting};
 use super::records::Purpose;
 use super::users::view;
@@ -77,7 +78,7 @@
     }
 
     /// The job starts nothing from now on; what is on its way is called back.
-    fn put_hold(&mut self, now: Time, id: &JobId, hold: Hold, purpose: Purpose) {
+    pub(super) fn put_hold(&mut self, now: Time, id: &JobId, hold: Hold, purpose: Purpose) {
         let wall = self.wall;
         let Some(j) = self.jobs.get_mut(id) else {
             return;
@@ -226,6 +227,7 @@
                 tracing::info!(job = %t.job, why = %hold.why, "held at its limit");
                 let id = t.job.clone();
                 self.put_hold(now, &id, hold, Purpose::Start);
+                self.came(now, &id, Came::Failed);
             }
         }
     }
@@ -294,6 +296,9 @@
         id: JobId,
         r: Result<Option<Value>, ()>,
     ) {
+        if self.named_read(now, req, &id, &r) {
+            return;
+        }
         self.record_reads = self.record_reads.saturating_sub(1);
         let detail = |v: Value| detail_of_record(&id, v);
         let a = match r {
@@ -313,12 +318,70 @@
     }
 }
 
+impl Sched {
+    /// A task has begun to run; it may have a limit.
+    pub(super) fn note_limit(&mut self, t: &TaskId, since: Time) {
+        let limit = self.jobs.get(&t.job).and_then(|j| j.spec.limit_s);
+        if let Some(s) = limit {
+            self.time_limits.insert((since + Span::secs(s), t.clone()));
+        }
+    }
+
+    /// Those that have run for longer than they may are told to save and end,
+    /// and a while later to end at once.
+    pub(super) fn end_overlong(&mut self, now: Time) {
+        while let Some((at, t)) = self.time_limits.first().cloned()
+            && at <= now
+        {
+            self.time_limits.pop_first();
+            let Some(j) = self.jobs.get(&t.job) else {
+                continue;
+            };
+            let (Some(limit), Some(l)) = (j.spec.limit_s, j.live.get(&t.ix)) else {
+                continue;
+            };
+            let Some(since) = l.running_since else {
+                continue;
+            };
+            let over = since + Span::secs(limit);
+            if now < over {
+                // Another attempt by now.
+                self.time_limits.insert((over, t));
+                continue;
+            }
+            let saves = j.spec.save_s + 1.0;
+            if l.timed_out {
+                self.stop(now, &t.job, t.ix, 0.0);
+                continue;
+            }
+            tracing::info!(task = %t, limit, "ran for longer than it may");
+            let again = now + Span::secs(saves + self.cfg.workers.report_s);
+            if j.spec.kind == Kind::Gang {
+                self.stop_gang(now, &t.job);
+            } else {
+                self.stop(now, &t.job, t.ix, saves);
+            }
+            if let Some(l) = self.live_mut(&t) {
+                l.timed_out = true;
+                self.time_limits.insert((again, t));
+            }
+        }
+    }
+}
+
 impl Job {
     /// Nothing of it may start: it is held, or its release is not stored yet.
     pub fn held(&self) -> bool {
         !self.holds.is_empty() || self.parts[0].stored < self.release_ver
     }
 
+    /// Held by the scheduler, since a task has failed as often as it may.
+    pub(super) fn failed_too_often(&self) -> bool {
+        self.holds
+            .get(HoldKind::System)
+            .is_some_and(|h| h.by == LIMIT)
+    }
+
     fn parts_with_failures(&self) -> Vec<usize> {
         let has = |p: &usize| {
             let (from, to) = self.part_range(*p);
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -1,6 +1,7 @@
 //! The scheduler itself: no I/O, no clock, no threads. Whatever happens comes
 //! in as an event with its time; what is to be done goes out as effects.
 
+mod after;
 mod audit;
 mod direct;
 mod estimate;
@@ -153,6 +154,10 @@
     fleet: fleet::Fleet,
     finals: HashMap<JobId, Final>,
     finals_order: VecDeque<JobId>,
+    /// Who waits for whom.
+    waits: after::Waits,
+    /// When running tasks reach their limit.
+    time_limits: BTreeSet<(Time, TaskId)>,
     reads: HashMap<JobId, Vec<(ReqId, Ask)>>,
     record_reads: usize,
     counter: u64,
@@ -206,6 +211,8 @@
             dirty: DirtyQueue::default(),
             finals: HashMap::new(),
             finals_order: VecDeque::new(),
+            waits: Default::default(),
+            time_limits: BTreeSet::new(),
             reads: HashMap::new(),
             counter: 0,
             next_seq: 1,
@@ -240,7 +247,7 @@
                     self.fleet.out_of_reach.insert(l, now);
                 }
             }
-            Event::Stored(key, ver) => self.stored(key, ver),
+            Event::Stored(key, ver) => self.stored(now, key, ver),
             Event::NotStored(job) => self.not_stored(&job),
             Event::AlreadyFinal(job, f) => self.already_final(now, job, f),
             Event::FinalRead(job, r) => self.final_read(now, job, r),
@@ -374,6 +381,7 @@
                 self.stop_all(now, &id);
             }
         }
+        self.load_waiting(now);
         self.replan = true;
     }
 
@@ -394,6 +402,8 @@
         self.watch_machines(now);
         self.plan_fleet(now);
         self.push_all(now);
+        self.read_parents(now);
+        self.end_overlong(now);
         // What waits for time alone, such as a back-off, is tried again.
         self.replan = true;
         if now >= self.sum_up_at {
--- a/src/sched/place.rs
+++ b/src/sched/place.rs
@@ -259,6 +259,7 @@
                 told: None,
                 sent: false,
                 stop: None,
+                timed_out: false,
             },
         );
         self.teams.add(&j.spec.team, &j.need);
--- a/src/sched/records.rs
+++ b/src/sched/records.rs
@@ -1,5 +1,6 @@
 //! Which records wait to be written, and what happens when they are.
 
+use super::after::Came;
 use super::job::{Final, Job};
 use super::{Effect, Sched};
 use crate::ids::{JobId, TaskIx};
@@ -174,7 +175,7 @@
         })
     }
 
-    pub(super) fn stored(&mut self, key: Key, ver: u64) {
+    pub(super) fn stored(&mut self, now: Time, key: Key, ver: u64) {
         match key {
             Key::Part(id, part) => {
                 let Some(j) = self.jobs.get_mut(&id) else {
@@ -199,6 +200,7 @@
                 if let Some(j) = self.jobs.remove(&id) {
                     self.tell_waiters_final(&id, j.waiters, f);
                 }
+                self.came(now, &id, Came::Over(f.state));
             }
         }
     }
@@ -220,7 +222,7 @@
         };
         if j.closing.is_some() {
             // Our own write, whose answer was lost.
-            return self.stored(Key::Final(id), 0);
+            return self.stored(now, Key::Final(id), 0);
         }
         // A very late retry of a job that is over: it never became live again.
         let waiters = std::mem::take(&mut j.waiters);
@@ -231,6 +233,7 @@
         }
         self.remember_final(&id, f);
         self.tell_waiters_final(&id, waiters, f);
+        self.came(now, &id, Came::Over(f.state));
     }
 
     pub(super) fn read_final(&mut self, id: &JobId) {
--- a/src/sched/report.rs
+++ b/src/sched/report.rs
@@ -1,6 +1,7 @@
 //! Dealings with workers: reports in, commands out, and when an attempt is
 //! proven gone.
 
+use super::after::Came;
 use super::job::{Phase, Stop};
 use super::machine::{Life, Machine};
 use super::{Sched, estimate};
@@ -253,7 +254,8 @@
             let after_s = (now - l.placed).as_secs();
             let waited_s = (now - job.arrived).as_secs();
             tracing::debug!(task = %r.task, class = %job.spec.class, %host, after_s, waited_s, %image, gb, "running");
-            if !l.inherited {
+            let first = job.history.first_start().is_none();
+            if !l.inherited || first {
                 job.history.note(What::Started, self.wall.into());
             }
             if let Some(m) = self.machines.get_mut(host)
@@ -261,6 +263,10 @@
             {
                 s.start = since;
             }
+            self.note_limit(&r.task, since);
+            if first {
+                self.came(now, &r.task.job, Came::Started);
+            }
         }
         true
     }
@@ -300,7 +306,15 @@
                 }
                 self.gone(now, t);
             }
-            Some(Cause::Stopped) => self.gone_by(now, t, Some(Failure::Stopped), r.kept),
+            Some(Cause::Stopped) => {
+                let late = self.live_mut(t).is_some_and(|l| l.timed_out);
+                let why = if late {
+                    Failure::TimedOut
+                } else {
+                    Failure::Stopped
+                };
+                self.gone_by(now, t, Some(why), r.kept);
+            }
             Some(Cause::Alone) => self.gone_by(now, t, None, false),
         }
     }
--- a/src/sched/users.rs
+++ b/src/sched/users.rs
@@ -1,5 +1,6 @@
 //! What users ask: submissions, polls and cancellations.
 
+use super::after::Came;
 use super::job::{Final, Job, Waiting, part_size};
 use super::records::Purpose;
 use super::{Room, Sched};
@@ -133,6 +134,15 @@
         if !self.may_start(now) {
             return self.no_proof(req);
         }
+        if self.named_jobs(req, &spec, &_body) {
+            return;
+        }
+        self.submit_named(now, req, spec, _body);
+    }
+
+    /// The jobs that it names are known.
+    pub(super) fn submit_named(&mut self, now: Time, req: ReqId, spec: JobSpec, _body: Vec<u8>) {
+        let id = spec.id.clone();
         // A repeated submission must never get 400 or 422, so what would be
         // refused is only refused after a look at what is over already.
         match self.never_runs(&spec) {
@@ -164,7 +174,8 @@
         }
         // Its user waits: the next pass comes soon.
         self.pass_at = self.pass_at.min(now + SOON);
-        self.jobs.insert(id, job);
+        self.jobs.insert(id.clone(), job);
+        self.begin_waiting(now, &id);
         self.replan = true;
     }
 
@@ -267,6 +278,7 @@
         let asked = self.reads.remove(&id).unwrap_or_default();
         if let Ok(Some(f)) = r {
             self.remember_final(&id, f);
+            self.came(now, &id, Came::Over(f.state));
         }
         for (req, ask) in asked {
             let a = match (&r, &ask) {
--- a/src/wire/user.rs
+++ b/src/wire/user.rs
@@ -7,6 +7,8 @@
 
 /// Most tasks a job may have.
 pub const MAX_TASKS: u32 = 100_000;
+/// Most conditions that a job may wait for.
+pub const MAX_AFTER: usize = 16;
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct JobSpec {
@@ -50,6 +52,46 @@
     pub save_s: f64,
     #[serde(rename = "DueS", default, skip_serializing_if = "Option::is_none")]
     pub deadline_s: Option<f64>,
+    /// A task that runs for longer is told to save and end; ours.
+    #[serde(rename = "LimitS", default, skip_serializing_if = "Option::is_none")]
+    pub limit_s: Option<f64>,
+    /// What must come about before the job starts anything; ours.
+    #[serde(rename = "After", default, skip_serializing_if = "Vec::is_empty")]
+    pub after: Vec<After>,
+}
+
+/// A condition on another job of the same team.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct After {
+    #[serde(rename = "Job")]
+    pub job: JobId,
+    #[serde(rename = "When")]
+    pub when: When,
+}
+
+/// What a job may wait for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum When {
+    /// A task of it has run.
+    Start,
+    /// It is over, done or cancelled.
+    End,
+    /// It is done.
+    Success,
+    /// It is cancelled, or held for having failed too often.
+    Failure,
+}
+
+impl std::fmt::Display for When {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            When::Start => "start",
+            When::End => "end",
+            When::Success => "success",
+            When::Failure => "failure",
+        })
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -198,6 +240,23 @@
                 return Err(format!("{field}: must have 1 to 200 bytes"));
             }
         }
+        if self
+            .limit_s
+            .is_some_and(|l| !l.is_finite() || !(1.0..=1e9).contains(&l))
+        {
+            return Err("LimitS: must be 1 or more".into());
+        }
+        if self.after.len() > MAX_AFTER {
+            return Err(format!("After: at most {MAX_AFTER} conditions"));
+        }
+        for a in &self.after {
+            if !JobId::well_formed(a.job.as_str()) {
+                return Err("After.Job: must be job- and digits".into());
+            }
+            if a.job == self.id {
+                return Err("After.Job: a job can't wait for itself".into());
+            }
+        }
         if self.builds.as_ref().is_some_and(|b| b.len() > 64) {
             return Err("Builds: at most 64 types".into());
         }
--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -3,7 +3,7 @@
 mod world;
 
 use hookworks::wire::peer::Ask;
-use hookworks::wire::user::{Kind, Priority};
+use hookworks::wire::user::{After, Kind, Priority, When};
 use rand::RngExt;
 use world::{Chaos, Ev, World, job};
 
@@ -18,6 +18,7 @@
     };
     w.run(2.0);
     let (mut ids, mut services) = (vec![], vec![]);
+    let mut last = 0.0;
     for n in 0..14 {
         let tasks = w.rng.random_range(1..9);
         let mut j = job(n, tasks);
@@ -32,6 +33,7 @@
         }
         match n % 7 {
             3 => (j.kind, j.tasks, j.one_zone) = (Kind::Gang, j.tasks.min(4), true),
+            // One of these waits for a service, until that is cancelled.
             5 => {
                 (j.kind, j.tasks) = (Kind::Service, j.tasks.min(3));
                 (j.priority, j.spread) = (Priority::Production, !j.one_zone);
@@ -39,10 +41,17 @@
             }
             _ => {}
         }
+        let mut at = w.rng.random_range(0.0..150.0);
+        if n % 4 == 3 {
+            // It waits for the end of the one before, which was sent first.
+            let (job, when) = (ids[n as usize - 1].clone(), When::End);
+            j.after = vec![After { job, when }];
+            at = last + w.rng.random_range(0.0..20.0);
+        }
+        last = at;
         ids.push(j.id.clone());
         let body = serde_json::to_vec(&j).unwrap();
         w.specs.insert(j.id.clone(), j);
-        let at = w.rng.random_range(0.0..150.0);
         // Users try again until they are heard.
         for k in 0..6 {
             w.at(at + 8.0 * k as f64, Ev::User(Ask::Submit(body.clone())));
--- a/tests/world/rules.rs
+++ b/tests/world/rules.rs
@@ -3,8 +3,9 @@
 use super::worker::Goes;
 use super::{S, World};
 use hookworks::ids::*;
+use hookworks::store::final_key;
 use hookworks::wire::peer::{Answer, Ask};
-use hookworks::wire::user::{JobSpec, JobState, JobView};
+use hookworks::wire::user::{JobSpec, JobState, JobView, When};
 use hookworks::wire::worker::{Order, TaskState};
 use hookworks_life::HoldRequest;
 use std::collections::{BTreeMap, BTreeSet};
@@ -81,6 +82,16 @@
             {
                 self.broken.push(format!("held_started: {task}"));
             }
+            if let Order::Run { task, .. } = o {
+                // Its conditions: the others are over, for all to see.
+                for a in &self.specs[&task.job].after {
+                    let key = final_key(&a.job);
+                    let unfinished = matches!(self.store.read(&key), Ok(None));
+                    if a.when == When::End && unfinished {
+                        self.broken.push(format!("began_early: {task}"));
+                    }
+                }
+            }
         }
     }
 
