--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -17,7 +17,7 @@
         refuse_txn: 0.02,
     };
     w.run(2.0);
-    let (mut ids, mut services) = (vec![], vec![]);
+    let (mut ids, mut services): (Vec<hookworks::ids::JobId>, _) = (vec![], vec![]);
     let mut last = 0.0;
     for n in 0..14 {
         let tasks = w.rng.random_range(1..9);
