--- a/crates/gate/benches/connections.rs
+++ b/crates/gate/benches/connections.rs
@@ -33,7 +33,7 @@
 
 impl Service for Loop {
     type Request = ();
-    fn route(&self, _method: &http::Method, _path: &str) -> Route<()> {
+    fn route(&self, _method: &http::Method, _path: &str, _query: &str) -> Route<()> {
         Route::Take(Lane::Workers, ())
     }
     fn take(&self, (): (), body: Vec<u8>, reply: Reply) {
--- a/crates/gate/src/conn.rs
+++ b/crates/gate/src/conn.rs
@@ -91,7 +91,11 @@
     fn one(&mut self) -> Result<(), End> {
         let (head, taken) = self.head()?;
         self.buf.drain(..taken);
-        let (lane, request) = match self.shared.service.route(&head.method, &head.path) {
+        let (lane, request) = match self
+            .shared
+            .service
+            .route(&head.method, &head.path, &head.query)
+        {
             Route::Now(lane, a) => (lane, Err(a)),
             Route::Take(lane, r) => (lane, Ok(r)),
         };
--- a/crates/gate/src/head.rs
+++ b/crates/gate/src/head.rs
@@ -26,6 +26,8 @@
     pub method: Method,
     /// Without the query.
     pub path: String,
+    /// What stands behind `?`, still encoded.
+    pub query: String,
     pub framing: Framing,
     /// The client waits for 100 before it sends the body.
     pub expects: bool,
@@ -69,6 +71,7 @@
     let mut head = Head {
         method,
         path: target.path().to_string(),
+        query: target.query().unwrap_or("").to_string(),
         framing: Framing::None,
         expects: false,
         keep_alive: !old,
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -81,7 +81,7 @@
 
     /// What the request is. The lane must be none but `Users`, `Watch` and
     /// `Workers`.
-    fn route(&self, method: &Method, path: &str) -> Route<Self::Request>;
+    fn route(&self, method: &Method, path: &str, query: &str) -> Route<Self::Request>;
 
     /// Takes a request, to be answered later from wherever.
     fn take(&self, request: Self::Request, body: Vec<u8>, reply: Reply);
--- a/crates/gate/tests/common/mod.rs
+++ b/crates/gate/tests/common/mod.rs
@@ -21,7 +21,7 @@
 impl Service for Echo {
     type Request = bool;
 
-    fn route(&self, _method: &Method, path: &str) -> Route<bool> {
+    fn route(&self, _method: &Method, path: &str, _query: &str) -> Route<bool> {
         match path {
             "/beat" => Route::Take(Lane::Workers, false),
             "/beat/hold" => Route::Take(Lane::Workers, true),
--- a/src/api.rs
+++ b/src/api.rs
@@ -3,16 +3,18 @@
 
 use crate::ids::Label;
 use crate::settings::Settings;
+use crate::time::wall;
 use crate::wire::peer::{Answer, Ask};
 use crate::wire::worker::Redirect;
 use arc_swap::ArcSwapOption;
 use hookworks_gate::{
     Bounds, BoundsError, Lane, Limits, Machine, Reply, Route, Server, Service, descriptors,
 };
+use hookworks_listing::{Query, Snapshot};
 use http::Method;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// What arrives at the main loop.
 pub enum Incoming {
@@ -50,6 +52,28 @@
     pub healthy: AtomicBool,
     /// Where a worker goes that finds no room here.
     pub elsewhere: ArcSwapOption<Elsewhere>,
+    /// All unfinished jobs, at the leader.
+    pub jobs: ArcSwapOption<Published>,
+}
+
+/// The unfinished jobs as of a moment, to be told as long as the leadership
+/// is proven.
+pub struct Published {
+    pub jobs: Snapshot,
+    pub until: Instant,
+}
+
+impl Notice {
+    /// A page of unfinished jobs, if this controller may tell any.
+    pub fn page(&self, q: &Query) -> Option<Answer> {
+        let p = self.jobs.load();
+        let p = p.as_ref().filter(|p| Instant::now() < p.until)?;
+        let page = p.jobs.page(q, wall().0);
+        Some(Answer::new(
+            200,
+            serde_json::to_string(&page).unwrap_or_default(),
+        ))
+    }
 }
 
 /// The routes of a controller.
@@ -67,6 +91,7 @@
     Hold(String),
     Release(String),
     Show(String),
+    List(String),
     Overview,
 }
 
@@ -132,7 +157,7 @@
     Ok(server)
 }
 
-fn route(method: &Method, path: &str) -> Result<(Lane, Wanted), Answer> {
+fn route(method: &Method, path: &str, query: &str) -> Result<(Lane, Wanted), Answer> {
     let only = |m: Method| {
         if *method == m {
             Ok(())
@@ -143,6 +168,7 @@
     let none = || Answer::error(404, "no such path");
     match path {
         "/v2/runs" => only(Method::POST).map(|()| (Lane::Users, Wanted::Submit)),
+        "/v2/jobs" => only(Method::GET).map(|()| (Lane::Users, Wanted::List(query.into()))),
         "/agent/beat" => only(Method::POST).map(|()| (Lane::Workers, Wanted::Report)),
         "/v2/overview" => only(Method::GET).map(|()| (Lane::Watch, Wanted::Overview)),
         _ => {
@@ -174,7 +200,7 @@
 {
     type Request = Wanted;
 
-    fn route(&self, method: &Method, path: &str) -> Route<Wanted> {
+    fn route(&self, method: &Method, path: &str, query: &str) -> Route<Wanted> {
         if path == "/healthz" {
             let a = match *method == Method::GET {
                 false => Answer::error(405, "method not allowed"),
@@ -185,7 +211,7 @@
             };
             return Route::Now(Lane::Watch, a.into());
         }
-        match route(method, path) {
+        match route(method, path, query) {
             Ok((lane, wanted)) => Route::Take(lane, wanted),
             Err(a) => Route::Now(Lane::Users, a.into()),
         }
@@ -200,6 +226,15 @@
             Wanted::Hold(id) => Ask::Hold(id, body),
             Wanted::Release(id) => Ask::Release(id, body),
             Wanted::Show(id) => Ask::Show(id),
+            Wanted::List(query) => match Query::parse(&query) {
+                Err(e) => return reply.answer(Answer::error(400, &e).into()),
+                // Read here, on the connection's own thread: the main loop
+                // does not hear of it.
+                Ok(q) => match self.notice.page(&q).filter(|_| q.wants_unfinished()) {
+                    Some(a) => return reply.answer(a.into()),
+                    None => Ask::List(query),
+                },
+            },
             Wanted::Overview => {
                 (self.inbox)(Incoming::Overview(reply));
                 return;
--- a/src/node/asks.rs
+++ b/src/node/asks.rs
@@ -7,6 +7,7 @@
 use crate::time::{Span, Time};
 use crate::wire::peer::{Answer, Ask, PeerMsg};
 use crate::wire::user::JobSpec;
+use hookworks_listing::Query;
 
 /// A leader that is gone is no longer named by the state service after so long.
 const LOST_AFTER: Span = Span(2_600_000);
@@ -34,6 +35,9 @@
 
     pub(super) fn ask_from_peer(&mut self, now: Time, origin: Origin, ask: Ask) {
         let req = self.new_req(now, origin, &ask);
+        if let Ask::List(query) = ask {
+            return self.list(now, req, query);
+        }
         if let Role::Leader(t) = &self.role {
             let epoch = t.epoch;
             let event = match (&self.pending.get(&req).map(|p| &p.origin), ask) {
@@ -63,6 +67,12 @@
             return self.answer(now, req, redirect(Some(other)));
         }
         match &self.role {
+            Role::Follower if unfinished(&ask) => self.pass_on(now, req, ask),
+            _ if matches!(ask, Ask::List(_)) => {
+                if let Ask::List(query) = ask {
+                    self.list(now, req, query);
+                }
+            }
             Role::Leader(_) => self.lead_ask(now, req, ask),
             Role::Loading(_) => self.answer(now, req, Answer::later("taking over", 1)),
             Role::Follower => self.pass_on(now, req, ask),
@@ -76,6 +86,16 @@
         }
     }
 
+    /// Pages are made by a thread of their own.
+    fn list(&mut self, now: Time, req: ReqId, query: String) {
+        let Ok(q) = Query::parse(&query) else {
+            return self.answer(now, req, Answer::error(400, "not a query"));
+        };
+        if self.lists.try_send((req, q)).is_err() {
+            self.answer(now, req, Answer::later("too many lists at a time", 1));
+        }
+    }
+
     /// A follower passes everything on to the leader.
     pub(super) fn pass_on(&mut self, now: Time, req: ReqId, ask: Ask) {
         if let Ask::Submit(body) = &ask
@@ -215,10 +235,18 @@
     }
 }
 
+/// A page of jobs that only a leader can tell of.
+fn unfinished(ask: &Ask) -> bool {
+    match ask {
+        Ask::List(query) => Query::parse(query).is_ok_and(|q| q.wants_unfinished()),
+        _ => false,
+    }
+}
+
 /// How long an asker waits, less some for the way back.
 pub(super) fn limit_of(ask: &Ask) -> Span {
     match ask {
-        Ask::Poll(_) | Ask::Show(_) => Span::millis(1600),
+        Ask::Poll(_) | Ask::Show(_) | Ask::List(_) => Span::millis(1600),
         Ask::Report(_) => Span::millis(3500),
         Ask::Submit(_) | Ask::Cancel(_) | Ask::Hold(..) | Ask::Release(..) => Span::millis(4200),
     }
--- a/src/node/duties.rs
+++ b/src/node/duties.rs
@@ -22,7 +22,7 @@
 const AGENT_THREADS: usize = 8;
 /// Those of the state service, the election, the cloud and direct calls; a
 /// client may hold two while it goes from one to another.
-pub(super) const SOCKETS: usize = STORE_THREADS + 2 + 4 + 2 * AGENT_THREADS;
+pub(super) const SOCKETS: usize = STORE_THREADS + 4 + 4 + 2 * AGENT_THREADS;
 /// A direct call that has waited for longer is given up unsent.
 const STALE_CALL: Span = Span(1_000_000);
 const LIST_EVERY: Span = Span(5_000_000);
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -4,9 +4,10 @@
 mod balance;
 mod duties;
 mod health;
+pub mod lists;
 pub mod load;
 
-use crate::api::{self, Incoming, Notice};
+use crate::api::{self, Incoming, Notice, Published};
 use crate::ids::{Epoch, JobId, Label, ReqId, TxnId};
 use crate::lead::{Elect, Leader};
 use crate::peer::Peers;
@@ -22,11 +23,12 @@
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, unbounded};
 use hdrhistogram::Histogram;
 use hookworks_gate::{Lane, Reply, Server};
+use hookworks_listing::{Board, Query};
 use load::Loaded;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Small stacks: the machine is small, and nothing here recurses deeply.
 const STACK: usize = 256 * 1024;
@@ -66,6 +68,8 @@
     Event(Epoch, Event),
     Txn(Epoch, TxnId, Outcome),
     ReadBack(Epoch, String, Result<Option<Item>, ()>),
+    /// A page of jobs is ready.
+    Listed(ReqId, Answer),
     /// A look-up of a final state without a leader.
     Look(ReqId, JobId, Result<Option<Final>, ()>),
 }
@@ -108,6 +112,8 @@
     epoch: Epoch,
     sched: Sched,
     commit: Committer,
+    /// What readers are shown of the unfinished jobs.
+    board: Board,
 }
 
 struct Node {
@@ -125,6 +131,7 @@
     store: Sender<StoreJob>,
     cloud: Sender<duties::CloudJob>,
     agents: Sender<duties::AgentJob>,
+    lists: Sender<(ReqId, Query)>,
     inbox: Sender<Msg>,
     pending: HashMap<ReqId, Pending>,
     next_req: u64,
@@ -171,6 +178,7 @@
     let store = duties::store(&settings, inbox.clone());
     let cloud = duties::cloud(&settings, clock, term.clone(), inbox.clone());
     let agents = duties::agents(clock, inbox.clone());
+    let lists = lists::start(&settings, clock, notice.clone(), inbox.clone());
     let election = duties::election(&settings, clock, inbox.clone());
     let tx = inbox.clone();
     if let Err(e) = ctrlc::set_handler(move || {
@@ -195,6 +203,7 @@
         store,
         cloud,
         agents,
+        lists,
         inbox,
         pending: HashMap::new(),
         next_req: 1,
@@ -322,6 +331,7 @@
                 self.notice.healthy.store(false, Ordering::Relaxed);
                 self.server.close();
             }
+            Msg::Listed(req, a) => self.answer(now, req, a),
             Msg::Look(req, id, r) => {
                 let a = match r {
                     Ok(Some(f)) => crate::sched::answer_final(&id, f),
@@ -457,6 +467,7 @@
         self.role = Role::Follower;
         self.term.store(0, Ordering::SeqCst);
         self.peers.set_leader(None);
+        self.notice.jobs.store(None);
         let open: Vec<ReqId> = self.pending.keys().copied().collect();
         for req in open {
             self.answer(now, req, Answer::later("the leader has changed", 1));
@@ -483,6 +494,7 @@
             epoch: l.epoch,
             sched,
             commit,
+            board: Board::default(),
         }));
         let me = self.settings.platform.label.clone();
         self.peers.set_leader(Some((me, l.epoch)));
@@ -494,6 +506,27 @@
         }
     }
 
+    /// Shows readers what has changed, as long as the leadership is proven.
+    fn publish(&mut self, now: Time) {
+        let published = match &mut self.role {
+            Role::Leader(t) => {
+                for (id, line) in t.sched.take_changed() {
+                    match line {
+                        Some(l) => t.board.put(l),
+                        None => t.board.remove(id.as_str()),
+                    }
+                }
+                let left = t.sched.proof_left(now);
+                (left > Span::ZERO).then(|| Published {
+                    jobs: t.board.publish(),
+                    until: Instant::now() + left.std(),
+                })
+            }
+            _ => None,
+        };
+        self.notice.jobs.store(published.map(Arc::new));
+    }
+
     fn tick(&mut self, now: Time) {
         // Cut off from the state service, a leader learns from the others that
         // it is none any more.
@@ -534,6 +567,7 @@
             self.look_elsewhere(now, req);
         }
         self.balance(now);
+        self.publish(now);
         let ok = self.stopping.is_none() && self.can_serve(now);
         if ok != self.notice.healthy.swap(ok, Ordering::Relaxed) {
             tracing::info!(healthy = ok, "health changed");
--- a/src/sched/life.rs
+++ b/src/sched/life.rs
@@ -13,6 +13,7 @@
 use hookworks_life::{
     At, Failure, History, Hold, HoldKind, HoldRequest, Holds, Outcome, ReleaseRequest, What,
 };
+use hookworks_listing::Line;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
@@ -261,6 +262,23 @@
         }
     }
 
+    /// Lines of jobs that have changed since they were last asked for; `None`:
+    /// it is over, or never was.
+    pub fn take_changed(&mut self) -> Vec<(JobId, Option<Line>)> {
+        let changed = std::mem::take(&mut self.dirty.changed);
+        let mut lines = Vec::with_capacity(changed.len());
+        for id in changed {
+            match self.jobs.get(&id) {
+                // What is not stored is not told: it could go back.
+                Some(j) if j.parts[0].stored == 0 => {}
+                Some(j) if j.cancelled && j.parts[0].stored < j.cancel_ver => {}
+                Some(j) => lines.push((id, Some(j.detail().line()))),
+                None => lines.push((id, None)),
+            }
+        }
+        lines
+    }
+
     /// What the whole record of a job says; of a finished one it is read.
     pub(super) fn show(&mut self, now: Time, req: ReqId, id: JobId) {
         if !self.may_start(now) {
@@ -508,7 +526,7 @@
 }
 
 /// What the final record of a job tells; `None` if it can't be read.
-fn detail_of_record(id: &JobId, record: Value) -> Option<JobDetail> {
+pub fn detail_of_record(id: &JobId, record: Value) -> Option<JobDetail> {
     let r: FinalRecord = serde_json::from_value(record).ok()?;
     let job = JobView {
         id: id.clone(),
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -21,6 +21,7 @@
 mod team;
 mod users;
 
+pub use life::detail_of_record;
 pub use records::{Dirty, DirtyQueue, Key, Purpose};
 pub use room::Room;
 pub use users::answer_final;
@@ -304,6 +305,15 @@
         now < self.proven + self.cfg.report_grace()
     }
 
+    /// For how long the leadership is proven yet.
+    pub fn proof_left(&self, now: Time) -> Span {
+        let lease = self.cfg.leader_lease.shrunk() - Span::millis(50);
+        match self.may_start(now) {
+            true => self.proven + lease - now,
+            false => Span::ZERO,
+        }
+    }
+
     fn next_token(&mut self) -> Token {
         self.counter += 1;
         Token(self.epoch.base() + self.counter)
@@ -382,6 +392,7 @@
             }
         }
         self.load_waiting(now);
+        self.dirty.changed.extend(self.jobs.keys().cloned());
         self.replan = true;
     }
 
--- a/src/sched/records.rs
+++ b/src/sched/records.rs
@@ -7,7 +7,7 @@
 use crate::time::{Span, Time};
 use crate::wire::peer::Answer;
 use crate::wire::user::{JobState, Kind};
-use std::collections::VecDeque;
+use std::collections::{HashSet, VecDeque};
 
 /// A record of the store.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -57,6 +57,8 @@
 pub struct DirtyQueue {
     pub(super) now: Time,
     queues: [VecDeque<Dirty>; 4],
+    /// Jobs of which readers see something that is out of date.
+    pub(super) changed: HashSet<JobId>,
 }
 
 impl DirtyQueue {
@@ -104,6 +106,7 @@
     /// Notes a change; answers the version that must be stored for it.
     pub fn touch(&mut self, part: usize, dirty: &mut DirtyQueue, purpose: Purpose) -> u64 {
         self.parts[part].ver += 1;
+        dirty.changed.insert(self.spec.id.clone());
         self.queue(part, dirty, purpose);
         self.parts[part].ver
     }
@@ -183,6 +186,7 @@
                 };
                 let p = &mut j.parts[part];
                 p.stored = p.stored.max(ver);
+                self.dirty.changed.insert(id.clone());
                 if part == 0 {
                     let (ready, rest) = std::mem::take(&mut j.waiters)
                         .into_iter()
@@ -197,6 +201,7 @@
                     return;
                 };
                 self.remember_final(&id, f);
+                self.dirty.changed.insert(id.clone());
                 if let Some(j) = self.jobs.remove(&id) {
                     self.tell_waiters_final(&id, j.waiters, f);
                 }
@@ -230,6 +235,7 @@
         self.stop_all(now, &id);
         if self.jobs.get(&id).is_some_and(|j| j.live.is_empty()) {
             self.jobs.remove(&id);
+            self.dirty.changed.insert(id.clone());
         }
         self.remember_final(&id, f);
         self.tell_waiters_final(&id, waiters, f);
--- a/src/sched/report.rs
+++ b/src/sched/report.rs
@@ -238,6 +238,9 @@
         {
             m.saw_image(&image, gb);
         }
+        if l.phase != phase {
+            self.dirty.changed.insert(r.task.job.clone());
+        }
         l.phase = phase;
         job.note_phase(phase);
         let Some(l) = job.live.get_mut(&r.task.ix) else {
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -18,9 +18,12 @@
 /// Further tasks of large unfinished jobs.
 pub const PARTS: &str = "hookworks/part/";
 
+/// Finished jobs.
+pub const FINALS: &str = "hookworks/final/";
+
 /// Final states are kept for ever, out of the way of what a new leader loads.
 pub fn final_key(id: &JobId) -> String {
-    format!("hookworks/final/{id}")
+    format!("{FINALS}{id}")
 }
 
 pub fn part_key(id: &JobId, part: usize) -> String {
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -13,6 +13,8 @@
     Hold(String, Vec<u8>),
     Release(String, Vec<u8>),
     Show(String),
+    /// A page of jobs; what stands behind `?` in the URL.
+    List(String),
 }
 
 /// What this version understands.
@@ -23,7 +25,7 @@
     pub fn needs(&self) -> u32 {
         match self {
             Ask::Submit(_) | Ask::Poll(_) | Ask::Cancel(_) | Ask::Report(_) => 0,
-            Ask::Hold(..) | Ask::Release(..) | Ask::Show(_) => 1,
+            Ask::Hold(..) | Ask::Release(..) | Ask::Show(_) | Ask::List(_) => 1,
         }
     }
 }
--- a/src/wire/user.rs
+++ b/src/wire/user.rs
@@ -2,6 +2,7 @@
 
 use crate::ids::{Build, Class, Image, JobId, Team, Zone};
 use hookworks_life::{Entry, Hold, What};
+use hookworks_listing::Line;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -194,6 +195,40 @@
     pub history: Vec<Entry>,
 }
 
+impl JobDetail {
+    /// The line of a list. Whether an unfinished job is late depends on when
+    /// it is read.
+    pub fn line(self) -> Line {
+        let status = match self.job.state {
+            JobState::Queued => "queued",
+            JobState::Running => "running",
+            JobState::Done => "done",
+            JobState::Cancelled => "cancelled",
+        };
+        let count = |w: What| self.counts.get(&w).copied().unwrap_or(0);
+        let hold = |h: &Hold| match h.why.as_str() {
+            "" => h.by.clone(),
+            why => format!("{}: {why}", h.by),
+        };
+        Line {
+            id: self.job.id.to_string(),
+            status: status.into(),
+            class: self.class.to_string(),
+            team: self.team.to_string(),
+            tasks: self.tasks,
+            done: self.job.done,
+            running: self.job.running,
+            failures: count(What::Failed) + count(What::TimedOut) + count(What::Lost),
+            submitted_ms: self.submitted_ms,
+            first_start_ms: self.first_start_ms,
+            ended_ms: self.ended_ms,
+            due_ms: self.due_ms,
+            late: matches!((self.due_ms, self.ended_ms), (Some(d), Some(e)) if e > d),
+            held: self.held.iter().map(hold).collect(),
+        }
+    }
+}
+
 impl JobSpec {
     /// Reads a submission; the error names the field that is wrong.
     pub fn parse(body: &[u8]) -> Result<JobSpec, String> {
