--- a/crates/listing/benches/publish.rs
+++ b/crates/listing/benches/publish.rs
@@ -6,6 +6,7 @@
 use divan::{Bencher, black_box};
 use hookworks_listing::{Board, Line, Query};
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, RwLock};
 
 const JOBS: u32 = 4000;
@@ -22,17 +23,24 @@
     }
 }
 
+/// Each time with another number of tasks done.
 fn changes() -> Vec<Line> {
-    (0..CHANGED).map(|n| line(n * (JOBS / CHANGED))).collect()
+    static TIMES: AtomicU32 = AtomicU32::new(1);
+    let done = TIMES.fetch_add(1, Ordering::Relaxed);
+    let changed = |n| Line {
+        done,
+        ..line(n * (JOBS / CHANGED))
+    };
+    (0..CHANGED).map(changed).collect()
 }
 
 #[divan::bench]
 fn persistent_map(b: Bencher) {
     let mut board = Board::default();
-    (0..JOBS).for_each(|n| board.put(line(n)));
+    (0..JOBS).for_each(|n| board.put(line(n), 0));
     let mut seen = board.publish();
     b.with_inputs(changes).bench_local_values(|c| {
-        c.into_iter().for_each(|l| board.put(l));
+        c.into_iter().for_each(|l| board.put(l, 0));
         seen = board.publish();
         black_box(&seen);
     });
@@ -67,7 +75,7 @@
 #[divan::bench]
 fn page_of_200(b: Bencher) {
     let mut board = Board::default();
-    (0..JOBS).for_each(|n| board.put(line(n)));
+    (0..JOBS).for_each(|n| board.put(line(n), 0));
     let snapshot = board.publish();
     let q = Query::parse("page=200&after=unfinished:job-002000").expect("a query");
     b.bench_local(|| serde_json::to_string(&snapshot.page(&q, 0)).expect("a page"));
--- a/crates/listing/src/lib.rs
+++ b/crates/listing/src/lib.rs
@@ -6,9 +6,12 @@
 //! there are. Readers take their pages from it on their own time, in the order
 //! of job ids, and hold nobody up.
 
+mod feed;
 mod query;
 
-pub use query::{Position, Query, Show};
+use feed::Feed;
+pub use feed::{Change, Changes, Mark};
+pub use query::{Position, Query, Show, since};
 
 use rpds::RedBlackTreeMapSync;
 use serde::{Deserialize, Serialize};
@@ -86,17 +89,43 @@
 #[derive(Default)]
 pub struct Board {
     lines: Lines,
+    feed: Feed,
 }
 
 impl Board {
-    /// A job's line as it is now.
-    pub fn put(&mut self, line: Line) {
+    /// The board of a term of leadership; the feed begins with it.
+    pub fn new(term: u64) -> Board {
+        Board {
+            lines: Lines::default(),
+            feed: Feed::new(term),
+        }
+    }
+
+    /// A job's line as it is now. What is the same as before is no change.
+    pub fn put(&mut self, line: Line, now_ms: u64) {
+        let before = self.lines.get(line.id.as_str());
+        if before.is_some_and(|b| **b == line) {
+            return;
+        }
+        self.feed.push(now_ms, line.clone());
         self.lines
             .insert_mut(line.id.as_str().into(), Arc::new(line));
     }
 
-    /// The job is over.
-    pub fn remove(&mut self, id: &str) {
+    /// The job is over, with this state.
+    pub fn remove(&mut self, id: &str, status: &str, now_ms: u64) {
+        let Some(line) = self.lines.get(id) else {
+            return;
+        };
+        let mut line = Line::clone(line);
+        line.status = status.into();
+        line.running = 0;
+        line.ended_ms = Some(now_ms);
+        line.late = line.is_late(now_ms);
+        if status == "done" {
+            line.done = line.tasks;
+        }
+        self.feed.push(now_ms, line);
         self.lines.remove_mut(id);
     }
 
@@ -104,6 +133,7 @@
     pub fn publish(&self) -> Snapshot {
         Snapshot {
             lines: self.lines.clone(),
+            feed: self.feed.clone(),
         }
     }
 }
@@ -112,6 +142,7 @@
 #[derive(Clone, Default)]
 pub struct Snapshot {
     lines: Lines,
+    feed: Feed,
 }
 
 impl Snapshot {
@@ -123,6 +154,11 @@
         self.lines.is_empty()
     }
 
+    /// What has changed since that mark; without one, where to begin.
+    pub fn changes(&self, since: Option<Mark>) -> Changes {
+        self.feed.since(since)
+    }
+
     /// The page that the query asks for. After the last unfinished job the
     /// finished ones follow, unless none of them can match.
     pub fn page(&self, q: &Query, now_ms: u64) -> Page {
@@ -187,7 +223,7 @@
     fn pages_follow_one_another_though_jobs_come_and_go() {
         let mut b = Board::default();
         for n in (0..100).rev() {
-            b.put(line(n));
+            b.put(line(n), 0);
         }
         let snapshot = b.publish();
         let q = |text: &str| Query::parse(text).unwrap();
@@ -198,19 +234,31 @@
         assert_eq!((some.len(), end), (17, None));
         // A page begins after a job that is gone by then, and readers of the
         // earlier snapshot see it still.
-        b.remove("job-000050");
-        b.put(line(200));
+        b.remove("job-000050", "done", 60);
+        b.put(line(200), 61);
+        b.put(line(200), 62);
         let later = b.publish();
         let (rest, _) = ids(&later, q("after=unfinished:job-000050"));
         assert_eq!((rest.len(), rest[0].as_str()), (50, "job-000051"));
         assert_eq!((snapshot.len(), later.len()), (100, 100));
+        // The feed goes on from where the earlier snapshot stood.
+        let mark = snapshot.changes(None).next;
+        let changes = later.changes(Some(mark));
+        let seen = |c: &Change| (c.at_ms, c.job.id.clone(), c.job.status.clone(), c.job.late);
+        assert_eq!(
+            changes.events.iter().map(seen).collect::<Vec<_>>(),
+            [
+                (60, "job-000050".into(), "done".into(), true),
+                (61, "job-000200".into(), "queued".into(), false),
+            ]
+        );
     }
 
     #[test]
     fn what_is_late_is_told_by_the_clock_of_the_reader() {
         let mut b = Board::default();
-        b.put(line(49));
-        b.put(line(51));
+        b.put(line(49), 0);
+        b.put(line(51), 0);
         let page = b.publish().page(&Query::parse("").unwrap(), 50);
         let late: Vec<bool> = page.jobs.iter().map(|l| l.late).collect();
         assert_eq!(late, [true, false]);
--- a/crates/listing/src/query.rs
+++ b/crates/listing/src/query.rs
@@ -28,6 +28,21 @@
     ("finished", Show::Finished),
 ];
 
+/// Reads the part of a URL behind `?` that asks for changes.
+///
+/// # Errors
+/// One line that names what is wrong.
+pub fn since(text: &str) -> Result<Option<crate::Mark>, String> {
+    let mut mark = None;
+    for (name, value) in form_urlencoded::parse(text.as_bytes()) {
+        match name.as_ref() {
+            "since" => mark = Some(crate::Mark::try_from(value.into_owned())?),
+            other => return Err(format!("{other}: not known")),
+        }
+    }
+    Ok(mark)
+}
+
 /// Where a page begins: after this job. Unfinished ones come first, so a job
 /// that ends while somebody turns the pages is not missed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/api.rs
+++ b/src/api.rs
@@ -10,7 +10,7 @@
 use hookworks_gate::{
     Bounds, BoundsError, Lane, Limits, Machine, Reply, Route, Server, Service, descriptors,
 };
-use hookworks_listing::{Query, Snapshot};
+use hookworks_listing::{Mark, Query, Snapshot, since};
 use http::Method;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -64,6 +64,14 @@
 }
 
 impl Notice {
+    /// What has changed, if this controller may tell.
+    pub fn changes(&self, since: Option<Mark>) -> Option<Answer> {
+        let p = self.jobs.load();
+        let p = p.as_ref().filter(|p| Instant::now() < p.until)?;
+        let body = serde_json::to_string(&p.jobs.changes(since));
+        Some(Answer::new(200, body.unwrap_or_default()))
+    }
+
     /// A page of unfinished jobs, if this controller may tell any.
     pub fn page(&self, q: &Query) -> Option<Answer> {
         let p = self.jobs.load();
@@ -92,6 +100,7 @@
     Release(String),
     Show(String),
     List(String),
+    Events(String),
     Overview,
 }
 
@@ -169,6 +178,7 @@
     match path {
         "/v2/runs" => only(Method::POST).map(|()| (Lane::Users, Wanted::Submit)),
         "/v2/jobs" => only(Method::GET).map(|()| (Lane::Users, Wanted::List(query.into()))),
+        "/v2/events" => only(Method::GET).map(|()| (Lane::Users, Wanted::Events(query.into()))),
         "/agent/beat" => only(Method::POST).map(|()| (Lane::Workers, Wanted::Report)),
         "/v2/overview" => only(Method::GET).map(|()| (Lane::Watch, Wanted::Overview)),
         _ => {
@@ -226,6 +236,13 @@
             Wanted::Hold(id) => Ask::Hold(id, body),
             Wanted::Release(id) => Ask::Release(id, body),
             Wanted::Show(id) => Ask::Show(id),
+            Wanted::Events(query) => match since(&query) {
+                Err(e) => return reply.answer(Answer::error(400, &e).into()),
+                Ok(mark) => match self.notice.changes(mark) {
+                    Some(a) => return reply.answer(a.into()),
+                    None => Ask::Events(query),
+                },
+            },
             Wanted::List(query) => match Query::parse(&query) {
                 Err(e) => return reply.answer(Answer::error(400, &e).into()),
                 // Read here, on the connection's own thread: the main loop
--- a/src/node/asks.rs
+++ b/src/node/asks.rs
@@ -1,5 +1,6 @@
 //! Requests of users and workers: answered as the leader, or passed on to it.
 
+use super::lists::Wanted;
 use super::{Node, Origin, Pending, Role, StoreJob};
 use crate::api::redirect;
 use crate::ids::{JobId, Label, ReqId};
@@ -7,7 +8,7 @@
 use crate::time::{Span, Time};
 use crate::wire::peer::{Answer, Ask, PeerMsg};
 use crate::wire::user::JobSpec;
-use hookworks_listing::Query;
+use hookworks_listing::{Query, since};
 
 /// A leader that is gone is no longer named by the state service after so long.
 const LOST_AFTER: Span = Span(2_600_000);
@@ -35,8 +36,8 @@
 
     pub(super) fn ask_from_peer(&mut self, now: Time, origin: Origin, ask: Ask) {
         let req = self.new_req(now, origin, &ask);
-        if let Ask::List(query) = ask {
-            return self.list(now, req, query);
+        if let Some(wanted) = read_only(&ask) {
+            return self.list(now, req, wanted);
         }
         if let Role::Leader(t) = &self.role {
             let epoch = t.epoch;
@@ -66,13 +67,18 @@
         {
             return self.answer(now, req, redirect(Some(other)));
         }
+        if let Some(wanted) = read_only(&ask) {
+            // Finished jobs are read by anyone, the others told by the leader.
+            let here = match &wanted {
+                Wanted::Page(q) if !q.wants_unfinished() => true,
+                _ => !matches!(self.role, Role::Follower),
+            };
+            return match here {
+                true => self.list(now, req, wanted),
+                false => self.pass_on(now, req, ask),
+            };
+        }
         match &self.role {
-            Role::Follower if unfinished(&ask) => self.pass_on(now, req, ask),
-            _ if matches!(ask, Ask::List(_)) => {
-                if let Ask::List(query) = ask {
-                    self.list(now, req, query);
-                }
-            }
             Role::Leader(_) => self.lead_ask(now, req, ask),
             Role::Loading(_) => self.answer(now, req, Answer::later("taking over", 1)),
             Role::Follower => self.pass_on(now, req, ask),
@@ -87,11 +93,8 @@
     }
 
     /// Pages are made by a thread of their own.
-    fn list(&mut self, now: Time, req: ReqId, query: String) {
-        let Ok(q) = Query::parse(&query) else {
-            return self.answer(now, req, Answer::error(400, "not a query"));
-        };
-        if self.lists.try_send((req, q)).is_err() {
+    fn list(&mut self, now: Time, req: ReqId, wanted: Wanted) {
+        if self.lists.try_send((req, wanted)).is_err() {
             self.answer(now, req, Answer::later("too many lists at a time", 1));
         }
     }
@@ -235,18 +238,19 @@
     }
 }
 
-/// A page of jobs that only a leader can tell of.
-fn unfinished(ask: &Ask) -> bool {
+/// What somebody wants to read, if that is all; it was checked where it came in.
+fn read_only(ask: &Ask) -> Option<Wanted> {
     match ask {
-        Ask::List(query) => Query::parse(query).is_ok_and(|q| q.wants_unfinished()),
-        _ => false,
+        Ask::List(query) => Query::parse(query).ok().map(Wanted::Page),
+        Ask::Events(query) => since(query).ok().map(Wanted::Changes),
+        _ => None,
     }
 }
 
 /// How long an asker waits, less some for the way back.
 pub(super) fn limit_of(ask: &Ask) -> Span {
     match ask {
-        Ask::Poll(_) | Ask::Show(_) | Ask::List(_) => Span::millis(1600),
+        Ask::Poll(_) | Ask::Show(_) | Ask::List(_) | Ask::Events(_) => Span::millis(1600),
         Ask::Report(_) => Span::millis(3500),
         Ask::Submit(_) | Ask::Cancel(_) | Ask::Hold(..) | Ask::Release(..) => Span::millis(4200),
     }
--- a/src/node/lists.rs
+++ b/src/node/lists.rs
@@ -11,10 +11,16 @@
 use crate::time::Clock;
 use crate::wire::peer::Answer;
 use crossbeam_channel::{Sender, bounded};
-use hookworks_listing::{Page, Position, Query};
+use hookworks_listing::{Mark, Page, Position, Query};
 use std::sync::Arc;
 use std::time::Duration;
 
+/// What somebody wants to read.
+pub enum Wanted {
+    Page(Query),
+    Changes(Option<Mark>),
+}
+
 /// Lists that wait to be made.
 const MAX_LISTS: usize = 64;
 /// Share of the state service's requests that lists may take, and pages of
@@ -29,8 +35,8 @@
     clock: Clock,
     notice: Arc<Notice>,
     inbox: Sender<Msg>,
-) -> Sender<(ReqId, Query)> {
-    let (tx, rx) = bounded::<(ReqId, Query)>(MAX_LISTS);
+) -> Sender<(ReqId, Wanted)> {
+    let (tx, rx) = bounded::<(ReqId, Wanted)>(MAX_LISTS);
     let state = StateClient::new(
         settings.platform.services.state,
         Duration::from_millis(1200),
@@ -38,12 +44,12 @@
     let rps = settings.platform.params.state.rps * LIST_SHARE;
     let mut budget = Budget::new(rps, (2.0 * rps).max(LIST_READS as f64));
     spawn("lists", move || {
-        for (req, q) in rx {
-            let answer = if q.wants_unfinished() {
-                let later = || Answer::later("leadership is not proven at the moment", 1);
-                notice.page(&q).unwrap_or_else(later)
-            } else {
-                finished(&state, &mut budget, clock, &q)
+        for (req, wanted) in rx {
+            let later = || Answer::later("leadership is not proven at the moment", 1);
+            let answer = match wanted {
+                Wanted::Changes(mark) => notice.changes(mark).unwrap_or_else(later),
+                Wanted::Page(q) if q.wants_unfinished() => notice.page(&q).unwrap_or_else(later),
+                Wanted::Page(q) => finished(&state, &mut budget, clock, &q),
             };
             if inbox.send(Msg::Listed(req, answer)).is_err() {
                 return;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -23,7 +23,7 @@
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, unbounded};
 use hdrhistogram::Histogram;
 use hookworks_gate::{Lane, Reply, Server};
-use hookworks_listing::{Board, Query};
+use hookworks_listing::Board;
 use load::Loaded;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -131,7 +131,7 @@
     store: Sender<StoreJob>,
     cloud: Sender<duties::CloudJob>,
     agents: Sender<duties::AgentJob>,
-    lists: Sender<(ReqId, Query)>,
+    lists: Sender<(ReqId, lists::Wanted)>,
     inbox: Sender<Msg>,
     pending: HashMap<ReqId, Pending>,
     next_req: u64,
@@ -494,7 +494,7 @@
             epoch: l.epoch,
             sched,
             commit,
-            board: Board::default(),
+            board: Board::new(l.epoch.0),
         }));
         let me = self.settings.platform.label.clone();
         self.peers.set_leader(Some((me, l.epoch)));
@@ -508,12 +508,16 @@
 
     /// Shows readers what has changed, as long as the leadership is proven.
     fn publish(&mut self, now: Time) {
+        let at = wall().0;
         let published = match &mut self.role {
             Role::Leader(t) => {
                 for (id, line) in t.sched.take_changed() {
                     match line {
-                        Some(l) => t.board.put(l),
-                        None => t.board.remove(id.as_str()),
+                        Ok(l) => t.board.put(l, at),
+                        Err(state) => {
+                            let state = state.map_or("done", |s| s.as_str());
+                            t.board.remove(id.as_str(), state, at);
+                        }
                     }
                 }
                 let left = t.sched.proof_left(now);
--- a/src/sched/life.rs
+++ b/src/sched/life.rs
@@ -262,9 +262,9 @@
         }
     }
 
-    /// Lines of jobs that have changed since they were last asked for; `None`:
-    /// it is over, or never was.
-    pub fn take_changed(&mut self) -> Vec<(JobId, Option<Line>)> {
+    /// Lines of jobs that have changed since they were last asked for; `Err`:
+    /// it is over, with the state that it came to.
+    pub fn take_changed(&mut self) -> Vec<(JobId, Result<Line, Option<JobState>>)> {
         let changed = std::mem::take(&mut self.dirty.changed);
         let mut lines = Vec::with_capacity(changed.len());
         for id in changed {
@@ -272,8 +272,11 @@
                 // What is not stored is not told: it could go back.
                 Some(j) if j.parts[0].stored == 0 => {}
                 Some(j) if j.cancelled && j.parts[0].stored < j.cancel_ver => {}
-                Some(j) => lines.push((id, Some(j.detail().line()))),
-                None => lines.push((id, None)),
+                Some(j) => lines.push((id, Ok(j.detail().line()))),
+                None => {
+                    let state = self.finals.get(&id).map(|f| f.state);
+                    lines.push((id, Err(state)));
+                }
             }
         }
         lines
--- a/src/sched/users.rs
+++ b/src/sched/users.rs
@@ -49,7 +49,7 @@
             Ask::Hold(id, body) => self.hold(now, req, id.as_str().into(), body),
             Ask::Release(id, body) => self.release(now, req, id.as_str().into(), body),
             // Lists are made outside, from what is published.
-            Ask::List(_) => self.answer(req, Answer::error(404, "no such path")),
+            Ask::List(_) | Ask::Events(_) => self.answer(req, Answer::error(404, "no such path")),
             Ask::Show(id) => self.show(now, req, id.as_str().into()),
         }
     }
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -15,6 +15,8 @@
     Show(String),
     /// A page of jobs; what stands behind `?` in the URL.
     List(String),
+    /// What has changed, likewise.
+    Events(String),
 }
 
 /// What this version understands.
@@ -25,7 +27,7 @@
     pub fn needs(&self) -> u32 {
         match self {
             Ask::Submit(_) | Ask::Poll(_) | Ask::Cancel(_) | Ask::Report(_) => 0,
-            Ask::Hold(..) | Ask::Release(..) | Ask::Show(_) | Ask::List(_) => 1,
+            Ask::Hold(..) | Ask::Release(..) | Ask::Show(_) | Ask::List(_) | Ask::Events(_) => 1,
         }
     }
 }
--- a/src/wire/user.rs
+++ b/src/wire/user.rs
@@ -127,6 +127,17 @@
     Cancelled,
 }
 
+impl JobState {
+    pub fn as_str(self) -> &'static str {
+        match self {
+            JobState::Queued => "queued",
+            JobState::Running => "running",
+            JobState::Done => "done",
+            JobState::Cancelled => "cancelled",
+        }
+    }
+}
+
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct JobView {
     #[serde(rename = "Id")]
@@ -199,12 +210,6 @@
     /// The line of a list. Whether an unfinished job is late depends on when
     /// it is read.
     pub fn line(self) -> Line {
-        let status = match self.job.state {
-            JobState::Queued => "queued",
-            JobState::Running => "running",
-            JobState::Done => "done",
-            JobState::Cancelled => "cancelled",
-        };
         let count = |w: What| self.counts.get(&w).copied().unwrap_or(0);
         let hold = |h: &Hold| match h.why.as_str() {
             "" => h.by.clone(),
@@ -212,7 +217,7 @@
         };
         Line {
             id: self.job.id.to_string(),
-            status: status.into(),
+            status: self.job.state.as_str().into(),
             class: self.class.to_string(),
             team: self.team.to_string(),
             tasks: self.tasks,
--- a/tests/lists.rs
+++ b/tests/lists.rs
@@ -11,7 +11,7 @@
 use hookworks::time::{Clock, Time};
 use hookworks::wire::peer::Ask;
 use hookworks::wire::user::JobState;
-use hookworks_listing::{Board, Page, Position, Query};
+use hookworks_listing::{Board, Mark, Page, Position, Query};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use world::desk::Desk;
@@ -28,8 +28,8 @@
     let ids = changed.iter().map(|(id, _)| id.to_string()).collect();
     for (id, line) in changed {
         match line {
-            Some(l) => board.put(l),
-            None => board.remove(id.as_str()),
+            Ok(l) => board.put(l, d.now),
+            Err(state) => board.remove(id.as_str(), state.unwrap().as_str(), d.now),
         }
     }
     ids
@@ -61,6 +61,20 @@
     assert_eq!(publish(&mut d, &mut board), ["job-000009"]);
     let held = board.publish().page(&query("state=held"), 0);
     assert_eq!(held.jobs[0].held, ["ann: x"]);
+    let last = board.publish().changes(None).next;
+    let from = Mark {
+        n: last.n - 2,
+        ..last
+    };
+    let feed = board.publish().changes(Some(from)).events;
+    let seen: Vec<_> = feed
+        .iter()
+        .map(|c| (c.job.id.as_str(), c.job.status.as_str()))
+        .collect();
+    assert_eq!(
+        seen,
+        [("job-000007", "cancelled"), ("job-000009", "queued")]
+    );
     d.wait(2.0);
     assert!(
         publish(&mut d, &mut board).is_empty(),
@@ -72,10 +86,11 @@
 #[test]
 fn nothing_is_told_without_proof_of_the_leadership() {
     let mut board = Board::default();
-    board.put(hookworks_listing::Line {
+    let line = hookworks_listing::Line {
         id: "job-000001".into(),
         ..Default::default()
-    });
+    };
+    board.put(line, 0);
     let notice = Notice::default();
     let published = |until| Published {
         jobs: board.publish(),
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -283,7 +283,7 @@
             Ask::Submit(b) => JobSpec::parse(b).unwrap().id.to_string(),
             Ask::Poll(i) | Ask::Cancel(i) | Ask::Show(i) => i.clone(),
             Ask::Hold(i, _) | Ask::Release(i, _) => i.clone(),
-            Ask::Report(_) | Ask::List(_) => String::new(),
+            Ask::Report(_) | Ask::List(_) | Ask::Events(_) => String::new(),
         };
         let mine = self.answers.iter().filter(|(a, _)| of(a) == id);
         mine.map(|(_, a)| a.status).collect()
--- a/tests/world/rules.rs
+++ b/tests/world/rules.rs
@@ -17,7 +17,7 @@
             Ask::Submit(b) => JobSpec::parse(b).unwrap().id,
             Ask::Poll(i) | Ask::Cancel(i) | Ask::Show(i) => i.as_str().into(),
             Ask::Hold(i, _) | Ask::Release(i, _) => i.as_str().into(),
-            Ask::Report(_) | Ask::List(_) => return,
+            Ask::Report(_) | Ask::List(_) | Ask::Events(_) => return,
         };
         let tasks = self.specs.get(&id).map_or(0, |s| s.tasks);
         let told = self.told.entry(id.clone()).or_default();
