Tasks that wait for their counterparts, and the client's new verbs

Need: pipelines hand over arrays task by task; operators need holds and lists from the shell. Change: After with Each opens a task once its counterpart's end is stored; a new leader works that out from the other's records. hookworks show, hold, release, jobs.

--- a/src/client.rs
+++ b/src/client.rs
@@ -37,3 +37,38 @@
 pub fn cancel(addr: &str, job: &str) -> Result<String, String> {
     call("POST", addr, &format!("/v2/runs/{job}/abort"), None)
 }
+
+pub fn show(addr: &str, job: &str) -> Result<String, String> {
+    call("GET", addr, &format!("/v2/jobs/{job}"), None)
+}
+
+pub fn hold(
+    addr: &str,
+    job: &str,
+    kind: &str,
+    by: &str,
+    why: &str,
+    stop: bool,
+) -> Result<String, String> {
+    let body = serde_json::json!({ "Kind": kind, "By": by, "Why": why, "Stop": stop });
+    let path = format!("/v2/runs/{job}/hold");
+    call("POST", addr, &path, Some(body.to_string().as_bytes()))
+}
+
+pub fn release(addr: &str, job: &str, kind: &str, by: &str) -> Result<String, String> {
+    let body = serde_json::json!({ "Kind": kind, "By": by });
+    let path = format!("/v2/runs/{job}/release");
+    call("POST", addr, &path, Some(body.to_string().as_bytes()))
+}
+
+/// One page; `filters` are `name=value`, as the API takes them.
+pub fn jobs(addr: &str, filters: &[String]) -> Result<String, String> {
+    let mut query = form_urlencoded::Serializer::new(String::new());
+    for f in filters {
+        let (name, value) = f
+            .split_once('=')
+            .ok_or_else(|| format!("{f}: must be name=value"))?;
+        query.append_pair(name, value);
+    }
+    call("GET", addr, &format!("/v2/jobs?{}", query.finish()), None)
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -43,6 +43,47 @@
         to: String,
         job: Option<String>,
     },
+    /// Show a job whole: what happened to it, what it used, who holds it.
+    Show {
+        #[arg(long)]
+        to: String,
+        job: String,
+    },
+    /// Keep a job from starting anything.
+    Hold {
+        #[arg(long)]
+        to: String,
+        job: String,
+        /// Who asks.
+        #[arg(long)]
+        by: String,
+        #[arg(long, default_value = "")]
+        why: String,
+        /// Put by operators rather than by the job's user.
+        #[arg(long)]
+        operator: bool,
+        /// Stop what runs, with time to save.
+        #[arg(long)]
+        stop: bool,
+    },
+    /// Let a held job go on.
+    Release {
+        #[arg(long)]
+        to: String,
+        job: String,
+        #[arg(long)]
+        by: String,
+        /// Which hold: user, operator or system.
+        #[arg(long, default_value = "user")]
+        kind: String,
+    },
+    /// List jobs, a page at a time.
+    Jobs {
+        #[arg(long)]
+        to: String,
+        /// Filters as in the API: state=held team=red after=… page=200
+        filters: Vec<String>,
+    },
     /// Cancel a job.
     Cancel {
         #[arg(long)]
@@ -122,6 +163,20 @@
         }
         Verb::Submit { to, file } => Ok(tell(client::submit(&to, &file))),
         Verb::Status { to, job } => Ok(tell(client::status(&to, job.as_deref()))),
+        Verb::Show { to, job } => Ok(tell(client::show(&to, &job))),
+        Verb::Hold {
+            to,
+            job,
+            by,
+            why,
+            operator,
+            stop,
+        } => {
+            let kind = if operator { "operator" } else { "user" };
+            Ok(tell(client::hold(&to, &job, kind, &by, &why, stop)))
+        }
+        Verb::Release { to, job, by, kind } => Ok(tell(client::release(&to, &job, &kind, &by))),
+        Verb::Jobs { to, filters } => Ok(tell(client::jobs(&to, &filters))),
         Verb::Cancel { to, job } => Ok(tell(client::cancel(&to, &job))),
     }
 }
--- a/src/sched/after.rs
+++ b/src/sched/after.rs
@@ -4,10 +4,10 @@
 use super::Sched;
 use super::job::{Final, Job};
 use super::records::Purpose;
-use crate::ids::{JobId, ReqId};
+use crate::ids::{JobId, ReqId, TaskIx};
 use crate::time::{Span, Time};
 use crate::wire::peer::{Answer, Ask};
-use crate::wire::user::{After, JobSpec, JobState, When};
+use crate::wire::user::{After, JobSpec, JobState, Kind, When};
 use hookworks_life::{Hold, HoldKind};
 use serde_json::Value;
 use std::collections::{BTreeSet, HashMap};
@@ -64,10 +64,16 @@
 }
 
 impl Job {
-    /// A condition is not met yet.
+    /// The job whose tasks those of this one wait for, one by one.
+    pub fn counterpart(&self) -> Option<&JobId> {
+        self.spec.after.iter().find(|a| a.each).map(|a| &a.job)
+    }
+
+    /// A condition on a job as a whole is not met yet.
     pub fn blocked(&self) -> bool {
-        let all = (1u32 << self.spec.after.len()) - 1;
-        self.met & all != all
+        let whole = |(_, a): &(usize, &After)| !a.each;
+        let conditions = self.spec.after.iter().enumerate().filter(whole);
+        conditions.fold(0, |all, (n, _)| all | 1u32 << n) & !self.met != 0
     }
 }
 
@@ -135,6 +141,12 @@
                     return true;
                 }
             };
+            let tasks = self.jobs.get(&a.job).map(|j| (j.spec.tasks, j.spec.kind));
+            if a.each && tasks.is_some_and(|t| t != (spec.tasks, Kind::Array)) {
+                let text = format!("After.Each: {} is no array of {} tasks", a.job, spec.tasks);
+                self.answer(req, Answer::error(422, &text));
+                return true;
+            }
             // The team of a job from before there were histories is not known.
             if team.is_some_and(|t| t != spec.team.as_str()) {
                 let text = format!("After: {} is another team's", a.job);
@@ -219,11 +231,51 @@
                 children.push(id.clone());
             }
         }
+        if let Some(j) = self.jobs.get_mut(id)
+            && let Some(other) = j.counterpart().cloned()
+        {
+            j.shut();
+            let parts = self.jobs.get(&other).map_or(0, |p| p.parts.len());
+            for part in 0..parts {
+                self.open_counterparts(&other, part, Some(id));
+            }
+        }
         for (parent, came) in known {
             self.tell_child(now, id, &parent, came);
         }
     }
 
+    /// What of this part is done is stored: tasks that waited for that may
+    /// start. The work is that of one part.
+    pub(super) fn open_counterparts(&mut self, id: &JobId, part: usize, only: Option<&JobId>) {
+        let Some(children) = self.waits.children.get(id) else {
+            return;
+        };
+        let Some(j) = self.jobs.get(id) else { return };
+        if j.parts[part].stored < j.parts[part].ver {
+            // What came since is stored later, and told then.
+            return;
+        }
+        let (from, to) = j.part_range(part);
+        let done: Vec<TaskIx> = (from..to).map(TaskIx).filter(|t| j.is_done(*t)).collect();
+        let children: Vec<JobId> = children
+            .iter()
+            .filter(|c| only.is_none_or(|o| o == *c))
+            .cloned()
+            .collect();
+        for c in children {
+            let Some(child) = self.jobs.get_mut(&c) else {
+                continue;
+            };
+            if child.counterpart() != Some(id) {
+                continue;
+            }
+            for t in &done {
+                self.replan |= child.open(*t);
+            }
+        }
+    }
+
     /// Something has become of a job: those that wait for it hear of it. The
     /// work is that of its own children, however long a chain hangs on them.
     pub(super) fn came(&mut self, now: Time, id: &JobId, came: Came) {
@@ -254,6 +306,11 @@
                 None => {}
             }
         }
+        if came == Came::Over(JobState::Done) && j.counterpart() == Some(parent) {
+            for t in (0..j.spec.tasks).map(TaskIx) {
+                j.open(t);
+            }
+        }
         if j.met != before {
             j.touch(0, &mut self.dirty, Purpose::Start);
             self.replan = true;
@@ -271,7 +328,8 @@
 
     /// What a new leader finds waiting.
     pub(super) fn load_waiting(&mut self, now: Time) {
-        let blocked = |j: &&Job| j.blocked() && j.closing.is_none();
+        let waits = |j: &Job| j.blocked() || j.counterpart().is_some();
+        let blocked = |j: &&Job| waits(j) && j.closing.is_none();
         let ids: Vec<JobId> = self
             .jobs
             .values()
--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -109,6 +109,10 @@
     pub ended: Option<Wall>,
     /// Which of the conditions to start are met, a bit each.
     pub met: u32,
+    /// Of a job whose tasks wait for those of another: which need not wait any
+    /// more, and how many still do.
+    opened: Vec<u64>,
+    closed: u32,
     /// Fields of a later version, which are not to be lost.
     rest: Rest,
 }
@@ -202,6 +206,8 @@
             history: History::new(At(wall.0)),
             ended: None,
             met: 0,
+            opened: vec![],
+            closed: 0,
             rest: Rest::default(),
         }
     }
@@ -246,7 +252,7 @@
         if self.spec.kind == Kind::Gang && self.done_count > 0 {
             return 0; // It completes together, or has.
         }
-        self.spec.tasks - self.done_count - self.live.len() as u32
+        self.spec.tasks - self.done_count - self.live.len() as u32 - self.closed
     }
 
     pub fn unfinished(&self) -> u32 {
@@ -268,6 +274,34 @@
         None
     }
 
+    /// Tasks wait for their counterparts from now on, but for those that have
+    /// begun already.
+    pub fn shut(&mut self) {
+        self.fresh = self.spec.tasks;
+        self.retry.clear();
+        self.opened = vec![0; self.done.len()];
+        self.closed = self.spec.tasks;
+        for t in (0..self.spec.tasks).map(TaskIx) {
+            if self.is_done(t) || self.live.contains_key(&t) {
+                self.open(t);
+            }
+        }
+    }
+
+    /// The task's counterpart is done. True if it waited for that.
+    pub fn open(&mut self, t: TaskIx) -> bool {
+        let (word, bit) = (t.0 as usize / 64, 1 << (t.0 % 64));
+        match self.opened.get_mut(word) {
+            Some(w) if *w & bit == 0 => *w |= bit,
+            _ => return false,
+        }
+        self.closed -= 1;
+        if !self.is_done(t) && !self.live.contains_key(&t) {
+            self.retry.insert(t);
+        }
+        true
+    }
+
     /// A started task is gone without being done.
     pub fn put_back(&mut self, t: TaskIx) {
         if !self.is_done(t) && t.0 < self.fresh {
--- a/src/sched/records.rs
+++ b/src/sched/records.rs
@@ -194,6 +194,7 @@
                     j.waiters = rest;
                     self.tell_waiters(&id, ready);
                 }
+                self.open_counterparts(&id, part, None);
                 self.note_ready(&id);
             }
             Key::Final(id) => {
--- a/src/wire/user.rs
+++ b/src/wire/user.rs
@@ -68,6 +68,13 @@
     pub job: JobId,
     #[serde(rename = "When")]
     pub when: When,
+    /// Each task waits for the task of the same number, not for all.
+    #[serde(rename = "Each", default, skip_serializing_if = "is_false")]
+    pub each: bool,
+}
+
+fn is_false(b: &bool) -> bool {
+    !*b
 }
 
 /// What a job may wait for.
@@ -289,10 +296,16 @@
         if self.after.len() > MAX_AFTER {
             return Err(format!("After: at most {MAX_AFTER} conditions"));
         }
+        if self.after.iter().filter(|a| a.each).count() > 1 {
+            return Err("After.Each: at most one such condition".into());
+        }
         for a in &self.after {
             if !JobId::well_formed(a.job.as_str()) {
                 return Err("After.Job: must be job- and digits".into());
             }
+            if a.each && (a.when != When::Success || self.kind != Kind::Array) {
+                return Err("After.Each: only for arrays, and for success".into());
+            }
             if a.job == self.id {
                 return Err("After.Job: a job can't wait for itself".into());
             }
--- a/tests/after.rs
+++ b/tests/after.rs
@@ -16,7 +16,8 @@
 fn waits(n: u64, parent: u64, when: When) -> JobSpec {
     let mut j = job(n, 1);
     let job = JobId::from(format!("job-{parent:06}").as_str());
-    j.after = vec![After { job, when }];
+    let each = false;
+    j.after = vec![After { job, when, each }];
     j
 }
 
@@ -183,6 +184,61 @@
     assert!(a.status == 400 && a.body.contains("itself"), "{a:?}");
 }
 
+/// The counterpart of a task, one by one; what is done counts once stored.
+#[test]
+fn tasks_wait_for_their_counterparts_one_by_one() {
+    let mut d = Desk::new(5);
+    machine(&mut d);
+    d.submit(&job(1, 3));
+    let mut child = waits(2, 1, When::Success);
+    (child.tasks, child.after[0].each) = (3, true);
+    let asked = d.submit(&child);
+    assert_eq!(d.status(asked), Some(201));
+    let live = |d: &Desk, n: u64| {
+        d.s.jobs
+            .get(&id(n))
+            .map_or(vec![], |j| j.live.keys().map(|t| t.0).collect::<Vec<_>>())
+    };
+    assert_eq!((live(&d, 1), live(&d, 2)), (vec![0, 1, 2], vec![]));
+    let a = d.attempt(id(1).as_str(), 1).unwrap();
+    let mut r = report(1, 10, Token(5 << 24));
+    r.addr = None;
+    d.beat(&r);
+    r.seq = Seq(11);
+    r.tasks = vec![ended(id(1).as_str(), 1, a, Cause::Done)];
+    d.stores = false;
+    d.beat(&r);
+    d.wait(1.0);
+    assert_eq!(live(&d, 2), [0u32; 0], "begun before the other was stored");
+    d.stores = true;
+    d.wait(1.0);
+    assert_eq!(live(&d, 2), [1]);
+    // A new leader finds out by the other's record.
+    let found = |d: &Desk, n| {
+        let v = d.s.jobs[&id(n)].encode(0);
+        let mut j = Job::decode(&v, Time(d.now), Wall(1)).unwrap();
+        (j.parts[0].ver, j.parts[0].stored) = (1, 1);
+        j
+    };
+    let mut next = Desk::with(6, vec![found(&d, 1), found(&d, 2)]);
+    next.wait(1.0);
+    assert_eq!(next.s.jobs[&id(2)].pending(), 0);
+    // Or that it is over: then all may start.
+    let mut last = Desk::with(7, vec![found(&d, 2)]);
+    assert_eq!(last.s.jobs[&id(2)].pending(), 0);
+    let f = Final {
+        state: JobState::Done,
+        done: 3,
+    };
+    last.event(Event::FinalRead(id(1), Ok(Some(f))));
+    assert_eq!(last.s.jobs[&id(2)].pending(), 2);
+    // An array of another size has no counterparts.
+    let mut odd = waits(3, 2, When::Success);
+    (odd.tasks, odd.after[0].each) = (4, true);
+    let asked = d.submit(&odd);
+    assert_eq!(d.status(asked), Some(422));
+}
+
 /// Each event looks at the children of one job, however long the chain.
 #[test]
 fn a_long_chain_is_one_step_at_a_time() {
--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -19,6 +19,7 @@
     w.run(2.0);
     let (mut ids, mut services): (Vec<hookworks::ids::JobId>, _) = (vec![], vec![]);
     let mut last = 0.0;
+    let mut by_task = vec![];
     for n in 0..14 {
         let tasks = w.rng.random_range(1..9);
         let mut j = job(n, tasks);
@@ -45,9 +46,19 @@
         if n % 4 == 3 {
             // It waits for the end of the one before, which was sent first.
             let (job, when) = (ids[n as usize - 1].clone(), When::End);
-            j.after = vec![After { job, when }];
+            let each = false;
+            j.after = vec![After { job, when, each }];
             at = last + w.rng.random_range(0.0..20.0);
         }
+        if n % 7 == 2 && w.specs[&ids[n as usize - 1]].kind == Kind::Array {
+            // Task by task; where the other is cancelled, so is this one.
+            let other = &w.specs[&ids[n as usize - 1]];
+            let (job, when, each) = (other.id.clone(), When::Success, true);
+            j.tasks = other.tasks;
+            j.after = vec![After { job, when, each }];
+            at = last + w.rng.random_range(0.0..20.0);
+            by_task.push(j.id.clone());
+        }
         last = at;
         ids.push(j.id.clone());
         let body = serde_json::to_vec(&j).unwrap();
@@ -112,6 +123,10 @@
             w.at(1.0 + 8.0 * k as f64, e);
         }
     }
+    for id in by_task {
+        // Long enough for those that can end by themselves.
+        w.at(200.0, Ev::User(Ask::Cancel(id.to_string())));
+    }
     w.run(240.0);
     w
 }
--- a/tests/world/rules.rs
+++ b/tests/world/rules.rs
@@ -87,7 +87,12 @@
                 for a in &self.specs[&task.job].after {
                     let key = final_key(&a.job);
                     let unfinished = matches!(self.store.read(&key), Ok(None));
-                    if a.when == When::End && unfinished {
+                    let other = TaskId {
+                        job: a.job.clone(),
+                        ix: task.ix,
+                    };
+                    let early = a.each && !self.done_tasks.contains(&other);
+                    if early || a.when == When::End && unfinished {
                         self.broken.push(format!("began_early: {task}"));
                     }
                 }
