--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -8,14 +8,14 @@
 pub mod desk;
 pub mod given;
 mod rules;
+mod steps;
 pub mod store;
 pub mod worker;
 
 pub use given::{flavor, job, settings};
 use hookworks::ids::*;
-use hookworks::lead::{Elect, Elector};
-use hookworks::node::load::load;
-use hookworks::sched::{Config, DirectResult, Effect, Event, Sched};
+use hookworks::lead::Elector;
+use hookworks::sched::{DirectResult, Effect, Event, Sched};
 use hookworks::store::commit::{Committer, Step};
 use hookworks::store::{Outcome, final_key};
 use hookworks::time::{Span, Time, Wall};
@@ -544,70 +544,4 @@
         }
         self.flush(i);
     }
-
-    fn elect(&mut self, i: usize) {
-        let now = self.time();
-        let wall = self.wall();
-        if self.ctls[i].up {
-            match self.ctls[i].elector.step(|| now) {
-                Elect::Won {
-                    epoch,
-                    stamp,
-                    proven,
-                } => {
-                    if let Ok(l) = load(&self.store, epoch, stamp, now, wall) {
-                        let s = settings("x");
-                        let mut commit = Committer::new(stamp, &s.platform.params.state);
-                        for (k, st) in l.stamps {
-                            commit.know(k, st);
-                        }
-                        let cfg = Config::from(&s);
-                        let mut sched = Sched::new(cfg, epoch, proven, now, wall);
-                        sched.load(now, l.jobs, l.unreadable);
-                        self.log.push(format!("{} c{i} leads {epoch}", self.now));
-                        self.ctls[i].term = Some(Term {
-                            epoch,
-                            sched,
-                            commit,
-                        });
-                        self.event(i, Event::Flavors(vec![flavor()]));
-                    } else {
-                        self.ctls[i].elector.resign();
-                    }
-                }
-                Elect::Proven(t) => self.event(i, Event::Proven(t)),
-                Elect::Seen(_) | Elect::Lost => self.ctls[i].term = None,
-                Elect::NoAnswer => {}
-            }
-        }
-        let pause = self.ctls[i].elector.pause().as_secs();
-        self.at(pause, Ev::Elect(i));
-    }
-
-    fn beat(&mut self, h: Host) {
-        let now = self.now;
-        let lease = 20 * S;
-        let Some(w) = self.workers.get_mut(&h) else {
-            return;
-        };
-        w.step(now, lease);
-        if now < w.next_beat {
-            return;
-        }
-        w.next_beat = now + S / 2;
-        let cut = w.cut || w.hangs;
-        let body = serde_json::to_vec(&w.report()).unwrap();
-        w.sent_at = now;
-        let again = self.rng.random_range(2.3..3.6);
-        if !cut {
-            let d = self.delay();
-            for i in 0..self.ctls.len() {
-                // Whoever leads, or believes to, gets it: forwarding done.
-                if self.ctls[i].up && self.ctls[i].term.is_some() {
-                    self.at(d, Ev::ToCtl(i, h.clone(), body.clone()));
-                }
-            }
-        }
-        self.at(again, Ev::Beat(h));
-    }
 }
