--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -1,12 +1,14 @@
 //! The scheduler itself: no I/O, no clock, no threads. Whatever happens comes
 //! in as an event with its time; what is to be done goes out as effects.
 
+mod after;
 mod audit;
 mod direct;
 mod estimate;
 mod fleet;
 mod gang;
 pub mod job;
+mod life;
 pub mod machine;
 mod order;
 mod overview;
@@ -29,6 +31,7 @@
 use crate::wire::cloud::{Flavor, Hire, Listed};
 use crate::wire::peer::{Answer, Ask};
 use crate::wire::worker::{Orders, Report};
+use hookworks_life::RetryRule;
 use job::{Final, Job};
 use machine::{Life, Machine, Slot};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -49,6 +52,8 @@
     AlreadyFinal(JobId, Final),
     /// A consistent read of a final state came back, or failed.
     FinalRead(JobId, Result<Option<Final>, ()>),
+    /// The same for the whole record, which somebody wants to see.
+    RecordRead(ReqId, JobId, Result<Option<serde_json::Value>, ()>),
     Direct(CallId, Host, DirectResult),
     Flavors(Vec<Flavor>),
     Listed(Vec<Listed>),
@@ -88,6 +93,7 @@
 pub enum Effect {
     Answer(ReqId, Answer),
     ReadFinal(JobId),
+    ReadRecord(ReqId, JobId),
     Orders {
         call: CallId,
         host: Host,
@@ -142,11 +148,18 @@
     teams: team::Teams,
     /// Classes that want to start sooner than a machine can be rented.
     quick: BTreeSet<Class>,
+    /// How often tasks of a class may fail.
+    rules: BTreeMap<Class, RetryRule>,
     arrivals: spare::Arrivals,
     fleet: fleet::Fleet,
     finals: HashMap<JobId, Final>,
     finals_order: VecDeque<JobId>,
+    /// Who waits for whom.
+    waits: after::Waits,
+    /// When running tasks reach their limit.
+    time_limits: BTreeSet<(Time, TaskId)>,
     reads: HashMap<JobId, Vec<(ReqId, Ask)>>,
+    record_reads: usize,
     counter: u64,
     next_seq: u64,
     next_call: u64,
@@ -186,6 +199,8 @@
         Sched {
             teams: team::Teams::new(&cfg.teams),
             quick: BTreeSet::new(),
+            rules: cfg.tuning.rules(),
+            record_reads: 0,
             arrivals: Default::default(),
             fleet: fleet::Fleet::new(epoch),
             cfg,
@@ -196,6 +211,8 @@
             dirty: DirtyQueue::default(),
             finals: HashMap::new(),
             finals_order: VecDeque::new(),
+            waits: Default::default(),
+            time_limits: BTreeSet::new(),
             reads: HashMap::new(),
             counter: 0,
             next_seq: 1,
@@ -230,10 +247,11 @@
                     self.fleet.out_of_reach.insert(l, now);
                 }
             }
-            Event::Stored(key, ver) => self.stored(key, ver),
+            Event::Stored(key, ver) => self.stored(now, key, ver),
             Event::NotStored(job) => self.not_stored(&job),
             Event::AlreadyFinal(job, f) => self.already_final(now, job, f),
             Event::FinalRead(job, r) => self.final_read(now, job, r),
+            Event::RecordRead(req, job, r) => self.record_read(now, req, job, r),
             Event::Direct(call, host, r) => self.direct_result(now, call, host, r),
             Event::Flavors(f) => self.take_flavors(f),
             Event::Listed(l) => self.listed(now, l),
@@ -363,6 +381,7 @@
                 self.stop_all(now, &id);
             }
         }
+        self.load_waiting(now);
         self.replan = true;
     }
 
@@ -383,6 +402,8 @@
         self.watch_machines(now);
         self.plan_fleet(now);
         self.push_all(now);
+        self.read_parents(now);
+        self.end_overlong(now);
         // What waits for time alone, such as a back-off, is tried again.
         self.replan = true;
         if now >= self.sum_up_at {
--- a/src/wire/user.rs
+++ b/src/wire/user.rs
@@ -1,10 +1,14 @@
 //! Talk with users.
 
 use crate::ids::{Build, Class, Image, JobId, Team, Zone};
+use hookworks_life::{Entry, Hold, What};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 
 /// Most tasks a job may have.
 pub const MAX_TASKS: u32 = 100_000;
+/// Most conditions that a job may wait for.
+pub const MAX_AFTER: usize = 16;
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct JobSpec {
@@ -48,6 +52,46 @@
     pub save_s: f64,
     #[serde(rename = "DueS", default, skip_serializing_if = "Option::is_none")]
     pub deadline_s: Option<f64>,
+    /// A task that runs for longer is told to save and end; ours.
+    #[serde(rename = "LimitS", default, skip_serializing_if = "Option::is_none")]
+    pub limit_s: Option<f64>,
+    /// What must come about before the job starts anything; ours.
+    #[serde(rename = "After", default, skip_serializing_if = "Vec::is_empty")]
+    pub after: Vec<After>,
+}
+
+/// A condition on another job of the same team.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct After {
+    #[serde(rename = "Job")]
+    pub job: JobId,
+    #[serde(rename = "When")]
+    pub when: When,
+}
+
+/// What a job may wait for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum When {
+    /// A task of it has run.
+    Start,
+    /// It is over, done or cancelled.
+    End,
+    /// It is done.
+    Success,
+    /// It is cancelled, or held for having failed too often.
+    Failure,
+}
+
+impl std::fmt::Display for When {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            When::Start => "start",
+            When::End => "end",
+            When::Success => "success",
+            When::Failure => "failure",
+        })
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -94,6 +138,62 @@
     pub running: u32,
 }
 
+/// The answer to a hold or a release that is stored.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct HoldView {
+    #[serde(flatten)]
+    pub job: JobView,
+    #[serde(rename = "Held")]
+    pub held: bool,
+}
+
+/// Run time times what a task takes of its machine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct TaskSeconds {
+    #[serde(rename = "CpuS")]
+    pub cpu: f64,
+    #[serde(rename = "AcceleratorS")]
+    pub accelerator: f64,
+    #[serde(rename = "MemoryGbS")]
+    pub memory_gb: f64,
+}
+
+/// A job whole, for operators and consoles. Times of day in milliseconds since
+/// 1970; of a job from before there were histories only the state is known.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct JobDetail {
+    #[serde(flatten)]
+    pub job: JobView,
+    #[serde(rename = "Class")]
+    pub class: Class,
+    #[serde(rename = "Team")]
+    pub team: Team,
+    #[serde(rename = "Tasks")]
+    pub tasks: u32,
+    #[serde(rename = "SubmittedMs")]
+    pub submitted_ms: u64,
+    #[serde(
+        rename = "FirstStartMs",
+        default,
+        skip_serializing_if = "Option::is_none"
+    )]
+    pub first_start_ms: Option<u64>,
+    #[serde(rename = "EndedMs", default, skip_serializing_if = "Option::is_none")]
+    pub ended_ms: Option<u64>,
+    #[serde(rename = "DueMs", default, skip_serializing_if = "Option::is_none")]
+    pub due_ms: Option<u64>,
+    #[serde(rename = "Holds", default, skip_serializing_if = "Vec::is_empty")]
+    pub held: Vec<Hold>,
+    #[serde(rename = "Counts", default)]
+    pub counts: BTreeMap<What, u32>,
+    #[serde(rename = "Useful", default)]
+    pub useful: TaskSeconds,
+    #[serde(rename = "Lost", default)]
+    pub lost: TaskSeconds,
+    #[serde(rename = "History", default)]
+    pub history: Vec<Entry>,
+}
+
 impl JobSpec {
     /// Reads a submission; the error names the field that is wrong.
     pub fn parse(body: &[u8]) -> Result<JobSpec, String> {
@@ -140,6 +240,23 @@
                 return Err(format!("{field}: must have 1 to 200 bytes"));
             }
         }
+        if self
+            .limit_s
+            .is_some_and(|l| !l.is_finite() || !(1.0..=1e9).contains(&l))
+        {
+            return Err("LimitS: must be 1 or more".into());
+        }
+        if self.after.len() > MAX_AFTER {
+            return Err(format!("After: at most {MAX_AFTER} conditions"));
+        }
+        for a in &self.after {
+            if !JobId::well_formed(a.job.as_str()) {
+                return Err("After.Job: must be job- and digits".into());
+            }
+            if a.job == self.id {
+                return Err("After.Job: a job can't wait for itself".into());
+            }
+        }
         if self.builds.as_ref().is_some_and(|b| b.len() > 64) {
             return Err("Builds: at most 64 types".into());
         }
--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -3,7 +3,7 @@
 mod world;
 
 use hookworks::wire::peer::Ask;
-use hookworks::wire::user::{Kind, Priority};
+use hookworks::wire::user::{After, Kind, Priority, When};
 use rand::RngExt;
 use world::{Chaos, Ev, World, job};
 
@@ -17,7 +17,8 @@
         refuse_txn: 0.02,
     };
     w.run(2.0);
-    let (mut ids, mut services) = (vec![], vec![]);
+    let (mut ids, mut services): (Vec<hookworks::ids::JobId>, _) = (vec![], vec![]);
+    let mut last = 0.0;
     for n in 0..14 {
         let tasks = w.rng.random_range(1..9);
         let mut j = job(n, tasks);
@@ -32,6 +33,7 @@
         }
         match n % 7 {
             3 => (j.kind, j.tasks, j.one_zone) = (Kind::Gang, j.tasks.min(4), true),
+            // One of these waits for a service, until that is cancelled.
             5 => {
                 (j.kind, j.tasks) = (Kind::Service, j.tasks.min(3));
                 (j.priority, j.spread) = (Priority::Production, !j.one_zone);
@@ -39,10 +41,17 @@
             }
             _ => {}
         }
+        let mut at = w.rng.random_range(0.0..150.0);
+        if n % 4 == 3 {
+            // It waits for the end of the one before, which was sent first.
+            let (job, when) = (ids[n as usize - 1].clone(), When::End);
+            j.after = vec![After { job, when }];
+            at = last + w.rng.random_range(0.0..20.0);
+        }
+        last = at;
         ids.push(j.id.clone());
         let body = serde_json::to_vec(&j).unwrap();
         w.specs.insert(j.id.clone(), j);
-        let at = w.rng.random_range(0.0..150.0);
         // Users try again until they are heard.
         for k in 0..6 {
             w.at(at + 8.0 * k as f64, Ev::User(Ask::Submit(body.clone())));
@@ -53,6 +62,9 @@
             let at = k as f64 * 5.0 + w.rng.random_range(0.0..2.0);
             w.at(at, Ev::User(Ask::Poll(id.to_string())));
         }
+        if w.rng.random_bool(0.4) {
+            hold_and_release(&mut w, id);
+        }
         if w.rng.random_bool(0.25) {
             let at = w.rng.random_range(60.0..200.0);
             w.at(at, Ev::User(Ask::Cancel(id.to_string())));
@@ -104,9 +116,35 @@
     w
 }
 
+/// Held by one or two, by way of whoever leads, and released again, at times
+/// that may cross; the job is looked at meanwhile.
+fn hold_and_release(w: &mut World, id: &hookworks::ids::JobId) {
+    for kind in ["user", "operator"] {
+        if w.rng.random_bool(0.4) {
+            continue;
+        }
+        let at = w.rng.random_range(1.0..150.0);
+        let long = w.rng.random_range(0.0..40.0);
+        let stop = w.rng.random_bool(0.3);
+        let hold = serde_json::json!({"By": "a", "Kind": kind, "Why": "b", "Stop": stop});
+        let release = serde_json::json!({"By": "a", "Kind": kind});
+        w.at(
+            at,
+            Ev::User(Ask::Hold(id.to_string(), hold.to_string().into())),
+        );
+        // Users try again until they are heard, also after the storm.
+        for k in 0..30 {
+            let body = release.to_string().into();
+            let at = at + long + 10.0 * k as f64;
+            w.at(at, Ev::User(Ask::Release(id.to_string(), body)));
+        }
+        w.at(at + 3.0, Ev::User(Ask::Show(id.to_string())));
+    }
+}
+
 #[test]
 fn rules_hold_in_many_random_histories() {
-    let mut gangs = 0;
+    let (mut gangs, mut holds) = (0, 0);
     for seed in 0..40 {
         let mut w = history(seed);
         assert!(
@@ -121,6 +159,8 @@
         assert!(left.is_empty(), "seed {seed}: never finished {left:?}");
         w.run(1.0);
         gangs += w.gangs_begun;
+        holds += w.holds_told;
     }
+    assert!(holds > 50, "hardly any hold was told: {holds}");
     assert!(gangs > 40, "hardly any gang began: {gangs}");
 }
