Histories: failures, limits of retries and run time, requests by way of old leaders

Need: the seeded histories are to have everything a job's life has as actions. Change: machines that fail all they run for a while, a class that may fail three times, limits on run time, releases and cancellations at the moment of a hold by way of a controller that may lead no more.

--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -19,7 +19,7 @@
     w.run(2.0);
     let (mut ids, mut services): (Vec<hookworks::ids::JobId>, _) = (vec![], vec![]);
     let mut last = 0.0;
-    let mut by_task = vec![];
+    let (mut by_task, mut frail) = (vec![], vec![]);
     for n in 0..14 {
         let tasks = w.rng.random_range(1..9);
         let mut j = job(n, tasks);
@@ -28,6 +28,11 @@
             j.spot = false;
         }
         j.one_zone = n % 5 == 4;
+        if n % 5 == 0 {
+            // It may fail so often and run so long, and no more.
+            (j.class, j.limit_s) = ("frail".into(), (n % 10 == 0).then_some(1.0));
+            frail.push(j.id.clone());
+        }
         if n % 4 == 2 {
             // An accelerator and memory besides, so that both run short.
             (j.gpus, j.memory_gb) = (1.0, 9.0);
@@ -95,6 +100,10 @@
         let at = w.rng.random_range(20.0..200.0);
         if w.rng.random_bool(0.3) {
             w.at(at, Ev::Preempt(host));
+        } else if w.rng.random_bool(0.3) {
+            let long = w.rng.random_range(2.0..50.0);
+            w.at(at, Ev::Sick(host.clone(), true));
+            w.at(at + long, Ev::Sick(host, false));
         } else if w.rng.random_bool(0.3) {
             let long = w.rng.random_range(2.0..50.0);
             w.at(at, Ev::Hang(host.clone(), true));
@@ -123,6 +132,14 @@
             w.at(1.0 + 8.0 * k as f64, e);
         }
     }
+    for id in &frail {
+        // Operators let them go on, until some are given up.
+        for k in 0..10 {
+            let body = r#"{"By":"ops","Kind":"system"}"#.into();
+            w.at(8.0 * k as f64, Ev::User(Ask::Release(id.to_string(), body)));
+        }
+    }
+    by_task.extend(frail);
     for id in by_task {
         // Long enough for those that can end by themselves.
         w.at(200.0, Ev::User(Ask::Cancel(id.to_string())));
@@ -143,10 +160,15 @@
         let stop = w.rng.random_bool(0.3);
         let hold = serde_json::json!({"By": "a", "Kind": kind, "Why": "b", "Stop": stop});
         let release = serde_json::json!({"By": "a", "Kind": kind});
-        w.at(
-            at,
-            Ev::User(Ask::Hold(id.to_string(), hold.to_string().into())),
-        );
+        let hold = Ask::Hold(id.to_string(), hold.to_string().into());
+        let via = w.rng.random_range(0..3);
+        w.at(at, Ev::User(hold));
+        // And at the same moment by way of one that may lead no more.
+        let both = Ask::Release(id.to_string(), release.to_string().into());
+        if w.rng.random_bool(0.2) {
+            w.at(at, Ev::UserVia(via, both));
+            w.at(at, Ev::UserVia(via, Ask::Cancel(id.to_string())));
+        }
         // Users try again until they are heard, also after the storm.
         for k in 0..30 {
             let body = release.to_string().into();
@@ -157,10 +179,12 @@
     }
 }
 
+/// `HISTORIES` asks for more than the usual number of them.
 #[test]
 fn rules_hold_in_many_random_histories() {
-    let (mut gangs, mut holds) = (0, 0);
-    for seed in 0..40 {
+    let (mut gangs, mut holds, mut limited) = (0, 0, 0);
+    let more = std::env::var("HISTORIES").ok().and_then(|n| n.parse().ok());
+    for seed in 0..more.unwrap_or(40) {
         let mut w = history(seed);
         assert!(
             w.broken.is_empty(),
@@ -175,7 +199,9 @@
         w.run(1.0);
         gangs += w.gangs_begun;
         holds += w.holds_told;
+        limited += w.limited.len();
     }
+    assert!(limited > 20, "hardly any limit was reached: {limited}");
     assert!(holds > 50, "hardly any hold was told: {holds}");
     assert!(gangs > 40, "hardly any gang began: {gangs}");
 }
--- a/tests/world/given.rs
+++ b/tests/world/given.rs
@@ -23,10 +23,14 @@
     })
 }
 
+/// One class may fail three times; the others as often as they like.
+const FRAIL: &str = "<hookworks><classes><class name='frail'><attempts>3</attempts>\
+    <backoff-s>1</backoff-s><backoff-most-s>4</backoff-most-s></class></classes></hookworks>";
+
 pub fn settings(label: &str) -> Settings {
     Settings {
         platform: Platform::parse("test", &platform(label).to_string()).unwrap(),
-        tuning: Tuning::default(),
+        tuning: Tuning::parse("test", FRAIL).unwrap(),
     }
 }
 
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -55,6 +55,10 @@
     Cut(Host, bool),
     CutZone(Zone, bool),
     Hang(Host, bool),
+    /// Every task on it fails.
+    Sick(Host, bool),
+    /// By way of this controller, leader or not.
+    UserVia(usize, Ask),
     StoreDown(bool),
     Preempt(Host),
 }
@@ -114,6 +118,8 @@
     holds_asked: BTreeMap<ReqId, u64>,
     /// Holds that were told, all in all.
     pub holds_told: u64,
+    /// Jobs that were held at their limit.
+    pub limited: BTreeSet<JobId>,
     pub answers: Vec<(Ask, Answer)>,
     pub broken: Vec<String>,
     pub started: u64,
@@ -155,6 +161,7 @@
             releases: BTreeMap::new(),
             holds_asked: BTreeMap::new(),
             holds_told: 0,
+            limited: BTreeSet::new(),
             answers: vec![],
             broken: vec![],
             started: 0,
@@ -380,6 +387,11 @@
                 if self.ctls[i].up {
                     self.event(i, Event::Tick(wall));
                     if let Some(t) = &self.ctls[i].term {
+                        let held = |j: &&hookworks::sched::job::Job| {
+                            j.holds.get(HoldKind::System).is_some()
+                        };
+                        let held = t.sched.jobs.values().filter(held);
+                        self.limited.extend(held.map(|j| j.id().clone()));
                         let wrong = t.sched.audit();
                         self.broken.extend(wrong);
                     }
@@ -515,6 +527,12 @@
                     w.hangs = hangs;
                 }
             }
+            Ev::Sick(h, sick) => {
+                if let Some(w) = self.workers.get_mut(&h) {
+                    w.sick = sick;
+                }
+            }
+            Ev::UserVia(i, ask) => self.ask(i, ask),
             Ev::StoreDown(d) => self.store.down(d),
             Ev::Preempt(h) => {
                 self.workers.remove(&h);
