One type for answers

Need: the connection layer and the talk among controllers each had an answer of the same fields, and a conversion.

--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -21,11 +21,12 @@
 pub use server::{Figures, LaneFigures, Server};
 pub use spread::Spread;
 
+use bincode::{Decode, Encode};
 use crossbeam_channel::Sender;
 use http::Method;
 
-/// An answer, with a JSON body.
-#[derive(Clone, Debug, PartialEq)]
+/// An answer, with a JSON body; controllers pass it on among themselves.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct Answer {
     pub status: u16,
     pub body: String,
--- a/crates/gate/tests/lanes.rs
+++ b/crates/gate/tests/lanes.rs
@@ -1,24 +1,13 @@
 //! The decisions, against random histories; with the same seed each time.
 
+mod common;
+
 use arbitrary::{Arbitrary, Unstructured};
+use common::bounds;
 use hookworks_gate::*;
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-fn bounds(connections: usize) -> Bounds {
-    let machine = Machine {
-        sockets: connections + 500,
-        descriptors: None,
-        memory: 1 << 30,
-        aside: 0,
-    };
-    let wishes = Wishes {
-        threads: connections,
-        ..Wishes::default()
-    };
-    Bounds::plan(&machine, &wishes).unwrap()
-}
-
 /// The same inputs each time; `FUZZ_SEEDS` asks for more of them.
 fn for_seeds(bytes: u64, property: impl Fn(&mut Unstructured<'_>) -> arbitrary::Result<()>) {
     let seeds = std::env::var("FUZZ_SEEDS")
--- a/src/api.rs
+++ b/src/api.rs
@@ -104,16 +104,6 @@
     Overview,
 }
 
-impl From<Answer> for hookworks_gate::Answer {
-    fn from(a: Answer) -> Self {
-        hookworks_gate::Answer {
-            status: a.status,
-            body: a.body,
-            retry_after: a.retry_after,
-        }
-    }
-}
-
 /// Sends a worker to that controller, or on to the next one it knows.
 pub fn redirect(leader: Option<Label>) -> Answer {
     let body = serde_json::to_string(&Redirect { leader }).unwrap_or_default();
@@ -219,11 +209,11 @@
                 }
                 true => Answer::error(503, "no leader in reach"),
             };
-            return Route::Now(Lane::Watch, a.into());
+            return Route::Now(Lane::Watch, a);
         }
         match route(method, path, query) {
             Ok((lane, wanted)) => Route::Take(lane, wanted),
-            Err(a) => Route::Now(Lane::Users, a.into()),
+            Err(a) => Route::Now(Lane::Users, a),
         }
     }
 
@@ -237,18 +227,18 @@
             Wanted::Release(id) => Ask::Release(id, body),
             Wanted::Show(id) => Ask::Show(id),
             Wanted::Events(query) => match since(&query) {
-                Err(e) => return reply.answer(Answer::error(400, &e).into()),
+                Err(e) => return reply.answer(Answer::error(400, &e)),
                 Ok(mark) => match self.notice.changes(mark) {
-                    Some(a) => return reply.answer(a.into()),
+                    Some(a) => return reply.answer(a),
                     None => Ask::Events(query),
                 },
             },
             Wanted::List(query) => match Query::parse(&query) {
-                Err(e) => return reply.answer(Answer::error(400, &e).into()),
+                Err(e) => return reply.answer(Answer::error(400, &e)),
                 // Read here, on the connection's own thread: the main loop
                 // does not hear of it.
                 Ok(q) => match self.notice.page(&q).filter(|_| q.wants_unfinished()) {
-                    Some(a) => return reply.answer(a.into()),
+                    Some(a) => return reply.answer(a),
                     None => Ask::List(query),
                 },
             },
@@ -268,12 +258,12 @@
             .is_some_and(|e| e.book())
     }
 
-    fn full(&self, lane: Lane, elsewhere: bool) -> hookworks_gate::Answer {
+    fn full(&self, lane: Lane, elsewhere: bool) -> Answer {
         if lane != Lane::Workers {
-            return Answer::later("too many connections", 1).into();
+            return Answer::later("too many connections", 1);
         }
         let there = self.notice.elsewhere.load();
         let label = there.as_ref().filter(|_| elsewhere);
-        redirect(label.map(|e| e.label.clone())).into()
+        redirect(label.map(|e| e.label.clone()))
     }
 }
--- a/src/node/asks.rs
+++ b/src/node/asks.rs
@@ -229,7 +229,7 @@
             tracing::debug!(status = answer.status, after_ms, "submission answered");
         }
         match p.origin {
-            Origin::Http(reply) => reply.answer(answer.into()),
+            Origin::Http(reply) => reply.answer(answer),
             Origin::Peer { from, id } => {
                 let to = from.to_string();
                 self.tell(from, PeerMsg::Tell { id, to, answer });
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -294,7 +294,7 @@
             }
             Msg::Http(Incoming::Overview(reply)) => {
                 let body = self.overview(now).to_string();
-                reply.answer(Answer::new(200, body).into());
+                reply.answer(Answer::new(200, body));
             }
             Msg::Peer(PeerMsg::Ask { id, from, ask, .. }) => {
                 let from = Label::from(from.as_str());
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -1,6 +1,8 @@
 //! Talk among controllers: length-prefixed `bincode` frames.
 
 use bincode::{Decode, Encode};
+/// A finished answer, ready to be written to the asker.
+pub use hookworks_gate::Answer;
 
 /// What a controller passes on to the leader.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
@@ -32,15 +34,6 @@
     }
 }
 
-/// A finished answer, ready to be written to the asker.
-#[derive(Clone, Debug, PartialEq, Encode, Decode)]
-pub struct Answer {
-    pub status: u16,
-    pub body: String,
-    /// Seconds after which asking again makes sense.
-    pub retry_after: Option<u32>,
-}
-
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub enum PeerMsg {
     /// Sent twice a second: who leads, whom the sender hears, and how many
@@ -73,22 +66,3 @@
     /// What it understands, see [`SPEAKS`].
     pub speaks: u32,
 }
-
-impl Answer {
-    pub fn new(status: u16, body: String) -> Answer {
-        Answer {
-            status,
-            body,
-            retry_after: None,
-        }
-    }
-    pub fn error(status: u16, text: &str) -> Answer {
-        Answer::new(status, serde_json::json!({ "error": text }).to_string())
-    }
-    pub fn later(text: &str, seconds: u32) -> Answer {
-        Answer {
-            retry_after: Some(seconds),
-            ..Answer::error(503, text)
-        }
-    }
-}
