No line of a list past 64 KiB, no record past what the state service takes

Need: an answer may hold no line of more than 64 KiB, and a page of 200 jobs was one of 80; three holds with long reasons and 64 running tasks came to more than 4 KiB, and a job whose record is refused is never stored again. Change: lists have a line for each job; reasons are left out of a record without room, and a submission has to leave room for holds and a history.

--- a/crates/life/src/hold.rs
+++ b/crates/life/src/hold.rs
@@ -62,6 +62,17 @@
         true
     }
 
+    /// The same without reasons and with names cut short, some 70 bytes each,
+    /// where a record has no room for more.
+    pub fn brief(&self) -> Holds {
+        let mut all = self.clone();
+        for h in &mut all.0 {
+            shorten(&mut h.by, 16);
+            h.why.clear();
+        }
+        all
+    }
+
     pub fn release(&mut self, kind: HoldKind) -> Option<Hold> {
         let at = self.0.iter().position(|h| h.kind == kind)?;
         Some(self.0.remove(at))
--- a/crates/listing/src/lib.rs
+++ b/crates/listing/src/lib.rs
@@ -8,10 +8,12 @@
 
 mod feed;
 mod query;
+mod rows;
 
 use feed::Feed;
 pub use feed::{Change, Changes, Mark};
 pub use query::{Position, Query, Show, since};
+pub use rows::rows;
 
 use rpds::RedBlackTreeMapSync;
 use serde::{Deserialize, Serialize};
--- a/src/api.rs
+++ b/src/api.rs
@@ -10,7 +10,7 @@
 use hookworks_gate::{
     Bounds, BoundsError, Lane, Limits, Machine, Reply, Route, Server, Service, descriptors,
 };
-use hookworks_listing::{Mark, Query, Snapshot, since};
+use hookworks_listing::{Mark, Query, Snapshot, rows, since};
 use http::Method;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -68,19 +68,14 @@
     pub fn changes(&self, since: Option<Mark>) -> Option<Answer> {
         let p = self.jobs.load();
         let p = p.as_ref().filter(|p| Instant::now() < p.until)?;
-        let body = serde_json::to_string(&p.jobs.changes(since));
-        Some(Answer::new(200, body.unwrap_or_default()))
+        Some(Answer::new(200, rows(&p.jobs.changes(since))))
     }
 
     /// A page of unfinished jobs, if this controller may tell any.
     pub fn page(&self, q: &Query) -> Option<Answer> {
         let p = self.jobs.load();
         let p = p.as_ref().filter(|p| Instant::now() < p.until)?;
-        let page = p.jobs.page(q, wall().0);
-        Some(Answer::new(
-            200,
-            serde_json::to_string(&page).unwrap_or_default(),
-        ))
+        Some(Answer::new(200, rows(&p.jobs.page(q, wall().0))))
     }
 }
 
--- a/src/node/lists.rs
+++ b/src/node/lists.rs
@@ -11,7 +11,7 @@
 use crate::time::Clock;
 use crate::wire::peer::Answer;
 use crossbeam_channel::{Sender, bounded};
-use hookworks_listing::{Mark, Page, Position, Query};
+use hookworks_listing::{Mark, Page, Position, Query, rows};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -98,5 +98,5 @@
     }
     let id = |key: String| Position::Finished(key.trim_start_matches(FINALS).to_string());
     page.next = after.map(id);
-    Answer::new(200, serde_json::to_string(&page).unwrap_or_default())
+    Answer::new(200, rows(&page))
 }
--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -117,6 +117,10 @@
     rest: Rest,
 }
 
+/// Bytes kept for the job itself in its first record.
+const HEADER: f64 = 1100.0;
+/// What holds and a history take at least, once there are any.
+pub const LATER: usize = 320;
 /// Bytes that a started task takes in a record, and one hold.
 const PER_TASK: f64 = 42.0;
 const HOLD: usize = 320;
@@ -407,7 +411,14 @@
         } else {
             serde_json::to_value(record)
         };
-        value.unwrap_or_default()
+        let mut value = value.unwrap_or_default();
+        // A record that the state service does not take would keep the job
+        // from ever being stored again.
+        let most = (HEADER + PER_TASK * self.part_size as f64) as usize;
+        if part == 0 && !self.holds.is_empty() && value.to_string().len() > most {
+            value["holds"] = serde_json::to_value(self.holds.brief()).unwrap_or_default();
+        }
+        value
     }
 
     pub fn decode(value: &serde_json::Value, now: Time, wall: Wall) -> Option<Job> {
@@ -455,7 +466,6 @@
 
 /// How many tasks share a record, so that a full one stays under the limit.
 pub fn part_size(value_kb: f64) -> u32 {
-    const HEADER: f64 = 1100.0;
     let n = ((value_kb * 1024.0 - HEADER) / PER_TASK).max(64.0) as u32;
     (n / 64 * 64).clamp(64, 512)
 }
--- a/src/sched/users.rs
+++ b/src/sched/users.rs
@@ -1,7 +1,7 @@
 //! What users ask: submissions, polls and cancellations.
 
 use super::after::Came;
-use super::job::{Final, Job, Waiting, part_size};
+use super::job::{Final, Job, LATER, Waiting, part_size};
 use super::records::Purpose;
 use super::{Room, Sched};
 use crate::ids::{JobId, ReqId, Zone};
@@ -158,7 +158,8 @@
         let size = part_size(self.cfg.value_kb);
         let mut job = Job::new(spec, self.next_seq, now, self.wall, size);
         let room = (self.cfg.value_kb * 1024.0) as usize;
-        if job.encode(0).to_string().len() + size.min(job.spec.tasks) as usize * 42 > room {
+        let first = job.encode(0).to_string().len() + LATER;
+        if first + size.min(job.spec.tasks) as usize * 42 > room {
             let text = "Builds: the job's description is too large to be stored";
             return self.answer(req, Answer::error(400, text));
         }
--- a/tests/life.rs
+++ b/tests/life.rs
@@ -484,14 +484,20 @@
             hookworks_life::At(now.0 + t as u64 * 1000),
         );
     }
-    j.holds.put(Hold {
-        kind: HoldKind::System,
-        by: "retry-limit".into(),
-        why: "task 99999 failed 3 times, at last on n-000001".into(),
-        at: hookworks_life::At(now.0),
-    });
+    j.spec.class = "c".repeat(150).as_str().into();
+    for kind in [HoldKind::System, HoldKind::User, HoldKind::Operator] {
+        j.holds.put(Hold {
+            kind,
+            by: "b".repeat(64),
+            why: "w".repeat(160),
+            at: hookworks_life::At(now.0),
+        });
+    }
     for part in [0, 1] {
         let bytes = j.encode(part).to_string().len();
         assert!(bytes <= 4096, "part {part}: {bytes}");
     }
+    // What was cut is the reasons: it is held by all three.
+    let back = Job::decode(&j.encode(0), Time(1), now).unwrap();
+    assert_eq!(back.holds.iter().count(), 3);
 }
