Memory booked for bodies gives itself back; reads for submissions bounded together

Need: a connection told to go just as its body was complete kept its booking for ever, so that large bodies would in the end all be refused; 64 submissions that name 16 jobs each could ask the state service for a thousand records at a time; a hold taken back for a faulty machine reset the counts and put them back. Change: a booking is given back when it is dropped, whichever way a request ends; reads under way are counted, not submissions; counts begin anew only where somebody releases a system hold.

--- a/crates/gate/src/conn.rs
+++ b/crates/gate/src/conn.rs
@@ -4,7 +4,7 @@
 use crate::lanes::{ConnId, Lane, Phase, Verdict, Why};
 use crate::leaving::send_away;
 use crate::seats::Guest;
-use crate::server::Shared;
+use crate::server::{Booking, Shared};
 use crate::{Answer, Reply, Route, Service};
 use chunked_transfer::Decoder;
 use crossbeam_channel::bounded;
@@ -64,9 +64,7 @@
         End::Close => false,
         End::Said => true,
         End::Last(mut a) => {
-            if a.retry_after.is_some() {
-                a.retry_after = a.retry_after.map(|s| shared.come_back(s));
-            }
+            a.retry_after = a.retry_after.map(|s| shared.come_back(s));
             conn.say(&a, true, false).is_ok()
         }
     };
@@ -86,7 +84,7 @@
     }
 }
 
-impl<S: Service> Conn<'_, S> {
+impl<'a, S: Service> Conn<'a, S> {
     /// One request and its answer.
     fn one(&mut self) -> Result<(), End> {
         let (head, taken) = self.head()?;
@@ -114,7 +112,7 @@
                 answer.recv_timeout(SERVICE).unwrap_or_else(none)
             }
         };
-        self.shared.body_done(booked);
+        drop(booked);
         self.answer(lane, &head, answer)
     }
 
@@ -236,22 +234,19 @@
         }
     }
 
-    /// The body, and how many bytes were booked for it.
-    fn body(&mut self, head: &Head) -> Result<(Vec<u8>, usize), End> {
+    /// The body, and what was booked for it.
+    fn body(&mut self, head: &Head) -> Result<(Vec<u8>, Option<Booking<'a>>), End> {
         let length = match head.framing {
-            Framing::None => return Ok((vec![], 0)),
+            Framing::None => return Ok((vec![], None)),
             Framing::Length(n) => n,
             Framing::Chunked => MAX_BODY,
         };
-        let booked = if length > SMALL { length } else { 0 };
-        if !self.shared.body_room(booked) {
-            return Err(End::Last(Answer::later("too many large bodies", 1)));
-        }
-        let body = self.read_body(head, length);
-        if body.is_err() {
-            self.shared.body_done(booked);
+        let mut booked = None;
+        if length > SMALL {
+            let full = || End::Last(Answer::later("too many large bodies", 1));
+            booked = Some(self.shared.book(length).ok_or_else(full)?);
         }
-        body.map(|b| (b, booked))
+        Ok((self.read_body(head, length)?, booked))
     }
 
     fn read_body(&mut self, head: &Head, length: usize) -> Result<Vec<u8>, End> {
--- a/src/sched/after.rs
+++ b/src/sched/after.rs
@@ -12,7 +12,7 @@
 use serde_json::Value;
 use std::collections::{BTreeSet, HashMap};
 
-/// Submissions that wait for reads of other jobs' records.
+/// Reads of other jobs' records under way for submissions.
 const MAX_WAITING: usize = 64;
 /// A final state that could not be read is asked for again after so long.
 const AGAIN: Span = Span(3_000_000);
@@ -85,7 +85,7 @@
             return false;
         }
         let unknown = |a: &&After| !self.jobs.contains_key(&a.job);
-        let missing: BTreeSet<JobId> = spec
+        let mut missing: BTreeSet<JobId> = spec
             .after
             .iter()
             .filter(unknown)
@@ -94,13 +94,18 @@
         if missing.is_empty() {
             return self.refuse_named(req, spec, &HashMap::new());
         }
-        if self.waits.submissions.len() >= MAX_WAITING {
+        // Its own record, too: a repeated submission is never refused.
+        missing.insert(spec.id.clone());
+        let under_way: usize = self
+            .waits
+            .submissions
+            .values()
+            .map(|w| w.missing.len())
+            .sum();
+        if under_way + missing.len() > MAX_WAITING {
             self.answer(req, Answer::later("too many look-ups at a time", 1));
             return true;
         }
-        // Its own record, too: a repeated submission is never refused.
-        let mut missing = missing;
-        missing.insert(spec.id.clone());
         for id in &missing {
             self.out.push(super::Effect::ReadRecord(req, id.clone()));
         }
--- a/src/sched/life.rs
+++ b/src/sched/life.rs
@@ -136,7 +136,16 @@
         if self.over(now, req, &id, &Ask::Release(id.to_string(), body)) {
             return;
         }
-        self.take_hold(&id, r.kind, &r.by);
+        if self.take_hold(&id, r.kind, &r.by)
+            && r.kind == HoldKind::System
+            && let Some(j) = self.jobs.get_mut(&id)
+        {
+            // Whoever lets it go on wants it tried anew.
+            for part in j.parts_with_failures() {
+                j.touch(part, &mut self.dirty, Purpose::Now);
+            }
+            j.attempts.reset();
+        }
         self.tell_stored(req, &id, false);
     }
 
@@ -170,26 +179,20 @@
     }
 
     /// Nothing starts before the release is stored: a new leader would find
-    /// the job held, and tasks that began all the same.
-    fn take_hold(&mut self, id: &JobId, kind: HoldKind, by: &str) {
+    /// the job held, and tasks that began all the same. False: it was not held.
+    fn take_hold(&mut self, id: &JobId, kind: HoldKind, by: &str) -> bool {
         let wall = self.wall;
         let Some(j) = self.jobs.get_mut(id) else {
-            return;
+            return false;
         };
         if j.holds.release(kind).is_none() {
-            return;
+            return false;
         }
         tracing::info!(job = %id, ?kind, by, "released");
         j.history.note(What::Released, wall.into());
-        if kind == HoldKind::System {
-            // Whoever lets it go on wants it tried anew.
-            for part in j.parts_with_failures() {
-                j.touch(part, &mut self.dirty, Purpose::Progress);
-            }
-            j.attempts.reset();
-        }
         j.release_ver = j.touch(0, &mut self.dirty, Purpose::Now);
         self.replan = true;
+        true
     }
 
     /// An attempt ended without being done. What follows for the job is stored
@@ -246,19 +249,14 @@
                 j.touch(p, &mut self.dirty, Purpose::Progress);
             }
             let rule = self.rules.get(&j.spec.class).copied().unwrap_or_default();
-            let held = j.holds.get(HoldKind::System).is_some_and(|h| h.by == LIMIT);
-            if held && !j.attempts.exhausted(&rule) {
+            if j.failed_too_often() && !j.attempts.exhausted(&rule) {
                 free.push(j.id().clone());
             }
         }
         for id in free {
             tracing::info!(job = %id, %host, "its machine was faulty");
             // The failures elsewhere stay counted.
-            let kept = self.jobs.get(&id).map(|j| j.attempts.clone());
             self.take_hold(&id, HoldKind::System, "hookworks");
-            if let (Some(j), Some(kept)) = (self.jobs.get_mut(&id), kept) {
-                j.attempts = kept;
-            }
         }
     }
 
--- a/tests/after.rs
+++ b/tests/after.rs
@@ -239,6 +239,28 @@
     assert_eq!(d.status(asked), Some(422));
 }
 
+/// Sixty-four submissions once could ask for a thousand records at a time, out
+/// of the requests that starts are stored with.
+#[test]
+fn reads_for_submissions_have_a_bound_together() {
+    let mut d = Desk::new(5);
+    let mut statuses = vec![];
+    for n in 1..=5u64 {
+        let mut j = waits(n, 100, When::End);
+        let named = |k| After {
+            job: id(100 * n + k),
+            when: When::End,
+            each: false,
+        };
+        j.after = (1..=16).map(named).collect();
+        let asked = d.submit(&j);
+        statuses.push(d.status(asked));
+    }
+    let reads = d.fx.iter().filter(|f| matches!(f, Effect::ReadRecord(..)));
+    assert_eq!(reads.count(), 3 * 17);
+    assert_eq!(statuses, [None, None, None, Some(503), Some(503)]);
+}
+
 /// Each event looks at the children of one job, however long the chain.
 #[test]
 fn a_long_chain_is_one_step_at_a_time() {
