--- a/crates/gate/src/conn.rs
+++ b/crates/gate/src/conn.rs
@@ -53,7 +53,9 @@
     };
     let end = match conn.enter(Phase::Silent) {
         Some(why) => conn.told(why),
-        None if shared.stopping() => End::Close,
+        // It came while the server was closing: its answer is due all the same.
+        // One whose thread began a moment too late once got none.
+        None if shared.stopping() => conn.told(Why::Room),
         None => loop {
             if let Err(end) = conn.one() {
                 break end;
--- a/crates/gate/src/seats.rs
+++ b/crates/gate/src/seats.rs
@@ -70,12 +70,13 @@
         (i.threads, i.most, i.failed)
     }
 
-    /// Threads without a connection end; others once theirs has.
-    pub fn close(&self) {
+    /// Threads without a connection end; others once theirs has. Answers the
+    /// connections that waited for a thread.
+    pub fn close(&self) -> VecDeque<Guest> {
         let mut i = self.inner();
         i.closed = true;
         i.idle.clear();
-        i.waiting.clear();
+        std::mem::take(&mut i.waiting)
     }
 
     /// Finds a thread for a connection.
--- a/crates/gate/src/server.rs
+++ b/crates/gate/src/server.rs
@@ -152,8 +152,9 @@
             match l.accept() {
                 Ok((stream, _)) => {
                     failures = 0;
-                    if !self.stopping() {
-                        self.arrive(stream);
+                    match self.stopping() {
+                        false => self.arrive(stream),
+                        true => self.turn_away(Arc::new(stream)),
                     }
                     spare = spare.or_else(|| l.try_clone().ok());
                 }
@@ -395,7 +396,10 @@
         for h in idle {
             let _ = h.shutdown(Shutdown::Read);
         }
-        self.shared.seats.close();
+        for g in self.shared.seats.close() {
+            self.shared.lanes().left(g.id);
+            self.shared.turn_away(g.stream);
+        }
     }
 
     /// Closes, and waits up to `grace` for answers that are due. True: all
