Zones as a subsystem: verdicts from evidence; acted on only where a file says so

A zone that is cut off was treated as hundreds of machines that each fell silent: released with work that a short cut would have left alone, and rented anew in the very zone that was gone. crates/zones turns evidence (how much of a zone is overdue, how close together, its controllers, direct calls, rentals that never came up) into a state with hysteresis, and a plan of what is worth moving. Ids and times are now a package of their own that both stand on. The operators' file switches it on; without it verdicts are only shown, and nothing changes.

--- a/crates/life/src/lib.rs
+++ b/crates/life/src/lib.rs
@@ -23,6 +23,12 @@
 #[serde(transparent)]
 pub struct At(pub u64);
 
+impl From<hookworks_base::time::Wall> for At {
+    fn from(w: hookworks_base::time::Wall) -> At {
+        At(w.0)
+    }
+}
+
 /// Reads a JSON object; the error names the field that is wrong.
 fn parse<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, String> {
     if body.iter().find(|b| !b.is_ascii_whitespace()) != Some(&b'{') {
--- /dev/null
+++ b/crates/zones/src/state.rs
@@ -0,0 +1,333 @@
+//! The state of each zone, from evidence with its time.
+
+use crate::Limits;
+use hookworks_base::ids::Zone;
+use hookworks_base::time::{Span, Time};
+use serde::Serialize;
+use std::collections::{BTreeMap, VecDeque};
+
+/// How a zone is, as far as the leader can tell.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum State {
+    Well,
+    /// Silent, for too short a time to act on: it gets nothing new.
+    Doubt,
+    /// Silent for long enough that what it holds may have to go elsewhere.
+    Lost,
+    /// Heard again; used by degrees.
+    Returning,
+}
+
+impl State {
+    pub fn as_str(self) -> &'static str {
+        match self {
+            State::Well => "well",
+            State::Doubt => "doubt",
+            State::Lost => "lost",
+            State::Returning => "returning",
+        }
+    }
+
+    /// Nothing is heard from there.
+    pub fn silent(self) -> bool {
+        matches!(self, State::Doubt | State::Lost)
+    }
+}
+
+/// What is known of a zone at one moment.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Evidence {
+    /// Machines that were up when last heard of.
+    pub machines: u32,
+    /// Of these, those that have missed a report for certain.
+    pub overdue: u32,
+    /// The first and the last that the overdue ones were heard.
+    pub fell_silent: Option<(Time, Time)>,
+    /// When anything there was heard last, in this term.
+    pub newest: Option<Time>,
+    /// Controllers there, besides the leader, and those out of its reach.
+    pub controllers: u32,
+    pub away: u32,
+    /// Direct calls to machines there that failed since the last look.
+    pub unanswered: u32,
+    /// Rentals there that should have come up long ago.
+    pub late_boots: u32,
+}
+
+/// A zone has another state.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Change {
+    pub zone: Zone,
+    pub from: State,
+    pub to: State,
+    /// How long the state before had lasted.
+    pub lasted: Span,
+    pub evidence: Evidence,
+}
+
+/// A zone as operators see it.
+#[derive(Clone, Debug, Serialize)]
+pub struct View {
+    pub zone: Zone,
+    pub state: State,
+    pub since_s: f64,
+    /// Not heard for so long; none while it is heard.
+    pub silent_s: Option<f64>,
+    /// The share of its machines that may take new work.
+    pub open: f64,
+    /// Troubles that are remembered.
+    pub troubles: usize,
+    pub machines: u32,
+    pub overdue: u32,
+    pub controllers: u32,
+    pub controllers_away: u32,
+    pub calls_unanswered: u32,
+    pub rentals_overdue: u32,
+}
+
+struct One {
+    state: State,
+    since: Time,
+    /// The last that was heard before the trouble.
+    gone_since: Time,
+    returned: Time,
+    /// Part of it is heard all the time.
+    partly: bool,
+    /// It takes so long to come back in full.
+    ramp: Span,
+    troubles: VecDeque<Time>,
+    seen: Evidence,
+}
+
+/// All zones that there is evidence of.
+pub struct Zones {
+    limits: Limits,
+    began: Time,
+    all: BTreeMap<Zone, One>,
+    /// Steps of all looks so far, for tests.
+    steps: u64,
+}
+
+/// With none left to be heard, a lost zone is tried again after so long.
+const TRY_AGAIN: Span = Span(30_000_000);
+/// The share of a returning zone that is used at once.
+const AT_ONCE: f64 = 0.02;
+
+impl Zones {
+    /// Nothing is known before this moment: the state is never taken over from
+    /// the past, only rebuilt from evidence.
+    pub fn new(limits: Limits, began: Time) -> Zones {
+        Zones {
+            limits,
+            began,
+            all: BTreeMap::new(),
+            steps: 0,
+        }
+    }
+
+    pub fn limits(&self) -> &Limits {
+        &self.limits
+    }
+
+    /// Takes new evidence of all zones; answers what has changed by it. To be
+    /// called only while the leadership is proven: a leader that is cut off
+    /// itself hears nothing either.
+    pub fn look(&mut self, now: Time, seen: BTreeMap<Zone, Evidence>) -> Vec<Change> {
+        let l = self.limits;
+        for (z, e) in seen {
+            self.steps += 1;
+            let one = self.all.entry(z).or_insert_with(|| One {
+                state: State::Well,
+                since: self.began,
+                gone_since: self.began,
+                returned: self.began,
+                partly: false,
+                ramp: Span::ZERO,
+                troubles: VecDeque::new(),
+                seen: Evidence::default(),
+            });
+            one.seen = e;
+        }
+        // A leader that hears nobody has itself to blame, not all zones.
+        let began = self.began;
+        let heard = |o: &One| o.seen.newest.is_some_and(|t| now - t < l.quiet);
+        let heard_zones = self.all.values().filter(|o| heard(o)).count();
+        let mut changes = vec![];
+        for (z, o) in &mut self.all {
+            self.steps += 1;
+            let others = heard_zones > heard(o) as usize;
+            while o.troubles.front().is_some_and(|t| now - *t > l.memory) {
+                o.troubles.pop_front();
+            }
+            let Some(to) = o.next(now, began, others, &l) else {
+                continue;
+            };
+            changes.push(Change {
+                zone: z.clone(),
+                from: o.state,
+                to,
+                lasted: now - o.since,
+                evidence: o.seen.clone(),
+            });
+            o.turn(to, now, began, &l);
+        }
+        changes
+    }
+
+    pub fn state(&self, z: &Zone) -> State {
+        self.all.get(z).map_or(State::Well, |o| o.state)
+    }
+
+    /// What of the zone may take new work: machines up to this share of it.
+    pub fn open(&self, now: Time, z: &Zone) -> f64 {
+        self.all.get(z).map_or(1.0, |o| o.open(now))
+    }
+
+    /// When the zone was last heard before its present trouble; none if it has
+    /// none. Whatever has been heard since is back.
+    pub fn gone_since(&self, z: &Zone) -> Option<Time> {
+        let o = self.all.get(z)?;
+        (o.state != State::Well).then_some(o.gone_since)
+    }
+
+    /// For how long nothing has been heard from there; zero if it is heard.
+    pub fn silent_for(&self, now: Time, z: &Zone) -> Span {
+        let o = self.all.get(z).filter(|o| o.state.silent());
+        o.map_or(Span::ZERO, |o| now - o.gone_since)
+    }
+
+    /// When the zone last came back: its machines are given time from then on.
+    pub fn returned(&self, z: &Zone) -> Time {
+        self.all.get(z).map_or(self.began, |o| o.returned)
+    }
+
+    /// Some zone is not well.
+    pub fn troubled(&self) -> bool {
+        self.all.values().any(|o| o.state != State::Well)
+    }
+
+    pub fn views(&self, now: Time) -> Vec<View> {
+        let one = |(z, o): (&Zone, &One)| View {
+            zone: z.clone(),
+            state: o.state,
+            since_s: (now - o.since).as_secs(),
+            silent_s: (o.state.silent()).then(|| (now - o.gone_since).as_secs()),
+            open: o.open(now),
+            troubles: o.troubles.len(),
+            machines: o.seen.machines,
+            overdue: o.seen.overdue,
+            controllers: o.seen.controllers,
+            controllers_away: o.seen.away,
+            calls_unanswered: o.seen.unanswered,
+            rentals_overdue: o.seen.late_boots,
+        };
+        self.all.iter().map(one).collect()
+    }
+
+    /// Steps taken so far: zones looked at, not machines or tasks.
+    pub fn steps(&self) -> u64 {
+        self.steps
+    }
+}
+
+impl One {
+    fn last_heard(&self, began: Time) -> Time {
+        self.seen.newest.unwrap_or(began)
+    }
+
+    fn share(&self, of: f64) -> bool {
+        self.seen.overdue as f64 >= of * self.seen.machines as f64
+    }
+
+    /// As silent as a zone that is cut off.
+    fn all_silent(&self, now: Time, began: Time, l: &Limits) -> bool {
+        let e = &self.seen;
+        // What its own controllers and direct calls say makes it sure sooner.
+        let told = e.controllers > 0 && e.away == e.controllers || e.unanswered >= l.least;
+        let asked = l.overdue_share / if told { 4.0 } else { 1.0 };
+        let quiet = now - self.last_heard(began) >= l.quiet;
+        let several = e.machines >= l.least && e.overdue >= l.least;
+        if several && quiet && self.share(asked) {
+            return true;
+        }
+        // Nothing that was rented there comes up, and nothing else is there.
+        let nothing_else = e.machines < l.least && now - self.last_heard(began) > l.keep;
+        nothing_else && e.late_boots >= l.least
+    }
+
+    /// Nearly all of it, and at about the same time: not machines that hang
+    /// here and there. Those that have just come back get time to report.
+    fn most_silent(&self, now: Time, l: &Limits) -> bool {
+        let window = l.overdue_after() + l.quiet;
+        let together = |(a, b): (Time, Time)| b - a <= window;
+        let e = &self.seen;
+        let settled = now - self.returned > window + self.ramp;
+        let several = e.machines >= l.least && e.overdue >= l.least;
+        settled && several && self.share(l.most_share) && e.fell_silent.is_some_and(together)
+    }
+
+    fn next(&self, now: Time, began: Time, others: bool, l: &Limits) -> Option<State> {
+        let e = &self.seen;
+        let heard = e.newest.is_some_and(|t| t > self.gone_since);
+        let heard_again = heard && !(self.partly && self.share(l.most_share / 2.0));
+        let falls = || self.all_silent(now, began, l) || self.most_silent(now, l);
+        match self.state {
+            State::Well => (others && falls()).then_some(State::Doubt),
+            // The first doubt that proves wrong costs nothing.
+            State::Doubt if heard_again && self.troubles.is_empty() => Some(State::Well),
+            State::Doubt | State::Lost if heard_again => Some(State::Returning),
+            State::Doubt => (others && now - self.since >= l.lost_after).then_some(State::Lost),
+            State::Lost => {
+                // Its machines were given back: only its controllers, or a new
+                // machine, can tell that it is there again.
+                let reached = e.controllers > 0 && e.away == 0 && now - self.since >= l.settle;
+                let try_it = now - self.since >= TRY_AGAIN;
+                (e.machines == 0 && (reached || try_it)).then_some(State::Returning)
+            }
+            // Those that have not come back yet are no new trouble; silence of
+            // those that had is.
+            State::Returning if others && e.machines > 0 && self.all_silent(now, began, l) => {
+                Some(State::Doubt)
+            }
+            State::Returning => (now - self.since >= self.ramp).then_some(State::Well),
+        }
+    }
+
+    fn turn(&mut self, to: State, now: Time, began: Time, l: &Limits) {
+        // A doubt that ends counts once, and a loss when it begins.
+        let counts = to == State::Lost || self.state == State::Doubt;
+        let before = self.troubles.len() as u32;
+        match to {
+            State::Doubt => {
+                self.gone_since = self.last_heard(began);
+                self.partly = !self.all_silent(now, began, l);
+            }
+            State::Lost => {}
+            State::Well | State::Returning if self.state == State::Returning => {}
+            State::Well | State::Returning => {
+                self.returned = now;
+                let doublings = before.saturating_sub(1).min(16);
+                self.ramp = Span(l.settle.0 << doublings).min(l.settle_most);
+                if to == State::Well {
+                    self.ramp = Span::ZERO;
+                }
+            }
+        }
+        if counts {
+            self.troubles.push_back(now);
+        }
+        (self.state, self.since) = (to, now);
+    }
+
+    fn open(&self, now: Time) -> f64 {
+        match self.state {
+            State::Well => 1.0,
+            State::Doubt | State::Lost => 0.0,
+            State::Returning => {
+                let ramp = self.ramp.as_secs().max(1e-3);
+                ((now - self.since).as_secs() / ramp).clamp(AT_ONCE, 1.0)
+            }
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,6 @@
 pub mod api;
 pub mod client;
 pub mod cloud;
-pub mod ids;
 pub mod lead;
 pub mod node;
 pub mod peer;
@@ -14,3 +13,5 @@
 pub mod store;
 pub mod time;
 pub mod wire;
+
+pub use hookworks_base::ids;
--- a/src/main.rs
+++ b/src/main.rs
@@ -159,6 +159,31 @@
             }
             println!("  large bodies: {} KiB together", b.body_bytes / 1024);
             println!("  sockets set aside for calls to others: {}", b.set_aside);
+            let w = &s.platform.params.workers;
+            let z = s.tuning.zones.limits(w.report_s);
+            println!(
+                "zones: {}",
+                match s.tuning.zones.act {
+                    true => "verdicts are acted on",
+                    false => "verdicts are shown, not acted on",
+                }
+            );
+            println!(
+                "  in doubt when nothing is heard for {} s and {}% of its machines are overdue ({} s)",
+                z.quiet.as_secs(),
+                z.overdue_share * 100.0,
+                z.overdue_after().as_secs()
+            );
+            println!(
+                "  lost {} s later; its machines are kept for {} s",
+                z.lost_after.as_secs(),
+                z.keep.as_secs()
+            );
+            println!(
+                "  back in full after {} to {} s",
+                z.settle.as_secs(),
+                z.settle_most.as_secs()
+            );
             Ok(ExitCode::SUCCESS)
         }
         Verb::Submit { to, file } => Ok(tell(client::submit(&to, &file))),
--- a/src/sched/direct.rs
+++ b/src/sched/direct.rs
@@ -26,6 +26,8 @@
             && m.life == Life::Up
             && m.direct.is_none()
             && m.doubt.is_none()
+            // Calls to a zone that is cut off hold up those to others.
+            && !self.watch.silent(&m.zone)
             && now >= m.no_push_until
             && now - m.heard < fresh;
         let Some(addr) = m.addr.clone().filter(|_| ready) else {
@@ -109,13 +111,19 @@
                 }
                 self.take_report(now, &report, false);
             }
-            DirectResult::Refused => m.no_push_until = now + PUSH_REST,
+            DirectResult::Refused => {
+                m.no_push_until = now + PUSH_REST;
+                let zone = m.zone.clone();
+                self.watch.unanswered(&zone);
+            }
             DirectResult::Unclear => {
                 // It may be carried out minutes from now, unless the worker has
                 // heard a higher token by then.
                 m.no_push_until = now + PUSH_REST;
                 m.token = fresh;
                 m.doubt = Some(fresh);
+                let zone = m.zone.clone();
+                self.watch.unanswered(&zone);
             }
         }
     }
--- a/src/sched/fleet.rs
+++ b/src/sched/fleet.rs
@@ -100,6 +100,11 @@
     }
 }
 
+/// A machine that has not come up by then will not.
+pub(super) fn late_boot(boot_s: f64) -> Span {
+    Span::secs(boot_s * 2.5 + 10.0)
+}
+
 impl Sched {
     /// Rents for what found no room, and gives back what idles.
     pub(super) fn plan_fleet(&mut self, now: Time) {
@@ -179,12 +184,14 @@
 
     /// Machines that fell silent, never came up or are about to be taken.
     pub(super) fn watch_machines(&mut self, now: Time) {
+        self.look_at_zones(now);
         let w = &self.cfg.workers;
         let patience = Span::secs(
             (w.lease_s * self.cfg.tuning.silent_share).max(w.report_s * 1.25 * 2.0 + 2.0),
         );
-        let lease = Span::secs(w.lease_s).stretched() + Span::secs(1.0);
-        let up = |m: &&Machine| m.life == Life::Up;
+        let lease = self.lease_bound();
+        // Zones in trouble are one matter, and machines that fall silent another.
+        let up = |m: &&Machine| m.life == Life::Up && !self.watch.silent(&m.zone);
         let all = self.machines.values().filter(up).count();
         let silent_one = |m: &&Machine| up(m) && now - m.heard > patience;
         let silent = self.machines.values().filter(silent_one).count();
@@ -193,7 +200,11 @@
         let settled = now - self.began > patience;
         let mut lost: Vec<Host> = vec![];
         let mut drain: Vec<TaskId> = vec![];
+        let kept: HashSet<Zone> = self.kept_zones(now);
         for m in self.machines.values_mut() {
+            let zone_kept = kept.contains(&m.zone);
+            // One that comes back has as long as any other to report.
+            let heard = m.heard.max(self.watch.zones.returned(&m.zone));
             // While controllers refused each other a quarter of the fleet was
             // released, whose reports did not come through.
             let patience = match self.fleet.cut_off(now, &m.via) {
@@ -203,7 +214,7 @@
             match m.life {
                 Life::Booting => {
                     let boot = self.flavors.get(&m.build).map_or(60.0, |f| f.boot_s);
-                    if now - m.hired > Span::secs(boot * 2.5 + 10.0) {
+                    if now - m.hired > late_boot(boot) && !zone_kept {
                         tracing::info!(host = %m.host, "never came up, released");
                         m.life = Life::Leaving { next: now };
                     }
@@ -211,7 +222,8 @@
                 Life::Up => {
                     let taken =
                         m.notice_until.is_some_and(|t| now > t) && now - m.heard > Span::secs(4.5);
-                    if (now - m.heard > patience && settled && !ours) || taken {
+                    let silent = now - heard > patience && settled && !ours;
+                    if (silent && !zone_kept) || taken {
                         tracing::info!(host = %m.host, tasks = m.slots.len(), "silent, released");
                         m.life = Life::Leaving { next: now };
                     }
@@ -244,10 +256,16 @@
         };
         m.answered = now;
         m.reported = false;
-        if m.life == Life::Up {
+        let (zone, up) = (m.zone.clone(), m.life == Life::Up);
+        let tasks: Vec<TaskId> = m.slots.keys().cloned().collect();
+        // A lost zone's machines are good for its next session, when it is back.
+        if up
+            && !self.keeps_zone(now, &zone)
+            && let Some(m) = self.machines.get_mut(host)
+        {
             m.life = Life::Leaving { next: now };
         }
-        let tasks: Vec<TaskId> = m.slots.keys().cloned().collect();
+        self.watch.ended(&zone, tasks.len());
         if !tasks.is_empty() {
             tracing::info!(%host, tasks = tasks.len(), "lease has run out, tasks restart");
         }
@@ -328,7 +346,7 @@
         let mut idle: Vec<(bool, Time, Host)> = self
             .machines
             .values()
-            .filter(|m| m.life == Life::Up && m.reported && m.slots.is_empty())
+            .filter(|m| m.life == Life::Up && m.reported && !m.shut && m.slots.is_empty())
             .map(|m| (m.spot, m.idle_since, m.host.clone()))
             .collect();
         // Ordinary machines cost more, so they go first.
--- a/src/sched/fleet/rent.rs
+++ b/src/sched/fleet/rent.rs
@@ -60,6 +60,11 @@
                 continue;
             }
             for z in &f.zones {
+                // What is rented in a zone that is lost boots and is paid for,
+                // and never reports.
+                if self.watch.silent(z) {
+                    continue;
+                }
                 for spot in [true, false] {
                     let Some(price) = (if spot { f.spot_price } else { Some(f.price) }) else {
                         continue;
@@ -85,7 +90,7 @@
 
     fn machines_by_zone(&self) -> BTreeMap<Zone, usize> {
         let mut n = BTreeMap::new();
-        for m in self.machines.values() {
+        for m in self.machines.values().filter(|m| !m.shut) {
             *n.entry(m.zone.clone()).or_default() += 1;
         }
         n
@@ -147,7 +152,9 @@
             if n < 0.2 {
                 continue;
             }
-            let count = (n.ceil() as u32).clamp(1, MAX_HIRE);
+            // A zone that comes back is rented in by degrees.
+            let most = (MAX_HIRE as f64 * self.watch.open(now, &kind.1)).ceil() as u32;
+            let count = (n.ceil() as u32).clamp(1, most.max(1));
             self.fleet.counter += 1;
             let name = format!("hw-{}-{}", self.fleet.epoch, self.fleet.counter);
             let hire = Hire {
@@ -176,6 +183,9 @@
         for p in self.fleet.pending.values() {
             let h = &p.hire;
             let kind = (h.build.clone(), h.zone.clone(), h.spot);
+            if self.watch.silent(&h.zone) {
+                continue;
+            }
             let c = all.entry(kind).or_default();
             c.room += h.count as f64;
             c.whole += h.count as f64;
@@ -183,7 +193,10 @@
         for m in self.machines.values() {
             let soon = Span::secs(self.boot_s(&m.build) * self.cfg.tuning.wait_share);
             let (room, whole) = match m.life {
+                // Nothing can be counted on in a zone that is silent.
+                _ if self.watch.silent(&m.zone) => continue,
                 Life::Booting => (1.0, 1.0),
+                Life::Up if m.shut => (1.0, 1.0),
                 Life::Up if m.notice_until.is_none() && m.capacity.cpu > 0 => {
                     let mut freed = Room::default();
                     let mut last = 0;
--- a/src/sched/gang.rs
+++ b/src/sched/gang.rs
@@ -138,7 +138,7 @@
         let mut zones: BTreeMap<&Zone, Vec<(Span, i64, &Machine)>> = BTreeMap::new();
         let fresh = self.heard_within();
         for m in self.machines.values() {
-            if !allowed(&j.spec, m) || held.contains(&m.host) {
+            if !allowed(&j.spec, m) || held.contains(&m.host) || self.watch.silent(&m.zone) {
                 continue;
             }
             if m.life == Life::Booting {
--- a/src/sched/life.rs
+++ b/src/sched/life.rs
@@ -7,7 +7,7 @@
 use super::users::view;
 use super::{Effect, Sched};
 use crate::ids::{Class, Host, JobId, ReqId, TaskId, TaskIx, Team};
-use crate::time::{Span, Time, Wall};
+use crate::time::{Span, Time};
 use crate::wire::peer::{Answer, Ask};
 use crate::wire::user::{HoldView, JobDetail, JobState, JobView, Kind, TaskSeconds};
 use hookworks_life::{
@@ -22,12 +22,6 @@
 /// Who puts the hold of a job that has failed too often.
 const LIMIT: &str = "retry-limit";
 
-impl From<Wall> for At {
-    fn from(w: Wall) -> At {
-        At(w.0)
-    }
-}
-
 impl Sched {
     /// Answers what can't be held or released, which is over; true if it did.
     fn over(&mut self, now: Time, req: ReqId, id: &JobId, ask: &Ask) -> bool {
--- a/src/sched/machine.rs
+++ b/src/sched/machine.rs
@@ -57,6 +57,10 @@
     /// an earlier moment.
     pub answered: Time,
     pub reported: bool,
+    /// Its last report in this term.
+    pub reported_at: Option<Time>,
+    /// Its zone is in trouble, or not back in full: it takes nothing new.
+    pub shut: bool,
     pub notice_until: Option<Time>,
     pub idle_since: Time,
     /// Images that it should still hold, with their sizes, the latest last.
@@ -98,6 +102,8 @@
             via: None,
             answered: now,
             reported: false,
+            reported_at: None,
+            shut: false,
             notice_until: None,
             idle_since: now,
             images: vec![],
@@ -119,6 +125,7 @@
     pub fn open(&self, now: Time, fresh: Span) -> bool {
         self.life == Life::Up
             && self.reported
+            && !self.shut
             && !self.quarantined
             && self.notice_until.is_none()
             && now >= self.rest_until
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -20,13 +20,16 @@
 mod spare;
 mod team;
 mod users;
+mod zones;
 
 pub use life::detail_of_record;
 pub use records::{Dirty, DirtyQueue, Key, Purpose};
 pub use room::Room;
 pub use users::answer_final;
 
-use crate::ids::{Attempt, Build, CallId, Class, Epoch, Host, JobId, Label, ReqId, TaskId, Token};
+use crate::ids::{
+    Attempt, Build, CallId, Class, Epoch, Host, JobId, Label, ReqId, TaskId, Token, Zone,
+};
 use crate::settings::{Settings, Tuning, Workers};
 use crate::time::{Span, Time, Wall};
 use crate::wire::cloud::{Flavor, Hire, Listed};
@@ -116,6 +119,12 @@
     pub leader_lease: Span,
     pub pass_every: Span,
     pub hold: Span,
+    /// When a zone counts as lost, and what follows.
+    pub zones: hookworks_zones::Limits,
+    /// Verdicts on zones are acted on, not only shown.
+    pub act_on_zones: bool,
+    /// The other controllers and their zones.
+    pub controllers: BTreeMap<Label, Zone>,
 }
 
 impl Config {
@@ -129,6 +138,9 @@
             leader_lease: Span::secs(s.tuning.leader_lease_s),
             pass_every: Span::secs(s.tuning.pass_ms / 1000.0),
             hold: Span::secs(s.tuning.hold_ms / 1000.0),
+            zones: s.tuning.zones.limits(s.platform.params.workers.report_s),
+            act_on_zones: s.tuning.zones.act,
+            controllers: s.platform.controllers(),
         }
     }
     /// For this long after its last proof a leader may go on answering
@@ -153,6 +165,7 @@
     rules: BTreeMap<Class, RetryRule>,
     arrivals: spare::Arrivals,
     fleet: fleet::Fleet,
+    watch: zones::Watch,
     finals: HashMap<JobId, Final>,
     finals_order: VecDeque<JobId>,
     /// Who waits for whom.
@@ -204,6 +217,7 @@
             record_reads: 0,
             arrivals: Default::default(),
             fleet: fleet::Fleet::new(epoch),
+            watch: zones::Watch::new(&cfg, now),
             cfg,
             epoch,
             jobs: BTreeMap::new(),
--- a/src/sched/overview.rs
+++ b/src/sched/overview.rs
@@ -91,6 +91,7 @@
             "jobs": self.jobs.len(),
             "machines": self.machines.len(),
             "machines_up": machines_up,
+            "zones": self.zones_overview(now),
             "room": room_view(&capacity, &used),
             "gangs_waiting": self.gangs_waiting(),
             "replicas_missing": self.replicas_missing(),
--- a/src/sched/report.rs
+++ b/src/sched/report.rs
@@ -138,6 +138,7 @@
         let new_session = m.session != Session(0) && r.session > m.session;
         (m.session, m.seq) = (r.session, r.seq);
         m.heard = now;
+        m.reported_at = Some(now);
         m.build = r.build.clone();
         m.zone = r.zone.clone();
         m.spot = r.spot;
--- a/src/sched/room.rs
+++ b/src/sched/room.rs
@@ -131,6 +131,13 @@
         };
         left.share_of(whole)
     }
+    /// Share of `whole` that this is, by the part of which there is least.
+    pub fn least_share_of(&self, whole: &Room) -> f64 {
+        let one = |a: i64, b: i64| if b > 0 { a as f64 / b as f64 } else { 1.0 };
+        one(self.cpu, whole.cpu)
+            .min(one(self.gpu, whole.gpu))
+            .min(one(self.mem, whole.mem))
+    }
     /// Share of `whole` that this is, by its scarcest part.
     pub fn share_of(&self, whole: &Room) -> f64 {
         let one = |a: i64, b: i64| if b > 0 { a as f64 / b as f64 } else { 0.0 };
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -4,11 +4,13 @@
 mod connections;
 mod platform;
 mod tuning;
+mod zones;
 
 pub use classes::Classes;
 pub use connections::Connections;
 pub use platform::{Limits, Objective, Params, Platform, Seed, StateLimits, TeamLimit, Workers};
 pub use tuning::Tuning;
+pub use zones::ZoneLimits;
 
 use thiserror::Error;
 
--- a/src/settings/platform.rs
+++ b/src/settings/platform.rs
@@ -3,6 +3,7 @@
 use super::{SettingsError, bad};
 use crate::ids::{Class, Label, Team, Zone};
 use serde::Deserialize;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 #[derive(Clone, Debug, Deserialize)]
@@ -109,6 +110,12 @@
 const MIN_VALUE_KB: f64 = 2.0;
 
 impl Platform {
+    /// The other controllers and their zones.
+    pub fn controllers(&self) -> BTreeMap<Label, Zone> {
+        let all = self.seeds.iter();
+        all.map(|s| (s.label.clone(), s.zone.clone())).collect()
+    }
+
     fn machine_limits_too_low(&self) -> bool {
         self.params.machine_limits.max_connections < MIN_CONNECTIONS
     }
--- a/src/settings/tuning.rs
+++ b/src/settings/tuning.rs
@@ -1,6 +1,6 @@
 //! The operators' own settings, in XML.
 
-use super::{Classes, Connections, SettingsError, bad};
+use super::{Classes, Connections, SettingsError, ZoneLimits, bad};
 use crate::ids::Class;
 use hookworks_life::RetryRule;
 use serde::{Deserialize, Serialize};
@@ -35,6 +35,8 @@
     pub connections: Connections,
     /// What classes of jobs may do.
     pub classes: Classes,
+    /// When a zone counts as lost, and how it comes back.
+    pub zones: ZoneLimits,
 }
 
 impl Default for Tuning {
@@ -52,6 +54,7 @@
             wait_share: 0.8,
             connections: Connections::default(),
             classes: Classes::default(),
+            zones: ZoneLimits::default(),
         }
     }
 }
@@ -86,6 +89,7 @@
         }
         t.connections.check(file)?;
         t.classes.check(file)?;
+        t.zones.check(file)?;
         Ok(t)
     }
 }
--- /dev/null
+++ b/src/settings/zones.rs
@@ -0,0 +1,90 @@
+//! When a zone counts as lost, and how it comes back.
+
+use super::{SettingsError, bad};
+use hookworks_base::time::Span;
+use hookworks_zones::Limits;
+use serde::{Deserialize, Serialize};
+
+/// `<zones><act>true</act>…</zones>`; all optional.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case", default)]
+pub struct ZoneLimits {
+    /// Verdicts on zones are acted on; otherwise they are only shown.
+    pub act: bool,
+    /// Nothing at all heard from a zone for so long, in seconds, is the first sign.
+    pub quiet_s: f64,
+    /// The second: this share of its machines has missed a report.
+    pub overdue_share: f64,
+    /// The share that makes a zone doubtful though some of it is heard.
+    pub most_share: f64,
+    /// A zone with fewer machines is not judged.
+    pub least_machines: u32,
+    /// In doubt for so many seconds, it is lost.
+    pub lost_after_s: f64,
+    /// A zone that comes back is used in full after so many seconds; twice as
+    /// many for each trouble that is still remembered.
+    pub settle_s: f64,
+    /// And never more than so many.
+    pub settle_most_s: f64,
+    /// Troubles are remembered for so many seconds.
+    pub memory_s: f64,
+    /// Machines of a lost zone are kept for so many seconds.
+    pub keep_s: f64,
+}
+
+impl Default for ZoneLimits {
+    fn default() -> Self {
+        let l = Limits::of(Span::ZERO);
+        ZoneLimits {
+            act: false,
+            quiet_s: l.quiet.as_secs(),
+            overdue_share: l.overdue_share,
+            most_share: l.most_share,
+            least_machines: l.least,
+            lost_after_s: l.lost_after.as_secs(),
+            settle_s: l.settle.as_secs(),
+            settle_most_s: l.settle_most.as_secs(),
+            memory_s: l.memory.as_secs(),
+            keep_s: l.keep.as_secs(),
+        }
+    }
+}
+
+impl ZoneLimits {
+    /// The limits in effect, for workers that report so often.
+    pub fn limits(&self, report_s: f64) -> Limits {
+        Limits {
+            report: Span::secs(report_s),
+            quiet: Span::secs(self.quiet_s),
+            overdue_share: self.overdue_share,
+            most_share: self.most_share,
+            least: self.least_machines,
+            lost_after: Span::secs(self.lost_after_s),
+            settle: Span::secs(self.settle_s),
+            settle_most: Span::secs(self.settle_most_s),
+            memory: Span::secs(self.memory_s),
+            keep: Span::secs(self.keep_s),
+        }
+    }
+
+    pub(super) fn check(&self, file: &str) -> Result<(), SettingsError> {
+        let all = [
+            ("quiet-s", self.quiet_s, 0.5, 60.0),
+            ("overdue-share", self.overdue_share, 0.01, 1.0),
+            ("most-share", self.most_share, 0.3, 1.0),
+            ("least-machines", self.least_machines as f64, 2.0, 1e6),
+            ("lost-after-s", self.lost_after_s, 0.0, 600.0),
+            ("settle-s", self.settle_s, 0.0, 600.0),
+            ("settle-most-s", self.settle_most_s, 0.0, 3600.0),
+            ("memory-s", self.memory_s, 0.0, 1e5),
+            ("keep-s", self.keep_s, 1.0, 1e5),
+        ];
+        for (field, v, low, high) in all {
+            if !(v.is_finite() && (low..=high).contains(&v)) {
+                let field = format!("zones/{field}");
+                return Err(bad(file, &field, &format!("must be {low} to {high}")));
+            }
+        }
+        Ok(())
+    }
+}
