Fences: how long a lost zone has gone unanswered survives a take-over

A leader that loses a zone now puts on record since when none of its workers has been answered, and answers one only once that is taken back on record; the next leader counts from there. A task done under an attempt that was given up is not run again. All of it acts only where verdicts on zones do.

--- a/crates/zones/src/plan.rs
+++ b/crates/zones/src/plan.rs
@@ -17,8 +17,6 @@
     Broken,
     /// Urgent work.
     Urgent,
-    /// Waiting makes it miss a deadline or an aim that it can still meet.
-    Due,
     Other,
 }
 
@@ -26,10 +24,9 @@
     /// What a second sooner is worth, in seconds of work lost.
     fn weight(self) -> f64 {
         match self {
-            Standing::Replica => 6.0,
-            Standing::Broken => 3.0,
+            Standing::Replica => 4.0,
             Standing::Urgent => 2.0,
-            Standing::Due => 1.5,
+            Standing::Broken => 1.0,
             Standing::Other => 0.5,
         }
     }
@@ -38,6 +35,11 @@
     fn makes_room(self) -> bool {
         matches!(self, Standing::Replica | Standing::Urgent)
     }
+
+    /// Nothing is being worked out there that could be lost, or come to its end.
+    fn idle(self) -> bool {
+        matches!(self, Standing::Replica | Standing::Broken)
+    }
 }
 
 /// An attempt that may be running in a lost zone.
@@ -46,8 +48,13 @@
     pub standing: Standing,
     /// Work that would be done again: of a gang, that of all its members.
     pub unsaved: Span,
-    /// How long it will go on by its estimate.
+    /// How long it takes from its start, or from what it has saved.
+    pub again: Span,
+    /// How long it will go on by its estimate; zero if it should be done, and
+    /// its result kept.
     pub left: Span,
+    /// Until when it must be done for a deadline or an aim.
+    pub due: Option<Span>,
     /// The share of a machine that it takes.
     pub size: f64,
 }
@@ -59,35 +66,82 @@
     pub stakes: Vec<Stake>,
     /// Until its lease has run out for certain, if nobody renews it.
     pub lease_left: Span,
+    /// How long another one takes to boot.
+    pub boot: Span,
 }
 
 /// Machines' worth of room that others can start soon.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Budget {
-    /// Free, or soon so, beyond what waits already.
+    /// Free, or about to be, beyond what is due to others.
     pub free: f64,
     /// What more could be made by stopping others, for those entitled to it.
     pub made: f64,
 }
 
+/// From the decision to the start of a task elsewhere, in seconds.
+const START: f64 = 3.0;
+/// What an aim met instead of missed is worth, in seconds of work.
+const AIM: f64 = 30.0;
+/// What a second of work, or of a machine that must boot, is worth.
+const WORK: f64 = 0.5;
+/// A task that is done already takes a place elsewhere for so small a share of
+/// its time.
+const DONE_TAKES: f64 = 0.2;
+
+/// The chances of a zone that has been silent for `g`, over the next `w` seconds.
+struct Odds {
+    /// That it comes back by then.
+    back: f64,
+    /// When it does, on average, if it does.
+    after: f64,
+}
+
+fn odds(g: f64, w: f64) -> Odds {
+    if g <= 0.0 || w <= 0.0 {
+        return Odds {
+            back: if w > 0.0 { 1.0 } else { 0.0 },
+            after: 0.0,
+        };
+    }
+    let back = w / (g + w);
+    // The mean of a waiting time with P(T > t) = g / (g + t), as far as w.
+    let sum = g * (((g + w) / g).ln() - back);
+    Odds {
+        back,
+        after: sum / back,
+    }
+}
+
 /// What is gained by giving the machine back now, in seconds of work; below
 /// zero if waiting is better.
 pub fn worth<M>(silent: Span, c: &Case<M>) -> f64 {
     let (g, w) = (silent.as_secs(), c.lease_left.as_secs());
-    let stays = if g + w > 0.0 { g / (g + w) } else { 1.0 };
+    let o = odds(g, w);
     let one = |s: &Stake| {
-        let lost = match s.standing {
-            Standing::Replica | Standing::Broken => 0.0,
-            _ => s.unsaved.as_secs(),
+        let (left, again) = (s.left.as_secs(), s.again.as_secs());
+        let idle = s.standing.idle();
+        let done = !idle && left <= 0.0;
+        let ends = !idle && left <= w;
+        // When its job has this task behind it, or a replica up again.
+        let then = if idle || ends { 0.0 } else { again };
+        let comes = if idle { o.after } else { o.after.max(left) };
+        let waits = o.back * comes + (1.0 - o.back) * (w + START + then);
+        let moves = START + if idle || done { 0.0 } else { again };
+        let due = s.due.map_or(f64::INFINITY, Span::as_secs);
+        let meets = (moves <= due) as i32 - (waits <= due) as i32;
+        let spared = if ends { 1.0 } else { o.back };
+        let lost = if idle || done {
+            0.0
+        } else {
+            s.unsaved.as_secs() * spared
         };
-        let endless = matches!(s.standing, Standing::Replica | Standing::Broken);
-        // It ends before its lease does, and its result is kept.
-        if !endless && s.left <= c.lease_left {
-            return -lost * s.size;
-        }
-        (s.standing.weight() * w * stays - lost * (1.0 - stays)) * s.size
+        s.size * (s.standing.weight() * (waits - moves) + AIM * meets as f64 - WORK * lost)
     };
-    c.stakes.iter().map(one).sum()
+    // If the zone is soon back, another machine has to boot in its place.
+    let boot = c.boot.as_secs();
+    let missed = WORK * boot * odds(g, boot).back;
+    c.stakes.iter().map(one).sum::<f64>() - missed
 }
 
 /// Which machines to give back now, those first that gain most, as far as what
@@ -104,9 +158,11 @@
     for (_, c) in worthy {
         let (mut asks, mut entitled) = (0.0, 0.0);
         for s in &c.stakes {
+            let done = !s.standing.idle() && s.left == Span::ZERO;
+            let size = s.size * if done { DONE_TAKES } else { 1.0 };
             match s.standing.makes_room() {
-                true => entitled += s.size,
-                false => asks += s.size,
+                true => entitled += size,
+                false => asks += size,
             }
         }
         // What may make room takes free room first, all the same.
--- a/src/node/load.rs
+++ b/src/node/load.rs
@@ -2,10 +2,11 @@
 
 use super::{Msg, spawn};
 use crate::ids::{Epoch, JobId, Stamp};
+use crate::sched::FenceRecord;
 use crate::sched::job::Job;
 use crate::settings::Settings;
 use crate::store::client::{ReadError, State};
-use crate::store::{LIVE, PARTS, StateClient};
+use crate::store::{FENCES, LIVE, PARTS, StateClient};
 use crate::time::{Clock, Time, Wall, wall};
 use crate::wire::state::Item;
 use crossbeam_channel::Sender;
@@ -22,6 +23,8 @@
     pub stamps: Vec<(String, Stamp)>,
     pub litter: Vec<String>,
     pub unreadable: Vec<JobId>,
+    /// Zones that earlier terms did not answer.
+    pub fences: Option<FenceRecord>,
 }
 
 /// Reads in a thread of its own, so that the leadership is kept up meanwhile.
@@ -70,6 +73,7 @@
         stamps: vec![],
         litter: vec![],
         unreadable: vec![],
+        fences: None,
     };
     for i in all(state, LIVE)? {
         let id = JobId::from(i.key.trim_start_matches(LIVE));
@@ -109,6 +113,10 @@
             l.unreadable.push(id);
         }
     }
+    if let Some(i) = state.get(FENCES)? {
+        l.fences = serde_json::from_value(i.value).ok();
+        l.stamps.push((i.key, i.stamp));
+    }
     for (_, mut j) in jobs {
         // What is loaded is stored: versions go on from 1.
         for p in &mut j.parts {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -489,6 +489,11 @@
         let cfg = Config::from(&self.settings);
         let mut sched = Sched::new(cfg, l.epoch, self.proven, now, wall());
         tracing::info!(epoch = %l.epoch, jobs = l.jobs.len(), "leading");
+        // The time of day first: no freeze between the two makes it too late.
+        let (day, at) = (wall(), self.clock.now());
+        if let Some(f) = l.fences {
+            sched.take_fences(at, day, f);
+        }
         sched.load(now, l.jobs, l.unreadable);
         self.role = Role::Leader(Box::new(Term {
             epoch: l.epoch,
--- a/src/sched/fleet.rs
+++ b/src/sched/fleet.rs
@@ -146,6 +146,7 @@
             if m.addr.is_none() {
                 m.addr = l.addr;
             }
+            self.fences.bound(m);
             if l.status == "failed" && !matches!(m.life, Life::Leaving { .. }) {
                 tracing::info!(host = %m.host, "stopped on its own, released");
                 m.life = Life::Leaving { next: now };
--- a/src/sched/fleet/rent.rs
+++ b/src/sched/fleet/rent.rs
@@ -196,7 +196,10 @@
                 // Nothing can be counted on in a zone that is silent.
                 _ if self.watch.silent(&m.zone) => continue,
                 Life::Booting => (1.0, 1.0),
-                Life::Up if m.shut => (1.0, 1.0),
+                Life::Up if m.shut => {
+                    let free = m.free().at_least_zero().share_of(&m.capacity);
+                    (free, m.slots.is_empty() as u8 as f64)
+                }
                 Life::Up if m.notice_until.is_none() && m.capacity.cpu > 0 => {
                     let mut freed = Room::default();
                     let mut last = 0;
--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -1,5 +1,6 @@
 //! A job, its tasks, and how both are kept in the store.
 
+use super::places::{Place, Places};
 use super::records::Purpose;
 use super::room::Room;
 use crate::ids::{Attempt, Host, JobId, ReqId, Seq, TaskIx};
@@ -26,6 +27,8 @@
 pub struct Live {
     pub attempt: Attempt,
     pub host: Host,
+    /// Where that is; not known of what was stored without it.
+    pub place: Option<Place>,
     /// Version of its part of the job that must be stored before `run` leaves.
     pub ver: u64,
     pub phase: Phase,
@@ -167,6 +170,9 @@
     /// Failures that count, a hex digit for each task.
     #[serde(rename = "e", default, skip_serializing_if = "String::is_empty")]
     failures: String,
+    /// Where the live attempts are.
+    #[serde(rename = "z", default, skip_serializing_if = "Option::is_none")]
+    places: Option<Places>,
     #[serde(flatten)]
     rest: Rest,
 }
@@ -306,6 +312,13 @@
         true
     }
 
+    /// The task has been started before, and waits to be started again.
+    pub fn awaits_start(&self, t: TaskIx) -> bool {
+        let (word, bit) = (t.0 as usize / 64, 1 << (t.0 % 64));
+        let open = self.opened.is_empty() || self.opened.get(word).is_some_and(|w| w & bit != 0);
+        t.0 < self.spec.tasks && open && !self.is_done(t) && !self.live.contains_key(&t)
+    }
+
     /// A started task is gone without being done.
     pub fn put_back(&mut self, t: TaskIx) {
         if !self.is_done(t) && t.0 < self.fresh {
@@ -337,13 +350,18 @@
         } else {
             words.iter().map(|w| format!("{w:016x}")).collect()
         };
-        let live = self.live.range(TaskIx(from)..TaskIx(to));
+        let live = || self.live.range(TaskIx(from)..TaskIx(to));
+        let failures = self.attempts.encode(from, to);
+        // What the tasks leave of the room that their number was made for.
+        let used = PER_TASK as usize * live().count() + done.len() + failures.len();
+        let left = (PER_TASK as usize * self.part_size as usize).saturating_sub(used);
         PartRecord {
             done,
-            live: live
+            live: live()
                 .map(|(t, l)| (t.0, l.attempt.0, l.host.clone(), l.placed_wall.0))
                 .collect(),
-            failures: self.attempts.encode(from, to),
+            failures,
+            places: Places::of(live().map(|(_, l)| l), left.saturating_sub(LEAST_HISTORY)),
             rest: self.parts[part].rest.clone(),
         }
     }
@@ -360,7 +378,10 @@
                 self.set_done(TaskIx(t));
             }
         }
+        let places = r.places.map(|p| p.of_each(&r.live)).unwrap_or_default();
+        let mut places = places.into_iter();
         for (t, attempt, host, at) in r.live {
+            let place = places.next();
             if t >= self.spec.tasks {
                 return None;
             }
@@ -368,6 +389,7 @@
             let live = Live {
                 attempt: Attempt(attempt),
                 host,
+                place,
                 ver: 0,
                 phase: Phase::Placed,
                 placed: Time(now.0.saturating_sub(ago.0)),
@@ -392,6 +414,7 @@
         let value = if part == 0 {
             // What the tasks leave of the room that their number was made for.
             let used = PER_TASK as usize * record.live.len() + record.done.len();
+            let used = used + record.places.as_ref().map_or(0, Places::size);
             let used = used + record.failures.len() + HOLD * self.holds.iter().count();
             let room = (PER_TASK as usize * self.part_size as usize).saturating_sub(used);
             let history = self.history.encode(room.clamp(LEAST_HISTORY, MOST_HISTORY));
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -5,6 +5,7 @@
 mod audit;
 mod direct;
 mod estimate;
+mod fences;
 mod fleet;
 mod gang;
 pub mod job;
@@ -13,6 +14,7 @@
 mod order;
 mod overview;
 mod place;
+mod places;
 mod preempt;
 mod records;
 mod report;
@@ -22,6 +24,7 @@
 mod users;
 mod zones;
 
+pub use fences::FenceRecord;
 pub use life::detail_of_record;
 pub use records::{Dirty, DirtyQueue, Key, Purpose};
 pub use room::Room;
@@ -123,6 +126,8 @@
     pub zones: hookworks_zones::Limits,
     /// Verdicts on zones are acted on, not only shown.
     pub act_on_zones: bool,
+    /// How far the time of day may be off.
+    pub clock_error: Span,
     /// The other controllers and their zones.
     pub controllers: BTreeMap<Label, Zone>,
 }
@@ -140,6 +145,7 @@
             hold: Span::secs(s.tuning.hold_ms / 1000.0),
             zones: s.tuning.zones.limits(s.platform.params.workers.report_s),
             act_on_zones: s.tuning.zones.act,
+            clock_error: Span::secs(s.platform.params.clock_error_ms / 1000.0),
             controllers: s.platform.controllers(),
         }
     }
@@ -166,6 +172,7 @@
     arrivals: spare::Arrivals,
     fleet: fleet::Fleet,
     watch: zones::Watch,
+    fences: fences::Fences,
     finals: HashMap<JobId, Final>,
     finals_order: VecDeque<JobId>,
     /// Who waits for whom.
@@ -218,6 +225,7 @@
             arrivals: Default::default(),
             fleet: fleet::Fleet::new(epoch),
             watch: zones::Watch::new(&cfg, now),
+            fences: Default::default(),
             cfg,
             epoch,
             jobs: BTreeMap::new(),
@@ -386,9 +394,13 @@
                     Machine::new(l.host.clone(), b, "".into(), false, now, token)
                 });
                 m.life = Life::Up;
+                if let Some(p) = &l.place {
+                    (m.zone, m.build, m.spot) = (p.zone.clone(), p.build.clone(), p.spot);
+                }
                 // Earlier leaders may have answered its reports until now, and
                 // one that doesn't know of us yet may for some time to come.
                 m.answered = now.max(self.began + self.cfg.report_grace());
+                self.fences.bound(m);
                 m.doubt = Some(token);
                 m.used += job.need;
                 let task = TaskId {
--- a/src/sched/order.rs
+++ b/src/sched/order.rs
@@ -141,6 +141,21 @@
         best + WORK_WEIGHT * work
     }
 
+    /// The next moment by which the job is to be done, that it can still meet.
+    pub(super) fn next_due(&self, now: Time, j: &Job) -> Option<Time> {
+        let class =
+            |o: &&Objective| o.kind == "finished" && o.class.as_ref() == Some(&j.spec.class);
+        let aims = self
+            .cfg
+            .objectives
+            .iter()
+            .filter(class)
+            .filter_map(|o| o.within_s);
+        let deadline = j.spec.deadline_s.into_iter().flat_map(|d| [d, 1.5 * d]);
+        let all = aims.chain(deadline).map(|s| j.arrived + Span::secs(s));
+        all.filter(|t| *t > now).min()
+    }
+
     /// Until when a task of the job should have begun to run, for the next of
     /// the aims for waiting that it can still meet.
     pub(super) fn begin_by(&self, now: Time, j: &Job, within: bool) -> Option<Time> {
--- a/src/sched/place.rs
+++ b/src/sched/place.rs
@@ -11,6 +11,7 @@
 use super::job::{Job, Live, Phase};
 use super::machine::{ENDLESS, Machine, Slot};
 use super::order::Order;
+use super::places::Place;
 use super::records::Purpose;
 use super::spare::Spare;
 use super::{Room, Sched, estimate};
@@ -244,12 +245,19 @@
         let part = j.part_of(ix);
         let quick = self.quick.contains(&j.spec.class);
         let purpose = if quick { Purpose::Now } else { Purpose::Start };
+        let machine = self.machines.get(host);
+        let place = machine.map(|m| Place {
+            zone: m.zone.clone(),
+            build: m.build.clone(),
+            spot: m.spot,
+        });
         let ver = j.touch(part, &mut self.dirty, purpose);
         j.live.insert(
             ix,
             Live {
                 attempt,
                 host: host.clone(),
+                place,
                 ver,
                 phase: Phase::Placed,
                 placed: now,
--- a/src/sched/records.rs
+++ b/src/sched/records.rs
@@ -14,6 +14,8 @@
 pub enum Key {
     Part(JobId, usize),
     Final(JobId),
+    /// Zones whose workers are not answered.
+    Fences,
 }
 
 /// What a write is for, in the order in which the few writes there are go out.
@@ -197,6 +199,7 @@
                 self.open_counterparts(&id, part, None);
                 self.note_ready(&id);
             }
+            Key::Fences => self.fences.stored(ver),
             Key::Final(id) => {
                 let Some(f) = self.final_of(&id) else {
                     return;
--- a/src/sched/report.rs
+++ b/src/sched/report.rs
@@ -74,8 +74,16 @@
         let Some(m) = self.machines.get_mut(host) else {
             return self.answer(b.req, Answer::later("unknown machine", 1));
         };
+        // Its lease may go on only once the record no longer says otherwise.
+        if self.fences.closed(&m.zone) {
+            let zone = m.zone.clone();
+            self.lower_fence(&zone);
+            self.reports_refused += 1;
+            return self.answer(b.req, Answer::later("its zone is being taken back", 1));
+        }
         m.answered = if b.ours { now } else { m.answered.max(now) };
         let token = m.token;
+        self.fences.note_answer(&m.zone, now);
         let orders = if orders {
             self.orders_for(now, host, true)
         } else {
@@ -179,6 +187,9 @@
                 shown.insert(t.task.clone());
             } else {
                 let ended = t.state == TaskState::Ended;
+                if ended && t.cause == Some(Cause::Done) {
+                    self.done_late(t);
+                }
                 strays.insert((t.task.clone(), t.attempt), ended);
             }
         }
@@ -347,6 +358,26 @@
         self.finish_if_over(&t.job);
     }
 
+    /// An attempt whose place was given away had been done all the same: its
+    /// task need not run again. One that has started anew meanwhile ends by
+    /// itself, with the same result.
+    fn done_late(&mut self, r: &TaskReport) {
+        let t = &r.task;
+        let Some(j) = self.jobs.get_mut(&t.job) else {
+            return;
+        };
+        let waits = j.closing.is_none() && !j.cancelled && j.awaits_start(t.ix);
+        if j.spec.kind != Kind::Array || !waits {
+            return;
+        }
+        tracing::debug!(task = %t, attempt = %r.attempt, "done under an attempt given up");
+        j.history.note(What::Done, self.wall.into());
+        j.attempts.done(t.ix.0);
+        j.set_done(t.ix);
+        self.note_progress(&t.job, t.ix);
+        self.finish_if_over(&t.job);
+    }
+
     fn refresh_estimates(&mut self, id: &JobId) {
         let Some(j) = self.jobs.get(id) else { return };
         let e = estimate::of(j);
--- a/src/sched/zones.rs
+++ b/src/sched/zones.rs
@@ -88,7 +88,7 @@
         }
         let seen = self.evidence(now);
         for c in self.watch.zones.look(now, seen) {
-            self.changed_zone(&c);
+            self.changed_zone(now, &c);
         }
         if !self.watch.act {
             return;
@@ -102,7 +102,7 @@
         }
     }
 
-    fn changed_zone(&mut self, c: &Change) {
+    fn changed_zone(&mut self, now: Time, c: &Change) {
         let e = &c.evidence;
         tracing::info!(zone = %c.zone, from = c.from.as_str(), to = c.to.as_str(),
             lasted_s = c.lasted.as_secs(), machines = e.machines, overdue = e.overdue,
@@ -111,6 +111,11 @@
         if c.to == State::Doubt && c.from == State::Well {
             self.watch.tally.insert(c.zone.clone(), Tally::default());
         }
+        let quiet = self.watch.zones.limits().quiet;
+        let heard = e.newest.is_some_and(|t| now - t < quiet);
+        if self.watch.act && c.to == State::Lost && !heard {
+            self.raise_fence(now, &c.zone);
+        }
         self.replan = true;
     }
 
@@ -242,7 +247,11 @@
             .views(now)
             .into_iter()
             .filter(|v| v.state == State::Lost)
-            .map(|v| (v.zone.clone(), zones.silent_for(now, &v.zone)))
+            .map(|v| {
+                let known = self.fences.inherited(&v.zone).unwrap_or(now);
+                let silent = zones.silent_for(now, &v.zone).max(now - known);
+                (v.zone, silent)
+            })
             .collect();
         if lost.is_empty() {
             return;
@@ -273,24 +282,26 @@
 
     fn case(&self, now: Time, m: &Machine) -> Case<Host> {
         let lease = self.lease_bound();
-        let lease_left = m.answered + lease - now;
         let stake = |t: &TaskId| {
             let j = self.jobs.get(&t.job)?;
             let l = j.live.get(&t.ix)?;
-            Some(self.stake(now, m, j, l, lease_left))
+            Some(self.stake(now, m, j, l))
         };
         Case {
             machine: m.host.clone(),
             stakes: m.slots.keys().filter_map(stake).collect(),
-            lease_left,
+            lease_left: m.answered + lease - now,
+            boot: Span::secs(self.boot_s(&m.build)),
         }
     }
 
-    fn stake(&self, now: Time, m: &Machine, j: &Job, l: &Live, lease_left: Span) -> Stake {
+    fn stake(&self, now: Time, m: &Machine, j: &Job, l: &Live) -> Stake {
         let size = j.need.share_of(&m.capacity);
         let est = estimate::of(j);
         let ran = match (l.phase, l.running_since) {
             (Phase::Running, Some(s)) => now - s,
+            // Of what an earlier leader started only that is known.
+            _ if l.inherited => now - l.placed,
             _ => Span::ZERO,
         };
         let saves = j.spec.checkpoint_s;
@@ -303,17 +314,12 @@
         // being stopped, waits for nothing but the proof of the others' end.
         let whole =
             j.live.len() as u32 == j.spec.tasks && j.live.values().all(|l| l.stop.is_none());
-        let loses_by_waiting = || {
-            let due = j.spec.deadline_s.map(|d| j.arrived + Span::secs(d));
-            due.is_some_and(|d| now + lease_left + est > d && now + est <= d)
-        };
         let standing = match j.spec.kind {
             Kind::Service => Standing::Replica,
             Kind::Gang if !whole || l.stop.is_some() => Standing::Broken,
             _ if j.spec.priority <= Priority::High || self.is_quick(&j.spec.class) => {
                 Standing::Urgent
             }
-            _ if loses_by_waiting() => Standing::Due,
             _ => Standing::Other,
         };
         Stake {
@@ -322,7 +328,12 @@
                 true => Span(unsaved.0 * j.spec.tasks as u64),
                 false => unsaved,
             },
+            again: match saves > 0.0 {
+                true => (est - ran) + unsaved,
+                false => est,
+            },
             left: est - ran,
+            due: self.next_due(now, j).map(|t| t - now),
             size,
         }
     }
@@ -333,15 +344,17 @@
         let keep = self.headroom(now);
         let mut free = Room::default();
         let (mut whole, mut n) = (Room::default(), 0u32);
-        let mut lower = Room::default();
+        let (mut lower, mut soon_free) = (Room::default(), Room::default());
+        let mut within = Span::secs(1.0);
         for m in self.machines.values().filter(|m| m.open(now, fresh)) {
             free += m.free().at_least_zero();
             whole += m.capacity;
             n += 1;
             let soon = Span::secs(self.boot_s(&m.build) * self.cfg.tuning.wait_share);
+            within = within.max(soon);
             for (t, s) in &m.slots {
                 if s.remaining(now) < soon {
-                    free += s.need;
+                    soon_free += s.need;
                 } else if self.jobs.get(&t.job).is_some_and(gives_way) {
                     lower += s.need;
                 }
@@ -353,8 +366,12 @@
             }
         }
         let free = free.minus(&keep.all).at_least_zero();
+        // Of what running tasks leave until the next look, half is for those
+        // who wait already.
+        let turns = 2.0 * within.as_secs() / PLAN_EVERY.as_secs();
+        let turn = soon_free.least_share_of(&whole) / turns;
         Budget {
-            free: n as f64 * free.least_share_of(&whole),
+            free: n as f64 * (free.least_share_of(&whole) + turn),
             made: n as f64 * lower.least_share_of(&whole),
         }
     }
--- a/src/store/commit.rs
+++ b/src/store/commit.rs
@@ -7,7 +7,7 @@
 
 use super::budget::Budget;
 use super::client::Outcome;
-use super::{LEADER, final_key, part_key};
+use super::{FENCES, LEADER, final_key, part_key};
 use crate::ids::{JobId, Stamp, TxnId};
 use crate::sched::job::Final;
 use crate::sched::{Dirty, Event, Key, Purpose, Sched};
@@ -34,6 +34,8 @@
 enum What {
     Part(usize, u64),
     End,
+    /// The record of fenced zones, which belongs to no job.
+    Fences(u64),
 }
 
 pub struct Committer {
@@ -162,7 +164,13 @@
         if now < self.rest_until || self.under_way.len() >= lanes {
             return None;
         }
-        if !self.requests.has(now, 1.0) || sched.dirty.is_empty() && self.litter.is_empty() {
+        if !self.requests.has(now, 1.0) {
+            return None;
+        }
+        if let Some(fences) = self.fences(now, sched) {
+            return Some(fences);
+        }
+        if sched.dirty.is_empty() && self.litter.is_empty() {
             return None;
         }
         let budget = self.writes.left(now) as usize;
@@ -239,6 +247,10 @@
         if txn.changes.is_empty() {
             return None;
         }
+        Some(self.send(now, txn, works))
+    }
+
+    fn send(&mut self, now: Time, mut txn: Txn, works: Vec<Work>) -> (TxnId, Txn) {
         txn.conditions.push(Condition {
             key: LEADER.into(),
             stamp: self.leader,
@@ -248,7 +260,37 @@
         let id = TxnId(self.next);
         self.next += 1;
         self.under_way.insert(id, works);
-        Some((id, txn))
+        (id, txn)
+    }
+
+    /// The record of fenced zones goes first: workers wait for it. It takes its
+    /// turns like a job's record, under a name that no job has.
+    fn fences(&mut self, now: Time, sched: &mut Sched) -> Option<(TxnId, Txn)> {
+        let job = JobId::from("");
+        if self.busy.contains(&job) {
+            return None;
+        }
+        let (record, ver) = sched.fences_to_write()?;
+        let stamp = self.stamp(FENCES);
+        let txn = Txn {
+            conditions: vec![Condition {
+                key: FENCES.into(),
+                stamp,
+            }],
+            changes: vec![Change::Put {
+                key: FENCES.into(),
+                value: serde_json::to_value(record).unwrap_or_default(),
+                lease: None,
+            }],
+        };
+        self.busy.insert(job.clone());
+        let work = Work {
+            job,
+            purpose: Purpose::Now,
+            what: What::Fences(ver),
+            keys: vec![(FENCES.into(), true)],
+        };
+        Some(self.send(now, txn, vec![work]))
     }
 
     fn requeue(&mut self, sched: &mut Sched, works: Vec<Work>) {
@@ -262,6 +304,7 @@
         let part = match w.what {
             What::Part(p, _) => p,
             What::End => 0,
+            What::Fences(_) => return sched.fences_again(),
         };
         if let Some(j) = sched.jobs.get_mut(&w.job) {
             j.queue(part, &mut sched.dirty, w.purpose);
@@ -294,6 +337,7 @@
                     }
                     match w.what {
                         What::Part(p, ver) => events.push(Event::Stored(Key::Part(w.job, p), ver)),
+                        What::Fences(ver) => events.push(Event::Stored(Key::Fences, ver)),
                         What::End => {
                             self.sweep(sched, &w.job);
                             events.push(Event::Stored(Key::Final(w.job), 0));
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -13,6 +13,8 @@
 pub const LEADER: &str = "hookworks/leader";
 /// Counts the terms of leadership; only ever grows.
 pub const EPOCH: &str = "hookworks/epoch";
+/// Zones whose workers are not answered.
+pub const FENCES: &str = "hookworks/fences";
 /// Unfinished jobs.
 pub const LIVE: &str = "hookworks/live/";
 /// Further tasks of large unfinished jobs.
--- a/tests/world/steps.rs
+++ b/tests/world/steps.rs
@@ -27,6 +27,9 @@
                         }
                         let cfg = Config::from(&s);
                         let mut sched = Sched::new(cfg, epoch, proven, now, wall);
+                        if let Some(f) = l.fences {
+                            sched.take_fences(now, wall, f);
+                        }
                         sched.load(now, l.jobs, l.unreadable);
                         self.log.push(format!("{} c{i} leads {epoch}", self.now));
                         self.ctls[i].term = Some(Term {
