--- a/src/sched/fences.rs
+++ b/src/sched/fences.rs
@@ -63,7 +63,7 @@
     }
 
     /// The record to be written next, with its version.
-    pub fn to_write(&mut self, epoch: Epoch) -> Option<(FenceRecord, u64)> {
+    pub fn next_write(&mut self, epoch: Epoch) -> Option<(FenceRecord, u64)> {
         if self.sent == self.ver {
             return None;
         }
@@ -102,7 +102,7 @@
 impl Sched {
     /// The record of fenced zones, if it is to be written, and its version.
     pub fn fences_to_write(&mut self) -> Option<(FenceRecord, u64)> {
-        self.fences.to_write(self.epoch)
+        self.fences.next_write(self.epoch)
     }
 
     /// That record could not be written, as far as is known.
