Zones: a leader that has met most of another zone doubts one that it has not met

A leader elected during a cut took 7 s to notice that it heard nothing of a zone, since no machine counts as overdue before. That most of another zone has reported, and the zone's own controllers are out of reach, tells sooner. Fences are raised with the first doubt: a leader may end seconds later.

--- a/crates/zones/src/lib.rs
+++ b/crates/zones/src/lib.rs
@@ -18,5 +18,5 @@
 mod state;
 
 pub use limits::Limits;
-pub use plan::{Budget, Case, Stake, Standing, plan, worth};
+pub use plan::{Budget, Case, Plan, Stake, Standing, plan, worth};
 pub use state::{Change, Evidence, State, View, Zones};
--- a/crates/zones/src/plan.rs
+++ b/crates/zones/src/plan.rs
@@ -144,9 +144,20 @@
     c.stakes.iter().map(one).sum::<f64>() - missed
 }
 
+/// What a look at a lost zone comes to.
+#[derive(Clone, Debug)]
+pub struct Plan<M> {
+    /// To be given back now, in this order.
+    pub machines: Vec<M>,
+    /// How many are worth it, whether or not there is room for their work.
+    pub worthy: usize,
+    /// What is left of the budget.
+    pub left: Budget,
+}
+
 /// Which machines to give back now, those first that gain most, as far as what
 /// was on them can start elsewhere soon. Each look takes from the same budget.
-pub fn plan<M>(silent: Span, cases: Vec<Case<M>>, mut budget: Budget) -> Vec<M> {
+pub fn plan<M>(silent: Span, cases: Vec<Case<M>>, mut budget: Budget) -> Plan<M> {
     let mut worthy: Vec<(f64, Case<M>)> = cases
         .into_iter()
         .filter(|c| !c.stakes.is_empty())
@@ -154,7 +165,8 @@
         .filter(|(w, _)| *w > 0.0)
         .collect();
     worthy.sort_by(|a, b| b.0.total_cmp(&a.0));
-    let mut chosen = vec![];
+    let mut machines = vec![];
+    let n = worthy.len();
     for (_, c) in worthy {
         let (mut asks, mut entitled) = (0.0, 0.0);
         for s in &c.stakes {
@@ -173,7 +185,11 @@
         }
         budget.free -= asks + from_free;
         budget.made -= made;
-        chosen.push(c.machine);
+        machines.push(c.machine);
+    }
+    Plan {
+        machines,
+        worthy: n,
+        left: budget,
     }
-    chosen
 }
--- a/crates/zones/src/state.rs
+++ b/crates/zones/src/state.rs
@@ -40,7 +40,9 @@
 pub struct Evidence {
     /// Machines that were up when last heard of.
     pub machines: u32,
-    /// Of these, those that have missed a report for certain.
+    /// Of these, those that were heard in this term.
+    pub heard: u32,
+    /// And those that have missed a report for certain.
     pub overdue: u32,
     /// The first and the last that the overdue ones were heard.
     pub fell_silent: Option<(Time, Time)>,
@@ -94,6 +96,8 @@
     returned: Time,
     /// Part of it is heard all the time.
     partly: bool,
+    /// Not one of it has been heard in this term, and most of another zone has.
+    unmet: bool,
     /// It takes so long to come back in full.
     ramp: Span,
     troubles: VecDeque<Time>,
@@ -143,6 +147,7 @@
                 gone_since: self.began,
                 returned: self.began,
                 partly: false,
+                unmet: false,
                 ramp: Span::ZERO,
                 troubles: VecDeque::new(),
                 seen: Evidence::default(),
@@ -153,6 +158,9 @@
         let began = self.began;
         let heard = |o: &One| o.seen.newest.is_some_and(|t| now - t < l.quiet);
         let heard_zones = self.all.values().filter(|o| heard(o)).count();
+        // A new leader has heard most machines of the others, and none of one.
+        let met = |o: &One| 2 * o.seen.heard >= o.seen.machines.max(1);
+        let met_zones = self.all.values().filter(|o| met(o)).count();
         let mut changes = vec![];
         for (z, o) in &mut self.all {
             self.steps += 1;
@@ -160,6 +168,7 @@
             while o.troubles.front().is_some_and(|t| now - *t > l.memory) {
                 o.troubles.pop_front();
             }
+            o.unmet = o.seen.newest.is_none() && met_zones > 0;
             let Some(to) = o.next(now, began, others, &l) else {
                 continue;
             };
@@ -251,6 +260,9 @@
         if several && quiet && self.share(asked) {
             return true;
         }
+        if self.unmet && quiet && told && e.machines >= l.least {
+            return true;
+        }
         // Nothing that was rented there comes up, and nothing else is there.
         let nothing_else = e.machines < l.least && now - self.last_heard(began) > l.keep;
         nothing_else && e.late_boots >= l.least
--- a/src/sched/zones.rs
+++ b/src/sched/zones.rs
@@ -113,7 +113,7 @@
         }
         let quiet = self.watch.zones.limits().quiet;
         let heard = e.newest.is_some_and(|t| now - t < quiet);
-        if self.watch.act && c.to == State::Lost && !heard {
+        if self.watch.act && c.to.silent() && !heard {
             self.raise_fence(now, &c.zone);
         }
         self.replan = true;
@@ -150,6 +150,7 @@
                 Life::Booting => e.late_boots += self.boots_late(now, m) as u32,
                 Life::Up => {
                     e.machines += 1;
+                    e.heard += m.reported_at.is_some() as u32;
                     e.newest = e.newest.max(m.reported_at);
                     if now - m.heard > late {
                         e.overdue += 1;
@@ -264,13 +265,18 @@
                     cases.push(self.case(now, m));
                 }
             }
+            let n = cases.len();
+            let chosen = plan(silent, cases, budget);
+            if n > 0 {
+                tracing::info!(%zone, silent_s = silent.as_secs(), machines = n, worth_moving = chosen.worthy,
+                    chosen = chosen.machines.len(), free = budget.free, made = budget.made, "lost zone");
+            }
+            budget = chosen.left;
             let mut moved = 0;
-            for h in plan(silent, cases, budget) {
+            for h in chosen.machines {
                 let Some(m) = self.machines.get_mut(&h) else {
                     continue;
                 };
-                let size: f64 = m.used.share_of(&m.capacity);
-                budget.free = (budget.free - size).max(0.0);
                 moved += m.slots.len() as u64;
                 m.life = Life::Leaving { next: now };
                 tracing::info!(host = %h, %zone, tasks = m.slots.len(), "given back for its work");
