--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -205,6 +205,8 @@
     ready: BTreeSet<Host>,
     /// Reports whose answers wait for what is being stored.
     held: BTreeMap<Host, report::Beat>,
+    /// Those that wait for their zone to be taken back on record.
+    at_fence: BTreeMap<Host, report::Beat>,
     out: Vec<Effect>,
     /// Jobs whose records could not be read: asked about, they get no answer.
     unreadable: BTreeSet<JobId>,
@@ -254,6 +256,7 @@
             unsent: BTreeSet::new(),
             ready: BTreeSet::new(),
             held: BTreeMap::new(),
+            at_fence: BTreeMap::new(),
             out: vec![],
             unreadable: Default::default(),
         }
@@ -436,6 +439,7 @@
     fn tick(&mut self, now: Time) {
         self.push_ready(now);
         self.answer_held(now, false);
+        self.answer_at_fence(now);
         self.watch_machines(now);
         self.plan_fleet(now);
         self.push_all(now);
--- a/src/sched/records.rs
+++ b/src/sched/records.rs
@@ -199,7 +199,10 @@
                 self.open_counterparts(&id, part, None);
                 self.note_ready(&id);
             }
-            Key::Fences => self.fences.stored(ver),
+            Key::Fences => {
+                self.fences.stored(ver);
+                self.answer_at_fence(now);
+            }
             Key::Final(id) => {
                 let Some(f) = self.final_of(&id) else {
                     return;
--- a/src/sched/report.rs
+++ b/src/sched/report.rs
@@ -5,7 +5,7 @@
 use super::job::{Phase, Stop};
 use super::machine::{Life, Machine};
 use super::{Sched, estimate};
-use crate::ids::{Attempt, Host, JobId, Label, ReqId, Session, TaskId, TaskIx};
+use crate::ids::{Attempt, Host, JobId, Label, ReqId, Session, TaskId, TaskIx, Zone};
 use crate::time::{Span, Time};
 use crate::wire::peer::Answer;
 use crate::wire::user::Kind;
@@ -15,6 +15,8 @@
 
 /// Reports whose answers wait at a time.
 const MAX_HELD: usize = 400;
+/// An answer waits no longer for its zone to be taken back on record.
+const AT_FENCE: Span = Span(1_000_000);
 /// Commands in one message.
 const MAX_ORDERS: usize = 200;
 
@@ -49,7 +51,8 @@
         }
         let freed = slots(self) < before;
         // A worker has one report in flight, so it has given that one up.
-        if let Some(h) = self.held.remove(&host) {
+        let earlier = self.held.remove(&host);
+        if let Some(h) = earlier.or_else(|| self.at_fence.remove(&host)) {
             self.answer(h.req, Answer::later("a newer report is here", 1));
         }
         let beat = Beat {
@@ -77,9 +80,7 @@
         // Its lease may go on only once the record no longer says otherwise.
         if self.fences.closed(&m.zone) {
             let zone = m.zone.clone();
-            self.lower_fence(&zone);
-            self.reports_refused += 1;
-            return self.answer(b.req, Answer::later("its zone is being taken back", 1));
+            return self.hold_at_fence(now, host, &zone, b);
         }
         m.answered = if b.ours { now } else { m.answered.max(now) };
         let token = m.token;
@@ -94,6 +95,25 @@
         self.answer(b.req, Answer::new(200, body));
     }
 
+    /// The answer waits until it is on record that the zone is answered again:
+    /// sent away, workers came back just after their leases had run out.
+    fn hold_at_fence(&mut self, now: Time, host: &Host, zone: &Zone, b: Beat) {
+        self.lower_fence(zone);
+        if self.at_fence.len() >= MAX_HELD || now - b.since >= AT_FENCE {
+            self.reports_refused += 1;
+            return self.answer(b.req, Answer::later("its zone is being taken back", 1));
+        }
+        self.at_fence.insert(host.clone(), b);
+    }
+
+    /// Answers that waited at a fence: those whose zone is open, and those that
+    /// have waited for too long.
+    pub(super) fn answer_at_fence(&mut self, now: Time) {
+        for (h, b) in std::mem::take(&mut self.at_fence) {
+            self.answer_beat(now, &h, b, true);
+        }
+    }
+
     /// What the worker is to do next will be known in a moment: its answer can
     /// wait for that, which saves a direct call and further reports.
     fn worth_holding(&self, now: Time, host: &Host, freed: bool) -> bool {
--- a/tests/world/cloud.rs
+++ b/tests/world/cloud.rs
@@ -40,6 +40,7 @@
                         self.at(boot, Ev::Beat(host.clone()));
                         hosts.push(host);
                     }
+                    self.rentals.push((self.now, h.zone.clone(), hosts.len()));
                     self.hires.insert(h.name.clone(), hosts.clone());
                     HireResult::Ok(hosts)
                 }
--- /dev/null
+++ b/tests/world/links.rs
@@ -0,0 +1,177 @@
+//! Zones, and the links between them: controllers and workers are in zones,
+//! users, cloud and state service in the region. A link may be cut, reset what
+//! passes, or hold it back until it is open again; each direction by itself.
+
+use super::worker::Worker;
+use super::{Ev, World};
+use hookworks::ids::*;
+use hookworks::sched::DirectResult;
+use hookworks::store::Outcome;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What becomes of messages from one zone to another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Link {
+    Open,
+    Cut,
+    /// Kept, and delivered in order once the link is open.
+    Held,
+    /// The sender learns at once that nothing was sent.
+    Reset,
+}
+
+/// Where users, cloud and state service are.
+const REGION: &str = "region";
+/// A caller gives up after so long.
+const GIVES_UP: f64 = 1.2;
+
+#[derive(Default)]
+pub struct Links {
+    shut: BTreeMap<(Zone, Zone), Link>,
+    held: Vec<((Zone, Zone), Ev)>,
+}
+
+impl World {
+    pub fn zone_of(&self, i: usize) -> Zone {
+        self.zones[i % self.zones.len()].clone()
+    }
+
+    fn link(&self, from: &Zone, to: &Zone) -> Link {
+        let shut = self.links.shut.get(&(from.clone(), to.clone()));
+        shut.copied().unwrap_or(Link::Open)
+    }
+
+    /// One direction between two zones, or a zone and the region.
+    pub fn set_link(&mut self, from: &str, to: &str, l: Link) {
+        let way = (Zone::from(from), Zone::from(to));
+        if l != Link::Open {
+            self.links.shut.insert(way, l);
+            return;
+        }
+        self.links.shut.remove(&way);
+        let held = std::mem::take(&mut self.links.held);
+        let (now, still): (Vec<_>, Vec<_>) = held.into_iter().partition(|(w, _)| *w == way);
+        self.links.held = still;
+        for (n, (_, e)) in now.into_iter().enumerate() {
+            self.at(1e-5 * (n + 1) as f64, e);
+        }
+    }
+
+    /// A zone from all others and from the region, and back.
+    pub fn set_zone(&mut self, z: &str, l: Link) {
+        let mut others: Vec<Zone> = self
+            .zones
+            .iter()
+            .filter(|o| o.as_str() != z)
+            .cloned()
+            .collect();
+        others.push(REGION.into());
+        for o in others {
+            self.set_link(z, o.as_str(), l);
+            self.set_link(o.as_str(), z, l);
+        }
+    }
+
+    /// From one zone to another directly, or by way of a controller in a third.
+    fn way(&self, from: &Zone, to: &Zone) -> Link {
+        let direct = self.link(from, to);
+        if direct == Link::Open {
+            return direct;
+        }
+        let open = |a: &Zone, b: &Zone| a == b || self.link(a, b) == Link::Open;
+        let via = |i: &usize| {
+            let z = self.zone_of(*i);
+            self.ctls[*i].up && open(from, &z) && open(&z, to) && open(to, &z) && open(&z, from)
+        };
+        match (0..self.ctls.len()).find(via) {
+            Some(_) => Link::Open,
+            None => direct,
+        }
+    }
+
+    /// Controllers that this one can't talk to.
+    pub(super) fn out_of_reach(&self, i: usize) -> Vec<Label> {
+        let me = self.zone_of(i);
+        let away = |j: &usize| {
+            let z = self.zone_of(*j);
+            let shut = self.link(&me, &z) != Link::Open || self.link(&z, &me) != Link::Open;
+            *j != i && (shut || !self.ctls[*j].up)
+        };
+        let all = (0..self.ctls.len()).filter(away);
+        all.map(|j| Label::from(format!("c{j}").as_str())).collect()
+    }
+
+    /// From where to where the message goes, if it goes anywhere.
+    fn route(&self, e: &Ev) -> Option<(Zone, Zone, bool)> {
+        let region = Zone::from(REGION);
+        let at = |h: &Host| self.workers.get(h).map(|w: &Worker| w.zone.clone());
+        Some(match e {
+            Ev::ToCtl(i, h, _) => (at(h)?, self.zone_of(*i), true),
+            Ev::ToWorker(h, _, _, i) => (self.zone_of(*i), at(h)?, true),
+            Ev::Orders(i, _, _, h, _) => (self.zone_of(*i), at(h)?, false),
+            // What the caller makes of silence reaches it from nowhere.
+            Ev::Direct(_, _, _, _, DirectResult::Unclear | DirectResult::Refused) => return None,
+            Ev::Direct(i, _, _, h, _) => (at(h)?, self.zone_of(*i), false),
+            Ev::TxnDone(_, _, _, Outcome::Unclear) => return None,
+            Ev::Txn(i, ..) | Ev::Read(i, ..) | Ev::Final(i, ..) | Ev::Record(i, ..) => {
+                (self.zone_of(*i), region, false)
+            }
+            Ev::Hire(i, ..) | Ev::Release(i, ..) | Ev::Elect(i) | Ev::List(i) => {
+                (self.zone_of(*i), region, false)
+            }
+            Ev::TxnDone(i, ..) | Ev::ReadDone(i, ..) | Ev::CloudDone(i, ..) => {
+                (region, self.zone_of(*i), false)
+            }
+            Ev::UserVia(i, _) => (region, self.zone_of(*i), false),
+            _ => return None,
+        })
+    }
+
+    /// The event, if it arrives now; otherwise what its sender learns.
+    pub(super) fn passes(&mut self, e: Ev) -> Option<Ev> {
+        if self.links.shut.is_empty() {
+            return Some(e);
+        }
+        let Some((from, to, relayed)) = self.route(&e) else {
+            return Some(e);
+        };
+        let link = match relayed {
+            true => self.way(&from, &to),
+            false => self.link(&from, &to),
+        };
+        if link == Link::Open {
+            return Some(e);
+        }
+        let unclear = match &e {
+            Ev::Orders(i, t, call, h, _) | Ev::Direct(i, t, call, h, _) => {
+                let r = match (link, &e) {
+                    (Link::Reset, Ev::Orders(..)) => DirectResult::Refused,
+                    _ => DirectResult::Unclear,
+                };
+                Some(Ev::Direct(*i, *t, *call, h.clone(), r))
+            }
+            Ev::Txn(i, t, id, _) | Ev::TxnDone(i, t, id, _) => {
+                Some(Ev::TxnDone(*i, *t, *id, Outcome::Unclear))
+            }
+            _ => None,
+        };
+        if let Some(u) = unclear {
+            self.at(GIVES_UP, u);
+        }
+        match e {
+            // These are done again and again until they get through.
+            Ev::Elect(i) => self.at(0.4, Ev::Elect(i)),
+            Ev::List(i) => self.at(5.0, Ev::List(i)),
+            Ev::Read(..) | Ev::ReadDone(..) | Ev::Hire(..) | Ev::CloudDone(..) => self.at(1.0, e),
+            e if link == Link::Held => self.links.held.push(((from, to), e)),
+            _ => {}
+        }
+        None
+    }
+
+    /// Machines by zone, as the cloud sees them.
+    pub fn machines_in(&self, z: &str) -> BTreeSet<Host> {
+        let there = self.workers.values().filter(|w| w.zone.as_str() == z);
+        there.map(|w| w.host.clone()).collect()
+    }
+}
