--- a/crates/zones/src/state.rs
+++ b/crates/zones/src/state.rs
@@ -46,6 +46,8 @@
     pub overdue: u32,
     /// The first and the last that the overdue ones were heard.
     pub fell_silent: Option<(Time, Time)>,
+    /// Those heard since the zone's present trouble began ([`Zones::gone_since`]).
+    pub back: u32,
     /// When anything there was heard last, in this term.
     pub newest: Option<Time>,
     /// Controllers there, besides the leader, and those out of its reach.
@@ -94,8 +96,6 @@
     /// The last that was heard before the trouble.
     gone_since: Time,
     returned: Time,
-    /// Part of it is heard all the time.
-    partly: bool,
     /// Not one of it has been heard in this term, and most of another zone has.
     unmet: bool,
     /// It takes so long to come back in full.
@@ -115,6 +115,8 @@
 
 /// With none left to be heard, a lost zone is tried again after so long.
 const TRY_AGAIN: Span = Span(30_000_000);
+/// What must be heard of a zone beyond the share that may be silent.
+const REST: f64 = 0.05;
 /// The share of a returning zone that is used at once.
 const AT_ONCE: f64 = 0.02;
 
@@ -146,7 +148,6 @@
                 since: self.began,
                 gone_since: self.began,
                 returned: self.began,
-                partly: false,
                 unmet: false,
                 ramp: Span::ZERO,
                 troubles: VecDeque::new(),
@@ -281,8 +282,10 @@
 
     fn next(&self, now: Time, began: Time, others: bool, l: &Limits) -> Option<State> {
         let e = &self.seen;
-        let heard = e.newest.is_some_and(|t| t > self.gone_since);
-        let heard_again = heard && !(self.partly && self.share(l.most_share / 2.0));
+        // More than what goes on being heard of a zone that is doubted for the
+        // silence of most of it.
+        let rest = (1.0 - l.most_share + REST) * e.machines as f64;
+        let heard_again = e.machines > 0 && e.back as f64 >= rest;
         let falls = || self.all_silent(now, began, l) || self.most_silent(now, l);
         match self.state {
             State::Well => (others && falls()).then_some(State::Doubt),
@@ -313,7 +316,6 @@
         match to {
             State::Doubt => {
                 self.gone_since = self.last_heard(began);
-                self.partly = !self.all_silent(now, began, l);
             }
             State::Lost => {}
             State::Well | State::Returning if self.state == State::Returning => {}
--- /dev/null
+++ b/crates/zones/tests/verdicts.rs
@@ -0,0 +1,233 @@
+//! Verdicts on zones, from evidence alone.
+
+use hookworks_base::ids::Zone;
+use hookworks_base::time::{Span, Time};
+use hookworks_zones::{Change, Evidence, Limits, State, Zones};
+use std::collections::BTreeMap;
+
+const REPORT: f64 = 5.0;
+
+/// A fleet whose machines report every five seconds, one after the other.
+struct Fleet {
+    zones: Zones,
+    now: Time,
+    /// Machines of each zone, with when each was last heard.
+    heard: BTreeMap<Zone, Vec<Time>>,
+    silent: Vec<Zone>,
+    /// So many machines of zone `b` say nothing.
+    mute: usize,
+    away: Vec<Zone>,
+    changes: Vec<(f64, String, State)>,
+}
+
+impl Fleet {
+    fn new(zones: &[&str], each: usize) -> Fleet {
+        let began = Time(1_000_000_000);
+        let step = REPORT / each as f64;
+        let one = |_| {
+            (0..each)
+                .map(|n| Time(began.0 - (n as f64 * step * 1e6) as u64))
+                .collect()
+        };
+        Fleet {
+            zones: Zones::new(Limits::of(Span::secs(REPORT)), began),
+            now: began,
+            heard: zones.iter().map(|z| (Zone::from(*z), one(z))).collect(),
+            silent: vec![],
+            mute: 0,
+            away: vec![],
+            changes: vec![],
+        }
+    }
+
+    fn evidence(&self, z: &Zone, all: &[Time]) -> Evidence {
+        let late = Limits::of(Span::secs(REPORT)).overdue_after();
+        let overdue: Vec<Time> = all
+            .iter()
+            .copied()
+            .filter(|t| self.now - *t > late)
+            .collect();
+        Evidence {
+            machines: all.len() as u32,
+            heard: all.len() as u32,
+            overdue: overdue.len() as u32,
+            fell_silent: overdue
+                .iter()
+                .min()
+                .copied()
+                .zip(overdue.iter().max().copied()),
+            back: match self.zones.gone_since(z) {
+                Some(gone) => all.iter().filter(|t| **t > gone).count() as u32,
+                None => 0,
+            },
+            newest: all.iter().max().copied(),
+            controllers: 1,
+            away: self.away.contains(z) as u32,
+            ..Evidence::default()
+        }
+    }
+
+    fn run(&mut self, seconds: f64) {
+        for _ in 0..(seconds * 4.0) as u32 {
+            self.now = self.now + Span::secs(0.25);
+            let (now, silent) = (self.now, &self.silent);
+            for (z, all) in &mut self.heard {
+                if !silent.contains(z) {
+                    let mute = if z.as_str() == "b" { self.mute } else { 0 };
+                    let all = &mut all[mute..];
+                    for t in all.iter_mut().filter(|t| now - **t >= Span::secs(REPORT)) {
+                        *t = now;
+                    }
+                }
+            }
+            let seen = self
+                .heard
+                .iter()
+                .map(|(z, all)| (z.clone(), self.evidence(z, all)));
+            let seen = seen.collect();
+            for Change { zone, to, .. } in self.zones.look(self.now, seen) {
+                let at = (self.now - Time(1_000_000_000)).as_secs();
+                self.changes.push((at, zone.to_string(), to));
+            }
+        }
+    }
+
+    fn state(&self, z: &str) -> State {
+        self.zones.state(&z.into())
+    }
+}
+
+#[test]
+fn a_zone_goes_and_comes_back_in_order() {
+    let mut f = Fleet::new(&["a", "b", "c"], 40);
+    f.run(30.0);
+    assert!(f.changes.is_empty(), "{:?}", f.changes);
+    f.silent = vec!["b".into()];
+    f.run(5.0);
+    assert_eq!(f.state("b"), State::Doubt);
+    assert_eq!(f.zones.open(f.now, &"b".into()), 0.0);
+    f.run(5.0);
+    assert_eq!(f.state("b"), State::Lost);
+    f.run(30.0);
+    f.silent.clear();
+    f.run(1.5);
+    assert_eq!(f.state("b"), State::Returning);
+    let open = f.zones.open(f.now, &"b".into());
+    assert!(open > 0.0 && open < 0.5, "{open}");
+    f.run(8.0);
+    assert_eq!((f.state("b"), f.state("a")), (State::Well, State::Well));
+    let order: Vec<State> = f.changes.iter().map(|c| c.2).collect();
+    assert_eq!(
+        order,
+        [State::Doubt, State::Lost, State::Returning, State::Well]
+    );
+}
+
+/// With its own controllers out of reach a zone is doubted sooner.
+#[test]
+fn controllers_out_of_reach_make_it_sure_sooner() {
+    let noticed = |away: bool| {
+        let mut f = Fleet::new(&["a", "b", "c"], 40);
+        f.run(20.0);
+        f.silent = vec!["b".into()];
+        f.away = if away { vec!["b".into()] } else { vec![] };
+        f.run(8.0);
+        f.changes[0].0 - 20.0
+    };
+    let (told, not) = (noticed(true), noticed(false));
+    assert!(told < not && not < 5.0, "{told} s, {not} s");
+}
+
+/// A leader that hears nobody has itself to blame.
+#[test]
+fn all_zones_at_once_are_none() {
+    let mut f = Fleet::new(&["a", "b"], 40);
+    f.run(20.0);
+    f.silent = vec!["a".into(), "b".into()];
+    f.away = f.silent.clone();
+    f.run(60.0);
+    assert!(f.changes.is_empty(), "{:?}", f.changes);
+    // One that is heard again tells that the other is not.
+    f.silent = vec!["b".into()];
+    f.run(12.0);
+    assert_eq!((f.state("a"), f.state("b")), (State::Well, State::Lost));
+}
+
+#[test]
+fn a_controller_out_of_reach_is_no_zone() {
+    let mut f = Fleet::new(&["a", "b"], 40);
+    f.away = vec!["b".into()];
+    f.run(60.0);
+    assert!(f.changes.is_empty(), "{:?}", f.changes);
+}
+
+/// Each trouble that is remembered makes the next return slower, up to a bound;
+/// what lies long back is forgotten.
+#[test]
+fn a_flapping_zone_comes_back_more_slowly_each_time() {
+    let mut f = Fleet::new(&["a", "b"], 40);
+    f.run(20.0);
+    let mut takes = vec![];
+    for _ in 0..4 {
+        f.silent = vec!["b".into()];
+        f.run(12.0);
+        f.silent.clear();
+        let back = f.now;
+        while f.state("b") != State::Well {
+            f.run(0.25);
+        }
+        takes.push((f.now - back).as_secs());
+    }
+    assert!(
+        takes.windows(2).all(|w| w[1] >= w[0]) && takes[3] > 3.0 * takes[0],
+        "{takes:?}"
+    );
+    assert!(takes[3] <= 30.5, "{takes:?}");
+    f.run(150.0);
+    f.silent = vec!["b".into()];
+    f.run(12.0);
+    f.silent.clear();
+    f.run(0.25);
+    let open = f.zones.open(f.now, &"b".into());
+    f.run(4.0);
+    assert_eq!(f.state("b"), State::Well, "{open}");
+}
+
+/// Most of a zone and at about the same time: a part of it is cut off.
+#[test]
+fn most_of_a_zone_counts_and_some_of_it_does_not() {
+    for (cut, state) in [(36, State::Lost), (15, State::Well)] {
+        let mut f = Fleet::new(&["a", "b"], 40);
+        f.run(20.0);
+        f.mute = cut;
+        f.run(16.0);
+        assert_eq!(f.state("b"), state, "{cut}: {:?}", f.changes);
+    }
+}
+
+/// All machines of a lost zone were given back: only its controllers, or what
+/// is rented there to try, can tell that it is back.
+#[test]
+fn an_empty_zone_is_tried_again() {
+    let mut f = Fleet::new(&["a", "b"], 40);
+    f.run(20.0);
+    f.silent = vec!["b".into()];
+    f.away = f.silent.clone();
+    f.run(20.0);
+    f.heard.get_mut(&Zone::from("b")).unwrap().clear();
+    f.run(5.0);
+    assert_eq!(f.state("b"), State::Lost);
+    f.away.clear();
+    f.run(1.0);
+    assert_ne!(f.state("b"), State::Lost);
+}
+
+#[test]
+fn the_work_of_a_look_grows_with_zones_and_not_with_machines() {
+    let steps = |each: usize| {
+        let mut f = Fleet::new(&["a", "b", "c"], each);
+        f.run(10.0);
+        f.zones.steps()
+    };
+    assert_eq!(steps(10), steps(1000));
+}
--- a/src/sched/zones.rs
+++ b/src/sched/zones.rs
@@ -151,6 +151,8 @@
                 Life::Up => {
                     e.machines += 1;
                     e.heard += m.reported_at.is_some() as u32;
+                    let gone = self.watch.zones.gone_since(&m.zone);
+                    e.back += gone.is_some_and(|t| m.heard > t) as u32;
                     e.newest = e.newest.max(m.reported_at);
                     if now - m.heard > late {
                         e.overdue += 1;
