--- a/src/sched/places.rs
+++ b/src/sched/places.rs
@@ -113,7 +113,9 @@
     fn job(parts: serde_json::Value) -> Job {
         let spec = serde_json::json!({
             "Id": "job-1", "Jobline": "w", "Crew": "red", "Shape": "batch", "Urgency": "normal",
-            "Pieces": 64, "Vcpus": 1.0, "RamGb": 1.0, "Bundle": "i", "SizeGb": 1.0, "GuessS": 9.0,
+            "Pieces": 64, "Vcpus": 1.0, "Accelerators": 0.0, "RamGb": 1.0, "OneZone": false,
+            "Scatter": false, "Lendable": true, "Bundle": "i", "SizeGb": 1.0, "GuessS": 9.0,
+            "BookmarkS": 0.0, "StowS": 0.0,
         });
         let spec = JobSpec::parse(spec.to_string().as_bytes()).unwrap();
         let mut record = serde_json::json!({"spec": spec, "at": 0, "seq": 1, "part_size": 64});
