No direct calls into a zone that is gone, nor at each list nor at a take-over

Every list made the leader call each machine whose lease had run out: hundreds of calls that nobody answers, ahead of urgent starts elsewhere. Machines that open again count as idle from then on.

--- a/src/sched/fleet.rs
+++ b/src/sched/fleet.rs
@@ -151,7 +151,10 @@
                 tracing::info!(host = %m.host, "stopped on its own, released");
                 m.life = Life::Leaving { next: now };
             }
-            let probe = l.status == "running" && !m.reported && m.direct.is_none();
+            // Hundreds of calls into a zone that is gone, again with each list,
+            // held up those to all others.
+            let silent = self.watch.silent(&m.zone) || self.fences.inherited(&m.zone).is_some();
+            let probe = l.status == "running" && !m.reported && !silent && m.direct.is_none();
             if let Some(addr) = m.addr.clone().filter(|_| probe && now >= m.no_push_until) {
                 // A command for no session of its changes nothing and brings
                 // its report, sooner than it would come by itself.
--- a/src/sched/zones.rs
+++ b/src/sched/zones.rs
@@ -219,6 +219,8 @@
                 continue;
             };
             m.shut = false;
+            // It had no chance to be anything but idle.
+            m.idle_since = now;
             let (z, n) = (m.zone.clone(), m.slots.len() as u64);
             self.watch.tally.entry(z).or_default().returned += n;
             self.replan = true;
--- a/tests/world/links.rs
+++ b/tests/world/links.rs
@@ -29,6 +29,8 @@
 pub struct Links {
     shut: BTreeMap<(Zone, Zone), Link>,
     held: Vec<((Zone, Zone), Ev)>,
+    /// Direct calls to machines of each zone, so far.
+    pub calls: BTreeMap<Zone, usize>,
 }
 
 impl World {
@@ -129,6 +131,11 @@
 
     /// The event, if it arrives now; otherwise what its sender learns.
     pub(super) fn passes(&mut self, e: Ev) -> Option<Ev> {
+        if let Ev::Orders(_, _, _, h, _) = &e
+            && let Some(w) = self.workers.get(h)
+        {
+            *self.links.calls.entry(w.zone.clone()).or_default() += 1;
+        }
         if self.links.shut.is_empty() {
             return Some(e);
         }
@@ -169,6 +176,10 @@
         None
     }
 
+    pub fn calls_to(&self, z: &str) -> usize {
+        self.links.calls.get(&z.into()).copied().unwrap_or(0)
+    }
+
     /// Machines by zone, as the cloud sees them.
     pub fn machines_in(&self, z: &str) -> BTreeSet<Host> {
         let there = self.workers.values().filter(|w| w.zone.as_str() == z);
--- a/tests/zones.rs
+++ b/tests/zones.rs
@@ -123,7 +123,7 @@
     let (t, hosts, there) = (w.now, w.machines_in("b"), tasks_in(&w, "b"));
     w.set_zone("b", Link::Held);
     w.run(4.0);
-    let noticed = w.now;
+    let (noticed, calls) = (w.now, w.calls_to("b"));
     assert_ne!(verdict(&w, "b"), "well", "not noticed within 4 s");
     w.submit(work(90, 60, w.run_s));
     w.run(14.0);
