--- a/tests/zones.rs
+++ b/tests/zones.rs
@@ -137,6 +137,7 @@
         0,
         "rented where nothing is heard"
     );
+    assert_eq!(w.calls_to("b"), calls, "called where nobody can answer");
     assert_eq!(released_in(&w, &hosts, t), 0);
     w.set_zone("b", Link::Open);
     w.run(8.0);
