--- a/tests/world/links.rs
+++ b/tests/world/links.rs
@@ -33,6 +33,15 @@
     pub calls: BTreeMap<Zone, usize>,
 }
 
+impl Ev {
+    /// It may change what is on the workers.
+    pub(super) fn touches_workers(&self) -> bool {
+        let by_controllers = matches!(self, Ev::ToWorker(..) | Ev::Orders(..) | Ev::Release(..));
+        let by_trouble = matches!(self, Ev::Preempt(_) | Ev::Hang(..) | Ev::Sick(..));
+        by_controllers || by_trouble
+    }
+}
+
 impl World {
     pub fn zone_of(&self, i: usize) -> Zone {
         self.zones[i % self.zones.len()].clone()
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -98,6 +98,7 @@
 
 pub struct World {
     pub now: u64,
+    checked: u64,
     pub rng: StdRng,
     pub chaos: Chaos,
     heap: BinaryHeap<std::cmp::Reverse<(u64, u64)>>,
@@ -145,9 +146,10 @@
 }
 
 const S: u64 = 1_000_000;
+/// Time alone changes what is on workers: the rules are looked at so often.
+const LOOK_EVERY: u64 = 50_000;
 
 impl World {
-    /// Three zones, and a hundred machines and more.
     pub fn wide(seed: u64, zones: &[&str], capacity: usize) -> World {
         let mut w = World::new(seed, 3);
         w.zones = zones.iter().map(|z| Zone::from(*z)).collect();
@@ -160,6 +162,7 @@
         let store = store::Handle::default();
         let mut w = World {
             now: 3_600 * S,
+            checked: 0,
             rng: StdRng::seed_from_u64(seed),
             chaos: Chaos::default(),
             heap: BinaryHeap::new(),
@@ -243,8 +246,12 @@
             self.now = t;
             self.store.at(t);
             if let Some(e) = self.events.remove(&n) {
+                let touches = e.touches_workers();
                 self.take(e);
-                self.check();
+                if touches || t - self.checked >= LOOK_EVERY {
+                    self.checked = t;
+                    self.check();
+                }
             }
         }
         self.now = end;
--- a/tests/zones.rs
+++ b/tests/zones.rs
@@ -396,6 +396,34 @@
     all_end(&mut w, 250.0);
 }
 
+/// Long arrays of the lost zone must not fill the others ahead of what is
+/// urgent there, nor the urgent starve the rest.
+#[test]
+fn a_loss_under_a_burst_leaves_the_urgent_its_starts_and_everyone_a_share() {
+    let mut w = at_work(&["a", "b", "c"], 20, 40.0);
+    let jobs: Vec<JobSpec> = (60..64).map(|n| work(n, 150, 40.0)).collect();
+    for j in &jobs {
+        w.submit(j.clone());
+    }
+    w.run(5.0);
+    w.set_zone("b", Link::Held);
+    w.run(25.0);
+    let mut urgent = work(65, 20, 10.0);
+    urgent.priority = Priority::High;
+    w.submit(urgent.clone());
+    w.run(6.0);
+    let started = w.sched(w.leader().unwrap()).jobs[&urgent.id].live.len();
+    assert_eq!(started, 20, "urgent work waits behind what was lost");
+    w.run(15.0);
+    w.set_zone("b", Link::Open);
+    w.run(60.0);
+    for j in &jobs {
+        let done = w.done_tasks.iter().filter(|t| t.job == j.id).count();
+        assert!(done > 0, "{} got nothing", j.id);
+    }
+    all_end(&mut w, 300.0);
+}
+
 /// Results that came about during the cut are kept, also those of attempts
 /// whose place was given away.
 #[test]
