A released hold stays released across take-overs; none is shown before it is stored

A job whose condition can't be met any more was held again by each new leader, although an operator had released it: which conditions were told so is now stored with the job. Lists and single jobs showed holds and releases before they were stored, which could go back.

--- a/src/sched/after.rs
+++ b/src/sched/after.rs
@@ -307,8 +307,12 @@
             }
             match judge(a.when, came) {
                 Some(true) => j.met |= 1 << n,
-                Some(false) => never = Some(a.when),
-                None => {}
+                // Told once: released, the hold came back with each new leader.
+                Some(false) if j.never >> n & 1 == 0 => {
+                    j.never |= 1 << n;
+                    never = Some(a.when);
+                }
+                _ => {}
             }
         }
         if came == Came::Over(JobState::Done) && j.counterpart() == Some(parent) {
--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -103,6 +103,10 @@
     pub gang_ran: bool,
     pub waiters: Vec<(u64, ReqId, Waiting)>,
     pub holds: Holds,
+    /// What of that is stored for certain: nobody is shown more, as it could go
+    /// back; and the version of the first part with the latest change.
+    pub shown: Holds,
+    pub holds_ver: u64,
     /// Version of the first part with the latest release; nothing starts
     /// before that is stored.
     pub release_ver: u64,
@@ -112,6 +116,9 @@
     pub ended: Option<Wall>,
     /// Which of the conditions to start are met, a bit each.
     pub met: u32,
+    /// Which can't be met any more, and were told so by a hold: released, that
+    /// hold does not come back.
+    pub never: u32,
     /// Of a job whose tasks wait for those of another: which need not wait any
     /// more, and how many still do.
     opened: Vec<u64>,
@@ -149,6 +156,8 @@
     holds: Holds,
     #[serde(default, skip_serializing_if = "none_met")]
     met: u32,
+    #[serde(default, skip_serializing_if = "none_met")]
+    never: u32,
     /// Of a record from before there were histories there is none.
     #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
     history: Option<serde_json::Value>,
@@ -211,11 +220,14 @@
             gang_ran: false,
             waiters: vec![],
             holds: Holds::default(),
+            shown: Holds::default(),
+            holds_ver: 0,
             release_ver: 0,
             attempts: Attempts::default(),
             history: History::new(At(wall.0)),
             ended: None,
             met: 0,
+            never: 0,
             opened: vec![],
             closed: 0,
             rest: Rest::default(),
@@ -428,6 +440,7 @@
                 first: record,
                 holds: self.holds.clone(),
                 met: self.met,
+                never: self.never,
                 history: Some(history),
                 rest: self.rest.clone(),
             })
@@ -456,7 +469,8 @@
         job.median = super::estimate::median(&h.runtimes);
         job.runtimes = h.runtimes;
         job.holds = h.holds;
-        job.met = h.met;
+        job.shown = job.holds.clone();
+        (job.met, job.never) = (h.met, h.never);
         let history = h.history.and_then(|v| History::decode(At(h.at), &v));
         job.history = history.unwrap_or_else(|| History::new(At(h.at)));
         job.rest = h.rest;
--- a/src/sched/life.rs
+++ b/src/sched/life.rs
@@ -80,7 +80,7 @@
         };
         if j.holds.put(hold) {
             j.history.note(What::Held, wall.into());
-            j.touch(0, &mut self.dirty, purpose);
+            j.holds_ver = j.touch(0, &mut self.dirty, purpose);
         }
         self.call_back(now, id);
         self.replan = true;
@@ -185,6 +185,7 @@
         tracing::info!(job = %id, ?kind, by, "released");
         j.history.note(What::Released, wall.into());
         j.release_ver = j.touch(0, &mut self.dirty, Purpose::Now);
+        j.holds_ver = j.release_ver;
         self.replan = true;
         true
     }
@@ -429,7 +430,7 @@
 
     /// All that is known of the job.
     pub fn detail(&self) -> JobDetail {
-        self.facts().detail(self.job_view(), &self.holds)
+        self.facts().detail(self.job_view(), &self.shown)
     }
 
     fn facts(&self) -> Facts {
--- a/src/sched/records.rs
+++ b/src/sched/records.rs
@@ -190,6 +190,9 @@
                 p.stored = p.stored.max(ver);
                 self.dirty.changed.insert(id.clone());
                 if part == 0 {
+                    if ver >= j.holds_ver {
+                        j.shown = j.holds.clone();
+                    }
                     let (ready, rest) = std::mem::take(&mut j.waiters)
                         .into_iter()
                         .partition(|w| w.0 <= ver);
--- a/tests/after.rs
+++ b/tests/after.rs
@@ -103,6 +103,41 @@
     assert!(placed(&d, 2) && !placed(&d, 3) && d.s.jobs[&id(3)].held());
 }
 
+/// A hold for a condition that can't be met any more came back with each leader
+/// although somebody had released it; and a hold was shown before it was stored.
+#[test]
+fn a_released_hold_stays_released_and_none_is_shown_before_it_is_stored() {
+    let mut d = Desk::new(5);
+    d.submit(&job(1, 1));
+    d.submit(&waits(2, 1, When::Success));
+    let shown = |d: &Desk| d.s.jobs[&id(2)].detail().line().held.len();
+    d.stores = false;
+    d.ask(Ask::Cancel(id(1).to_string()));
+    while !d.s.jobs[&id(2)].held() {
+        assert!(d.store_one());
+    }
+    assert_eq!(shown(&d), 0);
+    d.store();
+    assert_eq!(shown(&d), 1);
+    let body = r#"{"By":"ops","Kind":"system"}"#;
+    d.ask(Ask::Release(id(2).to_string(), body.into()));
+    assert_eq!(shown(&d), 1, "the release is not stored yet");
+    d.store();
+    assert_eq!(shown(&d), 0);
+    let record = d.s.jobs[&id(2)].encode(0);
+    let mut found = Job::decode(&record, Time(d.now), Wall(1)).unwrap();
+    (found.parts[0].ver, found.parts[0].stored) = (1, 1);
+    let mut next = Desk::with(6, vec![found]);
+    let f = Final {
+        state: JobState::Cancelled,
+        done: 0,
+    };
+    next.event(Event::FinalRead(id(1), Ok(Some(f))));
+    next.wait(1.0);
+    let j = &next.s.jobs[&id(2)];
+    assert!(j.holds.is_empty() && j.blocked(), "held again, or let go");
+}
+
 /// The record of the other job may be gone by the time that a leader ends.
 #[test]
 fn what_is_met_is_stored_and_what_ended_in_a_take_over_is_read() {
