--- a/crates/zones/tests/plans.rs
+++ b/crates/zones/tests/plans.rs
@@ -55,6 +55,24 @@
     assert_eq!(p.machines.first(), Some(&1));
 }
 
+/// With room for one, the one that gains most goes, in whatever order they come.
+#[test]
+fn the_room_there_is_goes_to_whom_it_serves_most() {
+    let all = [(1, 20.0), (2, 45.0), (3, 30.0)];
+    let cases = |order: &[usize]| {
+        let one = |i: &usize| case(all[*i].0, all[*i].1, vec![stake(Standing::Broken, 0.0); 4]);
+        order.iter().map(one).collect::<Vec<_>>()
+    };
+    let room = Budget {
+        free: 1.0,
+        made: 0.0,
+    };
+    for order in [[0, 1, 2], [2, 1, 0], [1, 0, 2]] {
+        assert_eq!(plan(s(20.0), cases(&order), room).machines, [2]);
+    }
+    assert_eq!(plan(s(20.0), cases(&[0, 1, 2]), PLENTY).machines, [2, 3, 1]);
+}
+
 /// A result that is there but can't be seen: with a long wait ahead it is worth
 /// asking for elsewhere, with a short one it is not.
 #[test]
