Stories of fences: whose record counts, who is answered, what goes on record

Two faults put in on purpose went unnoticed by the zone stories: a record of any term believed, and workers answered while the record stood.

--- /dev/null
+++ b/tests/fences.rs
@@ -0,0 +1,140 @@
+//! Zones on record as not answered: what a later leader may conclude from that,
+//! and what keeps it true.
+
+mod world;
+
+use hookworks::ids::*;
+use hookworks::sched::job::Job;
+use hookworks::sched::{Event, FenceRecord, Key};
+use hookworks::time::{Time, Wall};
+use hookworks::wire::peer::Ask;
+use hookworks::wire::worker::Report;
+use world::desk::{Desk, report};
+use world::job;
+
+const JOB: &str = "job-000001";
+/// What desks take for the time of day as a term begins, in milliseconds.
+const DAY: u64 = 1_000_000;
+
+/// Zone `b` on record under that term, since so many seconds before the day.
+fn record(epoch: u64, ago_s: u64) -> FenceRecord {
+    FenceRecord {
+        epoch: Epoch(epoch),
+        since: [(Zone::from("b"), DAY - ago_s * 1000)].into(),
+    }
+}
+
+/// A job with a task on a machine in zone `b`, as an earlier leader stored it.
+fn on_b() -> Job {
+    let mut d = Desk::new(4);
+    d.beat(&report(2, 1, Token(0)));
+    d.submit(&job(1, 1));
+    let v = d.s.jobs[&JobId::from(JOB)].encode(0);
+    let j = Job::decode(&v, Time(d.now), Wall(DAY)).unwrap();
+    assert_eq!(j.live.len(), 1);
+    j
+}
+
+/// For how long a new leader waits for the task's end, in seconds.
+fn waits_for(mut d: Desk) -> f64 {
+    let from = d.now;
+    while !d.s.jobs[&JobId::from(JOB)].live.is_empty() {
+        d.wait(0.5);
+        assert!(d.now - from < 90_000_000, "waited for for ever");
+    }
+    (d.now - from) as f64 / 1e6
+}
+
+/// The lease is 20 s, and an earlier leader may answer for 20 s more: without a
+/// word of it 41 s, with one of the term before what is left of 21. A term in
+/// between may have answered without knowing of any record.
+#[test]
+fn only_the_record_of_the_very_term_before_counts() {
+    let unknown = waits_for(Desk::with(6, vec![on_b()]));
+    assert!((40.0..43.0).contains(&unknown), "{unknown}");
+    let told = waits_for(Desk::fenced(6, vec![on_b()], record(5, 12)));
+    // 21 s from then, with the clocks' error against us.
+    assert!((8.9..11.0).contains(&told), "{told}");
+    for epoch in [4, 3, 6, 7] {
+        let waited = waits_for(Desk::fenced(6, vec![on_b()], record(epoch, 12)));
+        assert!(waited > 40.0, "of term {epoch}: {waited}");
+    }
+}
+
+/// Of another zone nothing is concluded.
+#[test]
+fn a_fence_speaks_of_its_own_zone_alone() {
+    let mut r = record(5, 12);
+    r.since = [(Zone::from("a"), DAY - 12_000)].into();
+    assert!(waits_for(Desk::fenced(6, vec![on_b()], r)) > 40.0);
+}
+
+/// A worker that was answered while the record said that nobody is would have
+/// its lease counted from long before.
+#[test]
+fn nobody_is_answered_before_that_is_on_record() {
+    let mut d = Desk::fenced(6, vec![], record(5, 12));
+    let (first, ver) = d.s.fences_to_write().unwrap();
+    assert_eq!((first.epoch, first.since.len()), (Epoch(6), 1));
+    d.event(Event::Stored(Key::Fences, ver));
+    // Zone `a` is answered as ever.
+    assert!(d.beat(&report(1, 1, Token(0))).is_some());
+    let b = |seq| Report {
+        addr: None,
+        ..report(2, seq, Token(0))
+    };
+    let send = |d: &mut Desk, seq| d.ask(Ask::Report(serde_json::to_vec(&b(seq)).unwrap()));
+    let waits = send(&mut d, 1);
+    assert_eq!(d.status(waits), None);
+    let (second, ver) = d.s.fences_to_write().unwrap();
+    assert!(second.since.is_empty());
+    // Not stored, as far as is known: it may be, or not, so neither is said.
+    d.s.fences_again();
+    assert_eq!(d.s.fences_to_write().map(|w| w.1), Some(ver));
+    d.wait(1.5);
+    assert_eq!(
+        d.status(waits),
+        Some(503),
+        "told to come again after a while"
+    );
+    let waits = send(&mut d, 2);
+    assert_eq!(d.status(waits), None);
+    d.event(Event::Stored(Key::Fences, ver));
+    assert_eq!(d.status(waits), Some(200));
+    assert!(d.beat(&b(3)).is_some());
+}
+
+/// What goes on record is never before the last answer, nor before an earlier
+/// leader must have stopped.
+#[test]
+fn what_is_put_on_record_is_the_last_answer() {
+    for (quiet_from, earliest_s) in [(5.0, 20.0), (30.0, 30.0)] {
+        let mut d = Desk::new(6);
+        let began = d.now;
+        let mut seq = 0;
+        let mut last = 0;
+        loop {
+            seq += 1;
+            let t = (d.now - began) as f64 / 1e6;
+            for n in 1..=8 {
+                if n % 2 == 1 || t <= quiet_from {
+                    let r = Report {
+                        addr: None,
+                        ..report(n, seq, Token(Epoch(6).base()))
+                    };
+                    assert!(d.beat(&r).is_some());
+                    last = if n % 2 == 0 { d.now } else { last };
+                }
+            }
+            d.wait(1.0);
+            if let Some((r, _)) = d.s.fences_to_write() {
+                let since = r.since[&Zone::from("b")];
+                let least = (last / 1000).max((began as f64 / 1e3 + earliest_s * 1e3) as u64 - 100);
+                assert!(since >= least, "{since} before {least}");
+                assert!(since <= least + 1_500, "{since} long after {least}");
+                break;
+            }
+            assert!(t < quiet_from + 15.0, "never put on record");
+        }
+    }
+}
--- a/tests/world/desk.rs
+++ b/tests/world/desk.rs
@@ -4,7 +4,7 @@
 use super::{flavor, settings};
 use hookworks::ids::*;
 use hookworks::sched::job::Job;
-use hookworks::sched::{Config, DirectResult, Effect, Event, Key, Sched};
+use hookworks::sched::{Config, DirectResult, Effect, Event, FenceRecord, Key, Sched};
 use hookworks::time::{Span, Time, Wall};
 use hookworks::wire::peer::{Answer, Ask};
 use hookworks::wire::user::JobSpec;
@@ -34,8 +34,22 @@
         Desk::set_up(epoch, jobs, |_| {})
     }
 
+    /// A term that finds zones on record as not answered.
+    pub fn fenced(epoch: u64, jobs: Vec<Job>, fences: FenceRecord) -> Desk {
+        Desk::begin(epoch, jobs, Some(fences), |_| {})
+    }
+
     /// With other settings than usual.
     pub fn set_up(epoch: u64, jobs: Vec<Job>, change: impl Fn(&mut Config)) -> Desk {
+        Desk::begin(epoch, jobs, None, change)
+    }
+
+    fn begin(
+        epoch: u64,
+        jobs: Vec<Job>,
+        fences: Option<FenceRecord>,
+        change: impl Fn(&mut Config),
+    ) -> Desk {
         let now = 4_000_000_000;
         let mut cfg = Config::from(&settings("x"));
         // Each event leads to all that follows from it.
@@ -43,6 +57,9 @@
         cfg.hold = Span::ZERO;
         change(&mut cfg);
         let mut s = Sched::new(cfg, Epoch(epoch), Time(now), Time(now), Wall(1_000_000));
+        if let Some(f) = fences {
+            s.take_fences(Time(now), Wall(1_000_000), f);
+        }
         s.load(Time(now), jobs, vec![]);
         let mut d = Desk {
             s,
