--- a/tests/world/steps.rs
+++ b/tests/world/steps.rs
@@ -76,6 +76,8 @@
             return;
         };
         w.step(now, lease);
+        // What it is about to tell has happened.
+        self.done_tasks.extend(w.take_done());
         if now < w.next_beat {
             return;
         }
