--- a/tests/zones.rs
+++ b/tests/zones.rs
@@ -208,6 +208,28 @@
     }
 }
 
+/// Three leaders within half a minute: the first goes on in the lost zone, the
+/// second ends while it may still do so, the third must know of both.
+#[test]
+fn the_leaders_own_zone_is_lost_and_the_next_leader_with_it() {
+    for at in [4.0, 7.0, 11.0, 15.0, 19.0, 23.0] {
+        let mut w = at_work(&["a", "b", "c"], 20, 120.0);
+        let old = w.leader().unwrap();
+        let zone = w.zone_of(old);
+        w.set_zone(zone.as_str(), Link::Held);
+        w.run(at);
+        let second = w.leader().unwrap();
+        assert_ne!(second, old);
+        w.at(0.0, Ev::Kill(second));
+        w.at(6.0, Ev::Restart(second));
+        w.run(65.0 - at);
+        w.assert_rules();
+        w.set_zone(zone.as_str(), Link::Open);
+        w.run(10.0);
+        all_end(&mut w, 400.0);
+    }
+}
+
 #[test]
 fn the_state_service_is_back_before_the_zone() {
     let mut w = at_work(&["a", "b"], 30, 30.0);
@@ -396,6 +418,34 @@
     all_end(&mut w, 250.0);
 }
 
+/// Long arrays of the lost zone must not fill the others ahead of what is
+/// urgent there, nor the urgent starve the rest.
+#[test]
+fn a_loss_under_a_burst_leaves_the_urgent_its_starts_and_everyone_a_share() {
+    let mut w = at_work(&["a", "b", "c"], 20, 40.0);
+    let jobs: Vec<JobSpec> = (60..64).map(|n| work(n, 150, 40.0)).collect();
+    for j in &jobs {
+        w.submit(j.clone());
+    }
+    w.run(5.0);
+    w.set_zone("b", Link::Held);
+    w.run(25.0);
+    let mut urgent = work(65, 20, 10.0);
+    urgent.priority = Priority::High;
+    w.submit(urgent.clone());
+    w.run(6.0);
+    let started = w.sched(w.leader().unwrap()).jobs[&urgent.id].live.len();
+    assert_eq!(started, 20, "urgent work waits behind what was lost");
+    w.run(15.0);
+    w.set_zone("b", Link::Open);
+    w.run(60.0);
+    for j in &jobs {
+        let done = w.done_tasks.iter().filter(|t| t.job == j.id).count();
+        assert!(done > 0, "{} got nothing", j.id);
+    }
+    all_end(&mut w, 300.0);
+}
+
 /// Results that came about during the cut are kept, also those of attempts
 /// whose place was given away.
 #[test]
@@ -499,6 +549,14 @@
         } else {
             w.set_zone(zone, link);
         }
+        // The leader may be there, and the next one may end soon after.
+        if w.rng.random_bool(0.5) {
+            for _ in 0..w.rng.random_range(1..3) {
+                let (at, i) = (w.rng.random_range(0.0..20.0), w.rng.random_range(0..3));
+                w.at(at, Ev::Kill(i));
+                w.at(at + 6.0, Ev::Restart(i));
+            }
+        }
         let long = [3.0, 9.0, 16.0, 30.0, 55.0][w.rng.random_range(0..5)];
         w.run(f64::min(long, left));
         left -= long;
