--- a/src/settings/connections.rs
+++ b/src/settings/connections.rs
@@ -1,6 +1,6 @@
 //! How many connections may be held, for whom and how long.
 
-use super::{SettingsError, bad};
+use super::{SettingsError, within};
 use hookworks_gate::Wishes;
 use serde::{Deserialize, Serialize};
 
@@ -74,13 +74,7 @@
             ("body-s", self.body_s, 0.5, 600.0),
             ("idle-s", self.idle_s, 1.0, 3600.0),
         ];
-        for (field, v, low, high) in all {
-            if !(v.is_finite() && (low..=high).contains(&v)) {
-                let field = format!("connections/{field}");
-                return Err(bad(file, &field, &format!("must be {low} to {high}")));
-            }
-        }
-        Ok(())
+        within(file, "connections/", all)
     }
 }
 
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -56,6 +56,22 @@
     })
 }
 
+/// Numbers that must lie in a range each: name, value, least, most. `of` is the
+/// element that they stand in, with a slash; empty at the top.
+fn within(
+    file: &str,
+    of: &str,
+    all: impl IntoIterator<Item = (&'static str, f64, f64, f64)>,
+) -> Result<(), SettingsError> {
+    for (field, v, low, high) in all {
+        if !(v.is_finite() && (low..=high).contains(&v)) {
+            let field = format!("{of}{field}");
+            return Err(bad(file, &field, &format!("must be {low} to {high}")));
+        }
+    }
+    Ok(())
+}
+
 fn bad(file: &str, field: &str, why: &str) -> SettingsError {
     SettingsError::Field {
         file: file.into(),
--- a/src/settings/tuning.rs
+++ b/src/settings/tuning.rs
@@ -1,6 +1,6 @@
 //! The operators' own settings, in XML.
 
-use super::{Classes, Connections, SettingsError, ZoneLimits, bad};
+use super::{Classes, Connections, SettingsError, ZoneLimits, within};
 use crate::ids::Class;
 use hookworks_life::RetryRule;
 use serde::{Deserialize, Serialize};
@@ -82,11 +82,7 @@
             ("hold-ms", t.hold_ms, 0.0, 2000.0),
             ("wait-share", t.wait_share, 0.0, 10.0),
         ];
-        for (field, v, low, high) in all {
-            if !(v.is_finite() && (low..=high).contains(&v)) {
-                return Err(bad(file, field, &format!("must be {low} to {high}")));
-            }
-        }
+        within(file, "", all)?;
         t.connections.check(file)?;
         t.classes.check(file)?;
         t.zones.check(file)?;
--- a/src/settings/zones.rs
+++ b/src/settings/zones.rs
@@ -1,6 +1,6 @@
 //! When a zone counts as lost, and how it comes back.
 
-use super::{SettingsError, bad};
+use super::{SettingsError, within};
 use hookworks_base::time::Span;
 use hookworks_zones::Limits;
 use serde::{Deserialize, Serialize};
@@ -79,12 +79,6 @@
             ("memory-s", self.memory_s, 0.0, 1e5),
             ("keep-s", self.keep_s, 1.0, 1e5),
         ];
-        for (field, v, low, high) in all {
-            if !(v.is_finite() && (low..=high).contains(&v)) {
-                let field = format!("zones/{field}");
-                return Err(bad(file, &field, &format!("must be {low} to {high}")));
-            }
-        }
-        Ok(())
+        within(file, "zones/", all)
     }
 }
