Fences: an answer that waited for an older report carries no commands

Read again: answers that wait at a fence were given with commands, whichever report they were to. In the answer to an older one these could be carried out after a newer report had let them be taken for lost.

--- a/src/sched/direct.rs
+++ b/src/sched/direct.rs
@@ -16,7 +16,7 @@
     /// until its next report.
     pub(super) fn push(&mut self, now: Time, host: &Host) {
         if let Some(b) = self.held.remove(host) {
-            return self.answer_beat(now, host, b, true);
+            return self.answer_beat(now, host, b);
         }
         let Some(m) = self.machines.get(host) else {
             return;
--- a/src/sched/report.rs
+++ b/src/sched/report.rs
@@ -25,6 +25,8 @@
     req: ReqId,
     since: Time,
     ours: bool,
+    /// The newest of its worker, which may be told what to do.
+    newest: bool,
 }
 
 impl Sched {
@@ -61,16 +63,17 @@
             // Only a worker that has heard our token drops the answers of an
             // earlier leader; until then its lease may be renewed there.
             ours: report.token >= base,
+            newest: newer,
         };
         if newer && self.worth_holding(now, &host, freed) {
             self.reports_held += 1;
             self.held.insert(host, beat);
         } else {
-            self.answer_beat(now, &host, beat, newer);
+            self.answer_beat(now, &host, beat);
         }
     }
 
-    pub(super) fn answer_beat(&mut self, now: Time, host: &Host, b: Beat, orders: bool) {
+    pub(super) fn answer_beat(&mut self, now: Time, host: &Host, b: Beat) {
         if !self.may_report(now) {
             return self.answer(b.req, Answer::later("not entitled to answer", 1));
         }
@@ -85,7 +88,7 @@
         m.answered = if b.ours { now } else { m.answered.max(now) };
         let token = m.token;
         self.fences.note_answer(&m.zone, now);
-        let orders = if orders {
+        let orders = if b.newest {
             self.orders_for(now, host, true)
         } else {
             vec![]
@@ -110,7 +113,7 @@
     /// have waited for too long.
     pub(super) fn answer_at_fence(&mut self, now: Time) {
         for (h, b) in std::mem::take(&mut self.at_fence) {
-            self.answer_beat(now, &h, b, true);
+            self.answer_beat(now, &h, b);
         }
     }
 
@@ -136,7 +139,7 @@
         let hosts: Vec<Host> = self.held.iter().filter_map(over).collect();
         for h in hosts {
             if let Some(b) = self.held.remove(&h) {
-                self.answer_beat(now, &h, b, true);
+                self.answer_beat(now, &h, b);
             }
         }
     }
--- a/tests/fences.rs
+++ b/tests/fences.rs
@@ -8,8 +8,8 @@
 use hookworks::sched::{Event, FenceRecord, Key};
 use hookworks::time::{Time, Wall};
 use hookworks::wire::peer::Ask;
-use hookworks::wire::worker::Report;
-use world::desk::{Desk, report};
+use hookworks::wire::worker::{Report, ReportAnswer, TaskState};
+use world::desk::{Desk, report, task};
 use world::job;
 
 const JOB: &str = "job-000001";
@@ -116,6 +116,38 @@
     assert!(d.beat(&b(3)).is_some());
 }
 
+/// An answer that waited may be to a report older than one seen since: commands
+/// in it would be carried out after they were taken for lost.
+#[test]
+fn an_older_report_that_waited_is_told_nothing() {
+    let mut d = Desk::fenced(6, vec![], record(5, 12));
+    let (_, ver) = d.s.fences_to_write().unwrap();
+    d.event(Event::Stored(Key::Fences, ver));
+    let stray = task("job-000009", 0, Attempt(7), TaskState::Running);
+    let b = |seq| Report {
+        addr: None,
+        tasks: vec![stray.clone()],
+        ..report(2, seq, Token(0))
+    };
+    let send = |d: &mut Desk, seq| d.ask(Ask::Report(serde_json::to_vec(&b(seq)).unwrap()));
+    let newer = send(&mut d, 5);
+    d.wait(1.5);
+    assert_eq!(d.status(newer), Some(503));
+    let older = send(&mut d, 3);
+    let (_, ver) = d.s.fences_to_write().unwrap();
+    d.event(Event::Stored(Key::Fences, ver));
+    let orders = |d: &Desk, req| {
+        let body = &d.answer(req).expect("answered").body;
+        serde_json::from_str::<ReportAnswer>(body)
+            .unwrap()
+            .orders
+            .len()
+    };
+    assert_eq!(orders(&d, older), 0);
+    let newest = send(&mut d, 6);
+    assert_eq!(orders(&d, newest), 1, "what is not ours is to end");
+}
+
 /// What goes on record is never before the last answer, nor before an earlier
 /// leader must have stopped.
 #[test]
