Looking up finished jobs one by one has a budget of its own

Sixty-four at a time were bounded, but not how many a second: a script that looked at every finished job could take all requests that starts are stored with. Now a tenth of them, and a refusal at once for more.

--- a/src/sched/life.rs
+++ b/src/sched/life.rs
@@ -293,11 +293,12 @@
             None if !JobId::well_formed(id.as_str()) => {
                 self.answer(req, Answer::error(404, "no such job"));
             }
-            None if self.record_reads >= MAX_RECORDS => {
+            None if self.record_reads >= MAX_RECORDS || !self.look_ups.has(now, 1.0) => {
                 self.answer(req, Answer::later("too many look-ups at a time", 1));
             }
             None => {
                 self.record_reads += 1;
+                self.look_ups.take(now, 1.0);
                 self.out.push(Effect::ReadRecord(req, id));
             }
         }
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -34,6 +34,7 @@
     Attempt, Build, CallId, Class, Epoch, Host, JobId, Label, ReqId, TaskId, Token, Zone,
 };
 use crate::settings::{Settings, Tuning, Workers};
+use crate::store::budget::Budget;
 use crate::time::{Span, Time, Wall};
 use crate::wire::cloud::{Flavor, Hire, Listed};
 use crate::wire::peer::{Answer, Ask};
@@ -119,6 +120,8 @@
     pub teams: Vec<crate::settings::TeamLimit>,
     pub objectives: Vec<crate::settings::Objective>,
     pub value_kb: f64,
+    /// Finished jobs read one by one for whoever wants to see them, a second.
+    pub look_ups: f64,
     pub leader_lease: Span,
     pub pass_every: Span,
     pub hold: Span,
@@ -140,6 +143,7 @@
             teams: s.platform.params.teams.clone(),
             objectives: s.platform.params.objectives.clone(),
             value_kb: s.platform.params.state.value_kb,
+            look_ups: s.platform.params.state.rps * LOOK_UPS,
             leader_lease: Span::secs(s.tuning.leader_lease_s),
             pass_every: Span::secs(s.tuning.pass_ms / 1000.0),
             hold: Span::secs(s.tuning.hold_ms / 1000.0),
@@ -181,6 +185,7 @@
     time_limits: BTreeSet<(Time, TaskId)>,
     reads: HashMap<JobId, Vec<(ReqId, Ask)>>,
     record_reads: usize,
+    look_ups: Budget,
     counter: u64,
     next_seq: u64,
     next_call: u64,
@@ -212,6 +217,9 @@
     unreadable: BTreeSet<JobId>,
 }
 
+/// Share of the state service's requests that look-ups may take: the rest is for
+/// what users and workers wait for.
+const LOOK_UPS: f64 = 0.1;
 /// How full the fleet is goes to the log so often.
 const SUM_UP_EVERY: Span = Span(10_000_000);
 /// Final states kept at hand; older ones are read from the store.
@@ -224,6 +232,7 @@
             quick: BTreeSet::new(),
             rules: cfg.tuning.rules(),
             record_reads: 0,
+            look_ups: Budget::new(cfg.look_ups, (2.0 * cfg.look_ups).max(1.0)),
             arrivals: Default::default(),
             fleet: fleet::Fleet::new(epoch),
             watch: zones::Watch::new(&cfg, now),
--- a/tests/life.rs
+++ b/tests/life.rs
@@ -5,7 +5,7 @@
 
 use hookworks::ids::*;
 use hookworks::sched::job::Job;
-use hookworks::sched::{DirectResult, Event};
+use hookworks::sched::{DirectResult, Effect, Event};
 use hookworks::time::{Span, Time, Wall};
 use hookworks::wire::peer::Ask;
 use hookworks::wire::user::{JobDetail, JobState, Kind};
@@ -487,3 +487,32 @@
     let back = Job::decode(&j.encode(0), Time(1), now).unwrap();
     assert_eq!(back.holds.iter().count(), 3);
 }
+
+/// Looking at finished jobs one by one, as a script does, takes none of the
+/// requests that users and starts wait for; who is refused is told at once.
+#[test]
+fn looking_up_finished_jobs_has_a_budget() {
+    let mut d = Desk::new(5);
+    let mut round = |seconds: f64| {
+        d.wait(seconds);
+        d.fx.clear();
+        let asked: Vec<ReqId> = (0..200)
+            .map(|n| d.ask(Ask::Show(format!("job-{n:06}"))))
+            .collect();
+        let reads = d.fx.iter().filter(|f| matches!(f, Effect::ReadRecord(..)));
+        let reads = reads.count();
+        let refused = asked.iter().filter(|r| d.status(**r) == Some(503)).count();
+        assert_eq!(reads + refused, 200);
+        for (n, r) in asked.iter().enumerate() {
+            if d.status(*r).is_none() {
+                let id = JobId::from(format!("job-{n:06}").as_str());
+                d.event(Event::RecordRead(*r, id, Ok(None)));
+            }
+        }
+        reads
+    };
+    // A tenth of 100 requests a second, and twice that at once.
+    assert_eq!(round(60.0), 20);
+    assert_eq!(round(0.0), 0);
+    assert!((9..=11).contains(&round(1.0)));
+}
