--- a/src/sched/life.rs
+++ b/src/sched/life.rs
@@ -7,7 +7,7 @@
 use super::users::view;
 use super::{Effect, Sched};
 use crate::ids::{Class, Host, JobId, ReqId, TaskId, TaskIx, Team};
-use crate::time::{Span, Time, Wall};
+use crate::time::{Span, Time};
 use crate::wire::peer::{Answer, Ask};
 use crate::wire::user::{HoldView, JobDetail, JobState, JobView, Kind, TaskSeconds};
 use hookworks_life::{
@@ -22,12 +22,6 @@
 /// Who puts the hold of a job that has failed too often.
 const LIMIT: &str = "retry-limit";
 
-impl From<Wall> for At {
-    fn from(w: Wall) -> At {
-        At(w.0)
-    }
-}
-
 impl Sched {
     /// Answers what can't be held or released, which is over; true if it did.
     fn over(&mut self, now: Time, req: ReqId, id: &JobId, ask: &Ask) -> bool {
@@ -86,7 +80,7 @@
         };
         if j.holds.put(hold) {
             j.history.note(What::Held, wall.into());
-            j.touch(0, &mut self.dirty, purpose);
+            j.holds_ver = j.touch(0, &mut self.dirty, purpose);
         }
         self.call_back(now, id);
         self.replan = true;
@@ -191,6 +185,7 @@
         tracing::info!(job = %id, ?kind, by, "released");
         j.history.note(What::Released, wall.into());
         j.release_ver = j.touch(0, &mut self.dirty, Purpose::Now);
+        j.holds_ver = j.release_ver;
         self.replan = true;
         true
     }
@@ -298,11 +293,12 @@
             None if !JobId::well_formed(id.as_str()) => {
                 self.answer(req, Answer::error(404, "no such job"));
             }
-            None if self.record_reads >= MAX_RECORDS => {
+            None if self.record_reads >= MAX_RECORDS || !self.look_ups.has(now, 1.0) => {
                 self.answer(req, Answer::later("too many look-ups at a time", 1));
             }
             None => {
                 self.record_reads += 1;
+                self.look_ups.take(now, 1.0);
                 self.out.push(Effect::ReadRecord(req, id));
             }
         }
@@ -435,7 +431,7 @@
 
     /// All that is known of the job.
     pub fn detail(&self) -> JobDetail {
-        self.facts().detail(self.job_view(), &self.holds)
+        self.facts().detail(self.job_view(), &self.shown)
     }
 
     fn facts(&self) -> Facts {
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -5,6 +5,7 @@
 mod audit;
 mod direct;
 mod estimate;
+mod fences;
 mod fleet;
 mod gang;
 pub mod job;
@@ -13,6 +14,7 @@
 mod order;
 mod overview;
 mod place;
+mod places;
 mod preempt;
 mod records;
 mod report;
@@ -20,14 +22,19 @@
 mod spare;
 mod team;
 mod users;
+mod zones;
 
+pub use fences::FenceRecord;
 pub use life::detail_of_record;
 pub use records::{Dirty, DirtyQueue, Key, Purpose};
 pub use room::Room;
 pub use users::answer_final;
 
-use crate::ids::{Attempt, Build, CallId, Class, Epoch, Host, JobId, Label, ReqId, TaskId, Token};
+use crate::ids::{
+    Attempt, Build, CallId, Class, Epoch, Host, JobId, Label, ReqId, TaskId, Token, Zone,
+};
 use crate::settings::{Settings, Tuning, Workers};
+use crate::store::budget::Budget;
 use crate::time::{Span, Time, Wall};
 use crate::wire::cloud::{Flavor, Hire, Listed};
 use crate::wire::peer::{Answer, Ask};
@@ -113,9 +120,19 @@
     pub teams: Vec<crate::settings::TeamLimit>,
     pub objectives: Vec<crate::settings::Objective>,
     pub value_kb: f64,
+    /// Finished jobs read one by one for whoever wants to see them, a second.
+    pub look_ups: f64,
     pub leader_lease: Span,
     pub pass_every: Span,
     pub hold: Span,
+    /// When a zone counts as lost, and what follows.
+    pub zones: hookworks_zones::Limits,
+    /// Verdicts on zones are acted on, not only shown.
+    pub act_on_zones: bool,
+    /// How far the time of day may be off.
+    pub clock_error: Span,
+    /// The other controllers and their zones.
+    pub controllers: BTreeMap<Label, Zone>,
 }
 
 impl Config {
@@ -126,9 +143,14 @@
             teams: s.platform.params.teams.clone(),
             objectives: s.platform.params.objectives.clone(),
             value_kb: s.platform.params.state.value_kb,
+            look_ups: s.platform.params.state.rps * LOOK_UPS,
             leader_lease: Span::secs(s.tuning.leader_lease_s),
             pass_every: Span::secs(s.tuning.pass_ms / 1000.0),
             hold: Span::secs(s.tuning.hold_ms / 1000.0),
+            zones: s.tuning.zones.limits(s.platform.params.workers.report_s),
+            act_on_zones: s.tuning.zones.act,
+            clock_error: Span::secs(s.platform.params.clock_error_ms / 1000.0),
+            controllers: s.platform.controllers(),
         }
     }
     /// For this long after its last proof a leader may go on answering
@@ -153,6 +175,8 @@
     rules: BTreeMap<Class, RetryRule>,
     arrivals: spare::Arrivals,
     fleet: fleet::Fleet,
+    watch: zones::Watch,
+    fences: fences::Fences,
     finals: HashMap<JobId, Final>,
     finals_order: VecDeque<JobId>,
     /// Who waits for whom.
@@ -161,6 +185,7 @@
     time_limits: BTreeSet<(Time, TaskId)>,
     reads: HashMap<JobId, Vec<(ReqId, Ask)>>,
     record_reads: usize,
+    look_ups: Budget,
     counter: u64,
     next_seq: u64,
     next_call: u64,
@@ -185,11 +210,16 @@
     ready: BTreeSet<Host>,
     /// Reports whose answers wait for what is being stored.
     held: BTreeMap<Host, report::Beat>,
+    /// Those that wait for their zone to be taken back on record.
+    at_fence: BTreeMap<Host, report::Beat>,
     out: Vec<Effect>,
     /// Jobs whose records could not be read: asked about, they get no answer.
     unreadable: BTreeSet<JobId>,
 }
 
+/// Share of the state service's requests that look-ups may take: the rest is for
+/// what users and workers wait for.
+const LOOK_UPS: f64 = 0.1;
 /// How full the fleet is goes to the log so often.
 const SUM_UP_EVERY: Span = Span(10_000_000);
 /// Final states kept at hand; older ones are read from the store.
@@ -202,8 +232,11 @@
             quick: BTreeSet::new(),
             rules: cfg.tuning.rules(),
             record_reads: 0,
+            look_ups: Budget::new(cfg.look_ups, (2.0 * cfg.look_ups).max(1.0)),
             arrivals: Default::default(),
             fleet: fleet::Fleet::new(epoch),
+            watch: zones::Watch::new(&cfg, now),
+            fences: Default::default(),
             cfg,
             epoch,
             jobs: BTreeMap::new(),
@@ -232,6 +265,7 @@
             unsent: BTreeSet::new(),
             ready: BTreeSet::new(),
             held: BTreeMap::new(),
+            at_fence: BTreeMap::new(),
             out: vec![],
             unreadable: Default::default(),
         }
@@ -372,9 +406,13 @@
                     Machine::new(l.host.clone(), b, "".into(), false, now, token)
                 });
                 m.life = Life::Up;
+                if let Some(p) = &l.place {
+                    (m.zone, m.build, m.spot) = (p.zone.clone(), p.build.clone(), p.spot);
+                }
                 // Earlier leaders may have answered its reports until now, and
                 // one that doesn't know of us yet may for some time to come.
                 m.answered = now.max(self.began + self.cfg.report_grace());
+                self.fences.bound(m);
                 m.doubt = Some(token);
                 m.used += job.need;
                 let task = TaskId {
@@ -410,6 +448,7 @@
     fn tick(&mut self, now: Time) {
         self.push_ready(now);
         self.answer_held(now, false);
+        self.answer_at_fence(now);
         self.watch_machines(now);
         self.plan_fleet(now);
         self.push_all(now);
--- a/src/sched/records.rs
+++ b/src/sched/records.rs
@@ -14,6 +14,8 @@
 pub enum Key {
     Part(JobId, usize),
     Final(JobId),
+    /// Zones whose workers are not answered.
+    Fences,
 }
 
 /// What a write is for, in the order in which the few writes there are go out.
@@ -188,6 +190,9 @@
                 p.stored = p.stored.max(ver);
                 self.dirty.changed.insert(id.clone());
                 if part == 0 {
+                    if ver >= j.holds_ver {
+                        j.shown = j.holds.clone();
+                    }
                     let (ready, rest) = std::mem::take(&mut j.waiters)
                         .into_iter()
                         .partition(|w| w.0 <= ver);
@@ -197,6 +202,10 @@
                 self.open_counterparts(&id, part, None);
                 self.note_ready(&id);
             }
+            Key::Fences => {
+                self.fences.stored(ver);
+                self.answer_at_fence(now);
+            }
             Key::Final(id) => {
                 let Some(f) = self.final_of(&id) else {
                     return;
--- a/src/sched/report.rs
+++ b/src/sched/report.rs
@@ -5,7 +5,7 @@
 use super::job::{Phase, Stop};
 use super::machine::{Life, Machine};
 use super::{Sched, estimate};
-use crate::ids::{Attempt, Host, JobId, Label, ReqId, Session, TaskId, TaskIx};
+use crate::ids::{Attempt, Host, JobId, Label, ReqId, Session, TaskId, TaskIx, Zone};
 use crate::time::{Span, Time};
 use crate::wire::peer::Answer;
 use crate::wire::user::Kind;
@@ -15,6 +15,8 @@
 
 /// Reports whose answers wait at a time.
 const MAX_HELD: usize = 400;
+/// An answer waits no longer for its zone to be taken back on record.
+const AT_FENCE: Span = Span(1_000_000);
 /// Commands in one message.
 const MAX_ORDERS: usize = 200;
 
@@ -23,6 +25,8 @@
     req: ReqId,
     since: Time,
     ours: bool,
+    /// The newest of its worker, which may be told what to do.
+    newest: bool,
 }
 
 impl Sched {
@@ -49,7 +53,8 @@
         }
         let freed = slots(self) < before;
         // A worker has one report in flight, so it has given that one up.
-        if let Some(h) = self.held.remove(&host) {
+        let earlier = self.held.remove(&host);
+        if let Some(h) = earlier.or_else(|| self.at_fence.remove(&host)) {
             self.answer(h.req, Answer::later("a newer report is here", 1));
         }
         let beat = Beat {
@@ -58,25 +63,32 @@
             // Only a worker that has heard our token drops the answers of an
             // earlier leader; until then its lease may be renewed there.
             ours: report.token >= base,
+            newest: newer,
         };
         if newer && self.worth_holding(now, &host, freed) {
             self.reports_held += 1;
             self.held.insert(host, beat);
         } else {
-            self.answer_beat(now, &host, beat, newer);
+            self.answer_beat(now, &host, beat);
         }
     }
 
-    pub(super) fn answer_beat(&mut self, now: Time, host: &Host, b: Beat, orders: bool) {
+    pub(super) fn answer_beat(&mut self, now: Time, host: &Host, b: Beat) {
         if !self.may_report(now) {
             return self.answer(b.req, Answer::later("not entitled to answer", 1));
         }
         let Some(m) = self.machines.get_mut(host) else {
             return self.answer(b.req, Answer::later("unknown machine", 1));
         };
+        // Its lease may go on only once the record no longer says otherwise.
+        if self.fences.closed(&m.zone) {
+            let zone = m.zone.clone();
+            return self.hold_at_fence(now, host, &zone, b);
+        }
         m.answered = if b.ours { now } else { m.answered.max(now) };
         let token = m.token;
-        let orders = if orders {
+        self.fences.note_answer(&m.zone, now);
+        let orders = if b.newest {
             self.orders_for(now, host, true)
         } else {
             vec![]
@@ -86,6 +98,25 @@
         self.answer(b.req, Answer::new(200, body));
     }
 
+    /// The answer waits until it is on record that the zone is answered again:
+    /// sent away, workers came back just after their leases had run out.
+    fn hold_at_fence(&mut self, now: Time, host: &Host, zone: &Zone, b: Beat) {
+        self.lower_fence(zone);
+        if self.at_fence.len() >= MAX_HELD || now - b.since >= AT_FENCE {
+            self.reports_refused += 1;
+            return self.answer(b.req, Answer::later("its zone is being taken back", 1));
+        }
+        self.at_fence.insert(host.clone(), b);
+    }
+
+    /// Answers that waited at a fence: those whose zone is open, and those that
+    /// have waited for too long.
+    pub(super) fn answer_at_fence(&mut self, now: Time) {
+        for (h, b) in std::mem::take(&mut self.at_fence) {
+            self.answer_beat(now, &h, b);
+        }
+    }
+
     /// What the worker is to do next will be known in a moment: its answer can
     /// wait for that, which saves a direct call and further reports.
     fn worth_holding(&self, now: Time, host: &Host, freed: bool) -> bool {
@@ -108,7 +139,7 @@
         let hosts: Vec<Host> = self.held.iter().filter_map(over).collect();
         for h in hosts {
             if let Some(b) = self.held.remove(&h) {
-                self.answer_beat(now, &h, b, true);
+                self.answer_beat(now, &h, b);
             }
         }
     }
@@ -138,6 +169,7 @@
         let new_session = m.session != Session(0) && r.session > m.session;
         (m.session, m.seq) = (r.session, r.seq);
         m.heard = now;
+        m.reported_at = Some(now);
         m.build = r.build.clone();
         m.zone = r.zone.clone();
         m.spot = r.spot;
@@ -178,6 +210,9 @@
                 shown.insert(t.task.clone());
             } else {
                 let ended = t.state == TaskState::Ended;
+                if ended && t.cause == Some(Cause::Done) {
+                    self.done_late(t);
+                }
                 strays.insert((t.task.clone(), t.attempt), ended);
             }
         }
@@ -346,6 +381,26 @@
         self.finish_if_over(&t.job);
     }
 
+    /// An attempt whose place was given away had been done all the same: its
+    /// task need not run again. One that has started anew meanwhile ends by
+    /// itself, with the same result.
+    fn done_late(&mut self, r: &TaskReport) {
+        let t = &r.task;
+        let Some(j) = self.jobs.get_mut(&t.job) else {
+            return;
+        };
+        let waits = j.closing.is_none() && !j.cancelled && j.awaits_start(t.ix);
+        if j.spec.kind != Kind::Array || !waits {
+            return;
+        }
+        tracing::debug!(task = %t, attempt = %r.attempt, "done under an attempt given up");
+        j.history.note(What::Done, self.wall.into());
+        j.attempts.done(t.ix.0);
+        j.set_done(t.ix);
+        self.note_progress(&t.job, t.ix);
+        self.finish_if_over(&t.job);
+    }
+
     fn refresh_estimates(&mut self, id: &JobId) {
         let Some(j) = self.jobs.get(id) else { return };
         let e = estimate::of(j);
--- a/src/settings/tuning.rs
+++ b/src/settings/tuning.rs
@@ -1,6 +1,6 @@
 //! The operators' own settings, in XML.
 
-use super::{Classes, Connections, SettingsError, bad};
+use super::{Classes, Connections, SettingsError, ZoneLimits, within};
 use crate::ids::Class;
 use hookworks_life::RetryRule;
 use serde::{Deserialize, Serialize};
@@ -35,6 +35,8 @@
     pub connections: Connections,
     /// What classes of jobs may do.
     pub classes: Classes,
+    /// When a zone counts as lost, and how it comes back.
+    pub zones: ZoneLimits,
 }
 
 impl Default for Tuning {
@@ -52,6 +54,7 @@
             wait_share: 0.8,
             connections: Connections::default(),
             classes: Classes::default(),
+            zones: ZoneLimits::default(),
         }
     }
 }
@@ -79,13 +82,10 @@
             ("hold-ms", t.hold_ms, 0.0, 2000.0),
             ("wait-share", t.wait_share, 0.0, 10.0),
         ];
-        for (field, v, low, high) in all {
-            if !(v.is_finite() && (low..=high).contains(&v)) {
-                return Err(bad(file, field, &format!("must be {low} to {high}")));
-            }
-        }
+        within(file, "", all)?;
         t.connections.check(file)?;
         t.classes.check(file)?;
+        t.zones.check(file)?;
         Ok(t)
     }
 }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -7,6 +7,7 @@
 mod cloud;
 pub mod desk;
 pub mod given;
+pub mod links;
 mod rules;
 mod steps;
 pub mod store;
@@ -36,7 +37,7 @@
     Wake(usize),
     Beat(Host),
     ToCtl(usize, Host, Vec<u8>),
-    ToWorker(Host, u64, Answer),
+    ToWorker(Host, u64, Answer, usize),
     Orders(usize, Epoch, CallId, Host, Orders),
     Direct(usize, Epoch, CallId, Host, DirectResult),
     Txn(usize, Epoch, TxnId, Txn),
@@ -97,6 +98,7 @@
 
 pub struct World {
     pub now: u64,
+    checked: u64,
     pub rng: StdRng,
     pub chaos: Chaos,
     heap: BinaryHeap<std::cmp::Reverse<(u64, u64)>>,
@@ -126,6 +128,14 @@
     pub log: Vec<String>,
     /// Machines that may be had of each kind.
     pub capacity: usize,
+    /// Zones; controllers are in one after the other.
+    pub zones: Vec<Zone>,
+    links: links::Links,
+    /// Limits of teams, in times of the usual.
+    pub wealth: f64,
+    /// How machines have been asked for, and given back: when, which, how many.
+    pub rentals: Vec<(u64, Zone, usize)>,
+    pub releases_of: Vec<(u64, Host)>,
     pub run_s: f64,
     on: BTreeMap<TaskId, BTreeSet<Host>>,
     /// Gangs that have begun, and until when those that still run will.
@@ -136,12 +146,23 @@
 }
 
 const S: u64 = 1_000_000;
+/// Time alone changes what is on workers: the rules are looked at so often.
+const LOOK_EVERY: u64 = 50_000;
 
 impl World {
+    pub fn wide(seed: u64, zones: &[&str], capacity: usize) -> World {
+        let mut w = World::new(seed, 3);
+        w.zones = zones.iter().map(|z| Zone::from(*z)).collect();
+        w.capacity = capacity;
+        w.wealth = 100.0;
+        w
+    }
+
     pub fn new(seed: u64, controllers: usize) -> World {
         let store = store::Handle::default();
         let mut w = World {
             now: 3_600 * S,
+            checked: 0,
             rng: StdRng::seed_from_u64(seed),
             chaos: Chaos::default(),
             heap: BinaryHeap::new(),
@@ -167,6 +188,11 @@
             started: 0,
             log: vec![],
             capacity: 4,
+            zones: vec!["a".into(), "b".into()],
+            links: links::Links::default(),
+            wealth: 1.0,
+            rentals: vec![],
+            releases_of: vec![],
             run_s: 15.0,
             on: BTreeMap::new(),
             gangs: BTreeMap::new(),
@@ -220,8 +246,12 @@
             self.now = t;
             self.store.at(t);
             if let Some(e) = self.events.remove(&n) {
+                let touches = e.touches_workers();
                 self.take(e);
-                self.check();
+                if touches || t - self.checked >= LOOK_EVERY {
+                    self.checked = t;
+                    self.check();
+                }
             }
         }
         self.now = end;
@@ -359,7 +389,7 @@
                     if let Ok(a) = serde_json::from_str::<ReportAnswer>(&a.body) {
                         self.check_held(&a.orders);
                     }
-                    self.at(d, Ev::ToWorker(host, sent, a));
+                    self.at(d, Ev::ToWorker(host, sent, a, i));
                 }
             }
             Effect::ReadFinal(id) => self.at(d, Ev::Final(i, epoch, id)),
@@ -380,11 +410,14 @@
     }
 
     fn take(&mut self, e: Ev) {
+        let Some(e) = self.passes(e) else { return };
         match e {
             Ev::Elect(i) => self.elect(i),
             Ev::Tick(i) => {
                 let wall = self.wall();
                 if self.ctls[i].up {
+                    let away = self.out_of_reach(i);
+                    self.event(i, Event::OutOfReach(away));
                     self.event(i, Event::Tick(wall));
                     if let Some(t) = &self.ctls[i].term {
                         let held = |j: &&hookworks::sched::job::Job| {
@@ -421,7 +454,7 @@
                     self.event(i, Event::Ask(req, Ask::Report(body)));
                 }
             }
-            Ev::ToWorker(h, sent, a) => {
+            Ev::ToWorker(h, sent, a, _) => {
                 let now = self.now;
                 let Some(w) = self.workers.get_mut(&h) else {
                     return;
@@ -498,6 +531,7 @@
             Ev::Release(i, epoch, hosts) => {
                 for h in &hosts {
                     self.workers.remove(h);
+                    self.releases_of.push((self.now, h.clone()));
                 }
                 let e = Event::Released(hosts, true);
                 self.at(0.1, Ev::CloudDone(i, epoch, Box::new(e)));
