Fences: an answer changes a record that has not left yet

Read again: a fence counted as standing from the moment its write left. Where the write waited for its turn, a worker could be answered first, and the record then said that nobody had been: a later leader would have ended its lease too early. Now every answer to a worker takes its zone off what is to be written. The story fails without it.

--- a/src/sched/report.rs
+++ b/src/sched/report.rs
@@ -5,7 +5,7 @@
 use super::job::{Phase, Stop};
 use super::machine::{Life, Machine};
 use super::{Sched, estimate};
-use crate::ids::{Attempt, Host, JobId, Label, ReqId, Session, TaskId, TaskIx, Zone};
+use crate::ids::{Attempt, Host, JobId, Label, ReqId, Session, TaskId, TaskIx};
 use crate::time::{Span, Time};
 use crate::wire::peer::Answer;
 use crate::wire::user::Kind;
@@ -80,11 +80,16 @@
         let Some(m) = self.machines.get_mut(host) else {
             return self.answer(b.req, Answer::later("unknown machine", 1));
         };
-        // Its lease may go on only once the record no longer says otherwise.
-        if self.fences.closed(&m.zone) {
-            let zone = m.zone.clone();
-            return self.hold_at_fence(now, host, &zone, b);
+        // Its lease may go on only once the record no longer says otherwise: also
+        // a record that has not left yet must not say so later.
+        let zone = m.zone.clone();
+        self.lower_fence(&zone);
+        if self.fences.closed(&zone) {
+            return self.hold_at_fence(now, host, b);
         }
+        let Some(m) = self.machines.get_mut(host) else {
+            return;
+        };
         m.answered = if b.ours { now } else { m.answered.max(now) };
         let token = m.token;
         self.fences.note_answer(&m.zone, now);
@@ -100,8 +105,7 @@
 
     /// The answer waits until it is on record that the zone is answered again:
     /// sent away, workers came back just after their leases had run out.
-    fn hold_at_fence(&mut self, now: Time, host: &Host, zone: &Zone, b: Beat) {
-        self.lower_fence(zone);
+    fn hold_at_fence(&mut self, now: Time, host: &Host, b: Beat) {
         if self.at_fence.len() >= MAX_HELD || now - b.since >= AT_FENCE {
             self.reports_refused += 1;
             return self.answer(b.req, Answer::later("its zone is being taken back", 1));
--- a/tests/fences.rs
+++ b/tests/fences.rs
@@ -116,6 +116,16 @@
     assert!(d.beat(&b(3)).is_some());
 }
 
+/// A write may wait for its turn. A worker that was answered meanwhile would have
+/// been on record, a moment later, as not answered since long before.
+#[test]
+fn a_worker_answered_before_the_record_left_is_not_on_it() {
+    let mut d = Desk::fenced(6, vec![], record(5, 12));
+    assert!(d.beat(&report(2, 1, Token(0))).is_some());
+    let (r, _) = d.s.fences_to_write().unwrap();
+    assert!(r.since.is_empty(), "{r:?}");
+}
+
 /// An answer that waited may be to a report older than one seen since: commands
 /// in it would be carried out after they were taken for lost.
 #[test]
