Quick restarts: an earlier self's lease is ended, instances are told apart

A controller that was back after 0.3 s took its own earlier process for the leader and waited 0.9 to 1.6 s for that lease. It now ends it, if it holds the very address at which the earlier one listened, and campaigns at once. Controllers tell their instance with a ping; links, terms and pending requests of a process that was replaced are void at once. Request numbers differ between processes: the answer to an earlier one's request could reach another user.

--- a/crates/base/src/ids.rs
+++ b/crates/base/src/ids.rs
@@ -75,6 +75,8 @@
 name!(/// An image that a task needs on its machine.
     Image);
 
+number!(/// Tells a process from an earlier one under the same label.
+    Instance, u64);
 number!(/// Who may command a worker: the larger token wins.
     Token, u64);
 number!(/// A term of leadership; each is new and larger.
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -1,11 +1,55 @@
 //! Election: one leader by a leased key, every term with a new, larger epoch.
+//!
+//! A controller that finds the key held by an earlier process of its own does
+//! not wait for that lease to run out: it ends it and campaigns at once. Why that
+//! is safe, and when it is not done, is told in docs/notes/quick-restarts.md.
 
-use crate::ids::{Epoch, Label, Stamp};
+use crate::ids::{Epoch, Instance, Label, Stamp};
 use crate::store::client::{Outcome, State};
 use crate::store::{EPOCH, LEADER};
 use crate::time::{Span, Time};
 use crate::wire::state::{Change, Condition, Item, Txn};
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// Where a process listens for the other controllers. The system gives the
+/// address to one process at a time, so whoever holds it knows that any other
+/// that ever held it has ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Home {
+    pub addr: SocketAddr,
+    /// Which running system, and which network of it, the address belongs to;
+    /// none where the system does not tell.
+    #[serde(default)]
+    pub system: Option<String>,
+}
+
+impl Home {
+    /// To be called by whoever has just bound `addr`, and holds it for good.
+    pub fn held(addr: SocketAddr) -> Home {
+        let boot = std::fs::read_to_string("/proc/sys/kernel/random/boot_id");
+        let network = std::fs::read_link("/proc/self/ns/net");
+        let system = boot
+            .ok()
+            .zip(network.ok())
+            .map(|(b, n)| format!("{} {}", b.trim(), n.display()));
+        Home { addr, system }
+    }
+
+    /// Only one of two processes that were given these can be alive. A machine
+    /// that was started anew, or another one with the same address, is not the
+    /// same place: what ran there may be cut off rather than gone. Where systems
+    /// don't tell who they are, the address must be one that no other has.
+    fn excludes(&self, other: &Home) -> bool {
+        let ip = self.addr.ip();
+        let own = !ip.is_unspecified() && !ip.is_loopback();
+        let system = match (&self.system, &other.system) {
+            (Some(a), Some(b)) => a == b,
+            _ => own,
+        };
+        self.addr == other.addr && system
+    }
+}
 
 /// The value of the leader's key.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -13,7 +57,18 @@
     pub label: Label,
     pub epoch: Epoch,
     /// Tells this process from an earlier one of the same name.
-    pub instance: u64,
+    pub instance: Instance,
+    /// Unknown of earlier versions.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub home: Option<Home>,
+}
+
+/// Who stands for election.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Candidate {
+    pub label: Label,
+    pub instance: Instance,
+    pub home: Option<Home>,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -32,6 +87,14 @@
     NoAnswer,
 }
 
+/// How often a follower looks who leads.
+const LOOK: Span = Span(400_000);
+/// The same while the state service gives no answer: when it does again, users
+/// have waited for long.
+const LOOK_IN_VAIN: Span = Span(200_000);
+/// The same when the leader is thought to be gone, so many times.
+const LOOK_SOON: (Span, u32) = (Span(120_000), 16);
+
 enum Role {
     Follower,
     Leader { lease: u64 },
@@ -40,20 +103,23 @@
 /// A step at a time; whoever drives it does the waiting.
 pub struct Elector<S> {
     state: S,
-    label: Label,
-    instance: u64,
+    me: Candidate,
     ttl: Span,
     role: Role,
+    /// Looks that are to follow soon.
+    hurry: u32,
+    in_vain: bool,
 }
 
 impl<S: State> Elector<S> {
-    pub fn new(state: S, label: Label, instance: u64, ttl: Span) -> Self {
+    pub fn new(state: S, me: Candidate, ttl: Span) -> Self {
         Elector {
             state,
-            label,
-            instance,
+            me,
             ttl,
             role: Role::Follower,
+            hurry: 0,
+            in_vain: false,
         }
     }
 
@@ -64,13 +130,21 @@
     /// How long to wait before the next step.
     pub fn pause(&self) -> Span {
         match self.role {
-            Role::Follower => Span::millis(400),
+            Role::Follower if self.hurry > 0 => LOOK_SOON.0,
+            Role::Follower if self.in_vain => LOOK_IN_VAIN,
+            Role::Follower => LOOK,
             Role::Leader { .. } => Span(self.ttl.0 / 4),
         }
     }
 
+    /// The leader seems to be gone: its key is looked at more often for a while.
+    pub fn hurry(&mut self) {
+        self.hurry = LOOK_SOON.1;
+    }
+
     pub fn step(&mut self, now: impl Fn() -> Time) -> Elect {
-        match self.role {
+        self.hurry = self.hurry.saturating_sub(1);
+        let e = match self.role {
             Role::Leader { lease } => {
                 let sent = now();
                 match self.state.renew(lease) {
@@ -83,11 +157,34 @@
                 }
             }
             Role::Follower => match self.state.get(LEADER) {
-                Ok(Some(i)) => Elect::Seen(serde_json::from_value(i.value).ok()),
+                Ok(Some(i)) => self.seen(i, now),
                 Ok(None) => self.campaign(now),
                 Err(_) => Elect::NoAnswer,
             },
-        }
+        };
+        self.in_vain = e == Elect::NoAnswer;
+        e
+    }
+
+    /// The key is held: by somebody else, or by what this controller was before.
+    fn seen(&mut self, i: Item, now: impl Fn() -> Time) -> Elect {
+        let leader: Option<Leader> = serde_json::from_value(i.value).ok();
+        let ended = leader.as_ref().is_some_and(|l| self.was_us(l));
+        let Some(lease) = i.lease.filter(|_| ended) else {
+            return Elect::Seen(leader);
+        };
+        tracing::info!(leader = ?leader, "led here before, that lease is ended");
+        self.state.revoke(lease);
+        // Was it not carried out, the key is still there, and this fails.
+        self.campaign(now)
+    }
+
+    /// This controller does not lead, so the process that wrote this has ended
+    /// if it was at this very place, or it was an election of our own that was
+    /// given up as its outcome was unclear.
+    fn was_us(&self, l: &Leader) -> bool {
+        let home = self.me.home.as_ref().zip(l.home.as_ref());
+        l.label == self.me.label && home.is_some_and(|(mine, then)| mine.excludes(then))
     }
 
     fn campaign(&mut self, now: impl Fn() -> Time) -> Elect {
@@ -103,9 +200,10 @@
             None => (0, Stamp(0)),
         };
         let me = Leader {
-            label: self.label.clone(),
+            label: self.me.label.clone(),
             epoch: Epoch(last + 1),
-            instance: self.instance,
+            instance: self.me.instance,
+            home: self.me.home.clone(),
         };
         let put = |key: &str, value, lease| Change::Put {
             key: key.into(),
@@ -152,6 +250,7 @@
 
     fn won(&mut self, lease: u64, epoch: Epoch, stamp: Stamp, proven: Time) -> Elect {
         self.role = Role::Leader { lease };
+        self.hurry = 0;
         Elect::Won {
             epoch,
             stamp,
--- a/src/node/asks.rs
+++ b/src/node/asks.rs
@@ -108,8 +108,8 @@
             return self.answer(now, req, Answer::error(400, &e));
         }
         let me = &self.settings.platform.label;
-        let leader = self.peers.best_leader().map(|l| l.0).filter(|l| l != me);
-        let Some(leader) = leader else {
+        let leader = self.peers.best_leader().filter(|l| l.0 != *me);
+        let Some((leader, epoch)) = leader else {
             return self.no_leader(now, req, ask);
         };
         let msg = PeerMsg::Ask {
@@ -127,7 +127,7 @@
         }
         self.tell(leader.clone(), msg);
         if let Some(p) = self.pending.get_mut(&req) {
-            p.with = Some(leader);
+            p.with = Some((leader, epoch));
             p.report = match ask {
                 Ask::Report(body) => Some(body),
                 _ => None,
@@ -162,7 +162,7 @@
         let Some(p) = self.pending.get_mut(&req) else {
             return;
         };
-        let next = self.peers.best_leader().map(|l| l.0);
+        let next = self.peers.best_leader();
         let changed = next.is_some() && next != p.with;
         let patient = now - p.since < LOST_AFTER;
         match p.report.take() {
@@ -187,6 +187,7 @@
         let seen = self.seen.as_ref().map(|l| l.label.clone());
         let answer = match p
             .and_then(|p| p.with.clone())
+            .map(|l| l.0)
             .filter(|l| seen.as_ref() == Some(l))
         {
             Some(l) => redirect(Some(l)),
--- a/src/node/duties.rs
+++ b/src/node/duties.rs
@@ -4,7 +4,7 @@
 use crate::agent::AgentClient;
 use crate::cloud::CloudClient;
 use crate::ids::{CallId, Epoch, Host};
-use crate::lead::Elector;
+use crate::lead::{Candidate, Elector};
 use crate::sched::{DirectResult, Event};
 use crate::settings::Settings;
 use crate::store::StateClient;
@@ -13,7 +13,7 @@
 use crate::time::{Clock, Span, Time};
 use crate::wire::cloud::Hire;
 use crate::wire::worker::Orders;
-use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, unbounded};
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded, unbounded};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -71,16 +71,27 @@
     tx
 }
 
-/// Whoever sends into the returned channel makes the controller resign, and
-/// hears when that is done.
-pub fn election(settings: &Settings, clock: Clock, inbox: Sender<Msg>) -> Sender<Sender<()>> {
-    let (stop, stopped) = unbounded::<Sender<()>>();
+/// What the election's thread is told.
+pub enum ToElection {
+    /// The leader seems to be gone.
+    Hurry,
+    /// Resign and end; the sender hears when that is done.
+    Stop(Sender<()>),
+}
+
+/// Looks who leads, campaigns, and keeps the leadership up.
+pub fn election(
+    settings: &Settings,
+    clock: Clock,
+    me: Candidate,
+    inbox: Sender<Msg>,
+) -> Sender<ToElection> {
+    let (tell, told) = bounded::<ToElection>(8);
     let p = &settings.platform;
     let ttl = Span::secs(settings.tuning.leader_lease_s);
     let timeout = Duration::from_millis(1200);
     let state = StateClient::new(p.services.state, timeout);
-    let instance = rand::random::<u32>() as u64;
-    let mut elector = Elector::new(state, p.label.clone(), instance, ttl);
+    let mut elector = Elector::new(state, me, ttl);
     spawn("election", move || {
         loop {
             let e = elector.step(|| clock.now());
@@ -90,14 +101,18 @@
             }
             // Not all at the same moment.
             let jitter = Duration::from_millis(rand::random_range(0..60));
-            if let Ok(done) = stopped.recv_timeout(elector.pause().std() + jitter) {
-                elector.resign();
-                let _ = done.send(());
-                return;
+            match told.recv_timeout(elector.pause().std() + jitter) {
+                Ok(ToElection::Hurry) => elector.hurry(),
+                Ok(ToElection::Stop(done)) => {
+                    elector.resign();
+                    let _ = done.send(());
+                    return;
+                }
+                Err(_) => {}
             }
         }
     });
-    stop
+    tell
 }
 
 pub enum CloudJob {
@@ -212,7 +227,7 @@
                 // What has waited for long is not sent at all: behind calls that
                 // hang its worker would get no commands for too long.
                 let r = if clock.now() - j.since > STALE_CALL {
-                    DirectResult::Refused
+                    DirectResult::Unsent
                 } else {
                     client.orders(&j.addr, &j.orders)
                 };
--- a/src/node/health.rs
+++ b/src/node/health.rs
@@ -7,6 +7,9 @@
 /// Without a way to a leader that is there for so long, others serve better.
 const CUT_OFF: Span = Span(2_500_000);
 
+/// From a start until the others and the state service have been heard.
+const SETTLING: Span = Span(1_000_000);
+
 fn quantiles(h: &Histogram<u64>) -> serde_json::Value {
     let ms = |q| h.value_at_quantile(q) as f64 / 1000.0;
     serde_json::json!({ "p50": ms(0.5), "p99": ms(0.99), "max": h.max() as f64 / 1000.0 })
@@ -28,8 +31,10 @@
             self.led_at = now;
             return true;
         }
-        if now - self.started < Span::secs(4.0) {
-            return false;
+        // Just started, it knows of nobody yet. Two probes that fail in a row cost
+        // three seconds without users, or many more the next time.
+        if now - self.started < SETTLING {
+            return true;
         }
         // The state service says that somebody leads, but no way leads there:
         // users are served better by those that have one.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -6,13 +6,14 @@
 mod health;
 pub mod lists;
 pub mod load;
+mod terms;
 
 use crate::api::{self, Incoming, Notice, Published};
-use crate::ids::{Epoch, JobId, Label, ReqId, TxnId};
-use crate::lead::{Elect, Leader};
-use crate::peer::Peers;
+use crate::ids::{Epoch, Instance, JobId, Label, ReqId, TxnId};
+use crate::lead::{Candidate, Elect, Home, Leader};
+use crate::peer::{FromPeers, Own, Peers};
 use crate::sched::job::Final;
-use crate::sched::{Config, Effect, Event, Sched};
+use crate::sched::{Effect, Event, Sched};
 use crate::settings::Settings;
 use crate::store::commit::{Committer, Step};
 use crate::store::{Outcome, final_key};
@@ -57,7 +58,7 @@
 /// Everything that reaches the main loop.
 pub enum Msg {
     Http(Incoming),
-    Peer(PeerMsg),
+    Peer(FromPeers),
     Elect(Elect),
     Loaded(Box<Loaded>),
     /// Machine types, which every controller keeps at hand.
@@ -98,8 +99,8 @@
     /// A worker's report that was passed on, in case that another leader
     /// comes before the answer.
     report: Option<Vec<u8>>,
-    /// The leader that it was passed on to.
-    with: Option<Label>,
+    /// The leader that it was passed on to, and its term.
+    with: Option<(Label, Epoch)>,
 }
 
 enum Role {
@@ -146,7 +147,7 @@
     waiting: usize,
     started: Time,
     stopping: Option<Time>,
-    election: Sender<Sender<()>>,
+    election: Sender<duties::ToElection>,
 }
 
 /// Sockets that this controller may need for its own calls.
@@ -167,19 +168,24 @@
     let tx = inbox.clone();
     let to_inbox = move |m| tx.send(Msg::Peer(m)).is_ok();
     let most = server.figures().bounds.most(Lane::Workers) as u32;
-    let peers = Peers::start(
-        p.label.clone(),
-        clock,
-        p.cluster_listen,
-        &p.seeds,
+    let instance = Instance(rand::random::<u32>() as u64);
+    let own = Own {
+        label: p.label.clone(),
+        instance,
         most,
-        to_inbox,
-    )?;
+    };
+    let peers = Peers::start(own, clock, p.cluster_listen, &p.seeds, to_inbox)?;
+    // From here on no other process holds that address.
+    let me = Candidate {
+        label: p.label.clone(),
+        instance,
+        home: Some(Home::held(p.cluster_listen)),
+    };
     let store = duties::store(&settings, inbox.clone());
     let cloud = duties::cloud(&settings, clock, term.clone(), inbox.clone());
     let agents = duties::agents(clock, inbox.clone());
     let lists = lists::start(&settings, clock, notice.clone(), inbox.clone());
-    let election = duties::election(&settings, clock, inbox.clone());
+    let election = duties::election(&settings, clock, me, inbox.clone());
     let tx = inbox.clone();
     if let Err(e) = ctrlc::set_handler(move || {
         let _ = tx.send(Msg::Stop);
@@ -195,7 +201,7 @@
         role: Role::Follower,
         seen: None,
         state_ok_at: Time::default(),
-        led_at: Time::default(),
+        led_at: now,
         proven: Time::default(),
         notice,
         server,
@@ -206,7 +212,7 @@
         lists,
         inbox,
         pending: HashMap::new(),
-        next_req: 1,
+        next_req: first_request(instance),
         balance: balance::Balance::default(),
         outbox: HashMap::new(),
         flavors: vec![],
@@ -221,6 +227,12 @@
     Ok(())
 }
 
+/// Numbers of requests that no other process under this label has used: what an
+/// earlier one was to be told arrives here, and once answered others' requests.
+fn first_request(instance: Instance) -> u64 {
+    (instance.0 << 32) + 1
+}
+
 /// Microseconds, up to a minute.
 fn histogram() -> std::io::Result<Histogram<u64>> {
     Histogram::new_with_bounds(1, 60_000_000, 2).map_err(std::io::Error::other)
@@ -228,7 +240,8 @@
 
 impl Node {
     fn run(mut self, rx: Receiver<Msg>) {
-        let mut tick = self.clock.now();
+        // The first one is due at once: health checks are waiting.
+        let mut tick = Time::default();
         loop {
             let now = self.clock.now();
             let mut until = tick + TICK;
@@ -280,7 +293,7 @@
     /// Gives up the leadership, so that the next leader takes over at once.
     fn resign(&mut self) {
         let (done, resigned) = crossbeam_channel::bounded(1);
-        if self.election.send(done).is_ok() {
+        if self.election.send(duties::ToElection::Stop(done)).is_ok() {
             let _ = resigned.recv_timeout(Duration::from_secs(3));
         }
         tracing::info!("stopped");
@@ -296,13 +309,16 @@
                 let body = self.overview(now).to_string();
                 reply.answer(Answer::new(200, body));
             }
-            Msg::Peer(PeerMsg::Ask { id, from, ask, .. }) => {
+            Msg::Peer(FromPeers::Gone(label)) => self.gone(now, &label),
+            Msg::Peer(FromPeers::Msg(PeerMsg::Ask { id, from, ask, .. })) => {
                 let from = Label::from(from.as_str());
                 let origin = Origin::Peer { from, id };
                 self.ask_from_peer(now, origin, ask);
             }
-            Msg::Peer(PeerMsg::Tell { id, answer, .. }) => self.answer(now, ReqId(id), answer),
-            Msg::Peer(PeerMsg::Ping { .. }) => {}
+            Msg::Peer(FromPeers::Msg(PeerMsg::Tell { id, answer, .. })) => {
+                self.answer(now, ReqId(id), answer);
+            }
+            Msg::Peer(FromPeers::Msg(PeerMsg::Ping { .. })) => {}
             Msg::Elect(e) => self.elect(now, e),
             Msg::Loaded(l) => self.loaded(now, *l),
             Msg::Flavors(f) => {
@@ -421,96 +437,6 @@
         }
     }
 
-    fn elect(&mut self, now: Time, e: Elect) {
-        if e != Elect::NoAnswer {
-            self.state_ok_at = now;
-        }
-        match e {
-            Elect::Seen(l) => {
-                if !matches!(self.role, Role::Follower) {
-                    self.step_down(now);
-                }
-                if l.is_some() && l != self.seen {
-                    tracing::info!(leader = ?l, "leader seen");
-                }
-                let told = l.as_ref().map(|l| (l.label.clone(), l.epoch));
-                self.peers.set_leader(told);
-                self.seen = l;
-            }
-            Elect::Won {
-                epoch,
-                stamp,
-                proven,
-            } => {
-                tracing::info!(%epoch, "elected");
-                self.proven = proven;
-                self.role = Role::Loading(epoch);
-                self.seen = None;
-                load::start(&self.settings, self.clock, self.inbox.clone(), epoch, stamp);
-            }
-            Elect::Proven(t) => {
-                self.proven = t;
-                if let Role::Leader(term) = &self.role {
-                    let epoch = term.epoch;
-                    self.event(now, epoch, Event::Proven(t));
-                }
-            }
-            Elect::Lost => {
-                tracing::warn!("leadership lost");
-                self.step_down(now);
-            }
-            Elect::NoAnswer => {}
-        }
-    }
-
-    fn step_down(&mut self, now: Time) {
-        self.role = Role::Follower;
-        self.term.store(0, Ordering::SeqCst);
-        self.peers.set_leader(None);
-        self.notice.jobs.store(None);
-        let open: Vec<ReqId> = self.pending.keys().copied().collect();
-        for req in open {
-            self.answer(now, req, Answer::later("the leader has changed", 1));
-        }
-    }
-
-    fn loaded(&mut self, now: Time, l: Loaded) {
-        if !matches!(self.role, Role::Loading(e) if e == l.epoch) {
-            return;
-        }
-        let limits = &self.settings.platform.params.state;
-        let mut commit = Committer::new(l.stamp, limits);
-        for (k, s) in l.stamps {
-            commit.know(k, s);
-        }
-        for k in l.litter {
-            commit.add_litter(k);
-        }
-        let cfg = Config::from(&self.settings);
-        let mut sched = Sched::new(cfg, l.epoch, self.proven, now, wall());
-        tracing::info!(epoch = %l.epoch, jobs = l.jobs.len(), "leading");
-        // The time of day first: no freeze between the two makes it too late.
-        let (day, at) = (wall(), self.clock.now());
-        if let Some(f) = l.fences {
-            sched.take_fences(at, day, f);
-        }
-        sched.load(now, l.jobs, l.unreadable);
-        self.role = Role::Leader(Box::new(Term {
-            epoch: l.epoch,
-            sched,
-            commit,
-            board: Board::new(l.epoch.0),
-        }));
-        let me = self.settings.platform.label.clone();
-        self.peers.set_leader(Some((me, l.epoch)));
-        self.term.store(l.epoch.0, Ordering::SeqCst);
-        let _ = self.cloud.send(duties::CloudJob::Look);
-        if !self.flavors.is_empty() {
-            let known = self.flavors.clone();
-            self.event(now, l.epoch, Event::Flavors(known));
-        }
-    }
-
     /// Shows readers what has changed, as long as the leadership is proven.
     fn publish(&mut self, now: Time) {
         let at = wall().0;
@@ -569,7 +495,7 @@
         let lost: Vec<ReqId> = self
             .pending
             .iter()
-            .filter(|(_, p)| p.with.as_ref().is_some_and(|l| !self.peers.reachable(l)))
+            .filter(|(_, p)| p.with.as_ref().is_some_and(|l| !self.peers.reachable(&l.0)))
             .map(|(r, _)| *r)
             .collect();
         for req in lost {
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -1,23 +1,29 @@
 //! Controllers among themselves: each keeps a connection to every other, says
-//! twice a second whom it hears and who leads, and passes requests on; through
-//! the third controller where the direct way is cut.
+//! twice a second whom it hears and who leads, and at once when that changes, and
+//! passes requests on; through the third controller where the direct way is cut.
+//! What follows from all that is [`hookworks_members`]'s; here are the sockets.
 
-use crate::ids::{Epoch, Label};
+use crate::ids::{Epoch, Instance, Label};
 use crate::settings::Seed;
 use crate::time::{Clock, Span, Time};
-use crate::wire::peer::{PeerMsg, PingMore, SPEAKS};
+use crate::wire::peer::{PeerMsg, PingMore, PingSelf, SPEAKS};
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
+use hookworks_members::{LinkId, Members, News, Told};
 use std::collections::HashMap;
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::sync::atomic::{AtomicU32, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
 
 const PING: Duration = Duration::from_millis(500);
 /// Not heard for longer, a link counts as down.
 const DOWN_AFTER: Span = Span(1_700_000);
 const CALL: Duration = Duration::from_secs(1);
+/// A controller that can't be connected to is tried again after so long; sooner
+/// at first, since a process that ended may be back in a moment.
+const AGAIN: Duration = Duration::from_millis(300);
+const AGAIN_SOON: (Duration, u32) = (Duration::from_millis(100), 20);
 /// A connection over which we are not heard by then is made anew.
 const UNHEARD: Duration = Duration::from_millis(2500);
 const MAX_FRAME: usize = 128 * 1024;
@@ -33,14 +39,12 @@
     others * (2 + INBOUND_EACH) + 2
 }
 
-#[derive(Default)]
-struct Heard {
-    at: Time,
-    hears: Vec<String>,
-    leader: Option<(Label, Epoch)>,
-    workers: u32,
-    /// What it says besides; of an earlier version nothing.
-    more: PingMore,
+/// What comes of the talk with other controllers.
+pub enum FromPeers {
+    Msg(PeerMsg),
+    /// The process of that label has ended, or the link by which it was heard:
+    /// what it was asked will not be answered.
+    Gone(Label),
 }
 
 /// How many workers report to a controller, and how many it can hold.
@@ -51,46 +55,63 @@
     pub most: Option<u32>,
 }
 
+/// The way to one other controller.
+struct Link {
+    queue: Sender<Vec<PeerMsg>>,
+    /// Counts the processes that have taken up its label: a connection to an
+    /// earlier one is of no use, but may not say so for a while.
+    process: AtomicU64,
+}
+
+/// Who this process is.
+pub struct Own {
+    pub label: Label,
+    pub instance: Instance,
+    /// How many workers it can hold.
+    pub most: u32,
+}
+
 /// Shared by the threads of this module and whoever sends.
 pub struct Peers {
-    me: Label,
+    me: Own,
     clock: Clock,
-    links: HashMap<Label, Sender<Vec<PeerMsg>>>,
-    heard: Mutex<HashMap<Label, Heard>>,
-    leader: Mutex<Option<(Label, Epoch)>>,
+    links: HashMap<Label, Link>,
+    members: Mutex<Members>,
+    next_link: AtomicU64,
     workers: AtomicU32,
-    most: u32,
 }
 
 impl Peers {
-    /// Starts the threads; what arrives for this controller goes to `inbox`.
+    /// Starts the threads; what arrives for this controller goes to `inbox`. The
+    /// listening socket is held as long as the process lives.
     pub fn start<F>(
-        me: Label,
+        me: Own,
         clock: Clock,
         listen: SocketAddr,
         seeds: &[Seed],
-        most: u32,
         inbox: F,
     ) -> std::io::Result<Arc<Peers>>
     where
-        F: Fn(PeerMsg) -> bool + Send + Clone + 'static,
+        F: Fn(FromPeers) -> bool + Send + Clone + 'static,
     {
         let listener = TcpListener::bind(listen)?;
         let mut links = HashMap::new();
         let mut queues = vec![];
         for s in seeds {
-            let (tx, rx) = bounded(QUEUE);
-            links.insert(s.label.clone(), tx);
+            let (queue, rx) = bounded(QUEUE);
+            let process = AtomicU64::new(0);
+            links.insert(s.label.clone(), Link { queue, process });
             queues.push((s.label.clone(), s.peer_addr, rx));
         }
+        let others = seeds.iter().map(|s| s.label.clone()).collect();
+        let members = Members::new(me.label.clone(), others, DOWN_AFTER);
         let peers = Arc::new(Peers {
             me,
             clock,
             links,
-            heard: Mutex::default(),
-            leader: Mutex::new(None),
+            members: Mutex::new(members),
+            next_link: AtomicU64::new(1),
             workers: AtomicU32::new(0),
-            most,
         });
         for (to, addr, rx) in queues {
             let p = peers.clone();
@@ -101,35 +122,44 @@
         Ok(peers)
     }
 
-    fn heard(&self) -> std::sync::MutexGuard<'_, HashMap<Label, Heard>> {
-        self.heard.lock().unwrap_or_else(|e| e.into_inner())
+    fn members(&self) -> MutexGuard<'_, Members> {
+        self.members.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    fn now(&self) -> Time {
+        self.clock.now()
     }
 
     fn ping(&self) -> PeerMsg {
-        let now = self.clock.now();
-        let heard = self.heard();
-        let fresh = heard.iter().filter(|(_, h)| now - h.at < DOWN_AFTER);
-        let hears = fresh.map(|(l, _)| l.to_string()).collect();
-        drop(heard);
-        let leader = self.own_leader().map(|(l, e)| (l.to_string(), e.0));
+        let now = self.now();
+        let m = self.members();
         PeerMsg::Ping {
-            from: self.me.to_string(),
-            leader,
-            hears,
+            from: self.me.label.to_string(),
+            leader: m.own_leader().map(|(l, e)| (l.to_string(), e.0)),
+            hears: m.hears(now).map(Label::to_string).collect(),
             workers: self.workers.load(Ordering::Relaxed),
         }
     }
 
+    /// Something has changed that the others should not wait to hear.
+    fn tell_all(&self) {
+        for l in self.links.values() {
+            let _ = l.queue.try_send(vec![self.ping()]);
+        }
+    }
+
     /// How many workers this controller can hold; told to the others.
     pub fn most(&self) -> u32 {
-        self.most
+        self.me.most
     }
 
-    fn more(&self) -> PingMore {
-        PingMore {
-            workers_most: Some(self.most),
+    fn more(&self) -> (PingMore, PingSelf) {
+        let more = PingMore {
+            workers_most: Some(self.me.most),
             speaks: SPEAKS,
-        }
+        };
+        let instance = self.me.instance.0;
+        (more, PingSelf { instance })
     }
 
     /// How many workers report to this controller; told to the others.
@@ -139,119 +169,94 @@
 
     /// How many workers report to each controller that can be talked to.
     pub fn workers(&self) -> Vec<Load> {
-        let near = self.links.keys().filter(|l| self.both_ways(l));
-        let near: Vec<Label> = near.cloned().collect();
-        let heard = self.heard();
-        let load = |l: Label| {
-            heard.get(&l).map(|h| Load {
-                label: l,
-                workers: h.workers,
-                most: h.more.workers_most,
+        let now = self.now();
+        let m = self.members();
+        let load = |l: &Label| {
+            m.told(now, l).map(|t| Load {
+                label: l.clone(),
+                workers: t.workers,
+                most: t.workers_most,
             })
         };
-        near.into_iter().filter_map(load).collect()
-    }
-
-    fn own_leader(&self) -> Option<(Label, Epoch)> {
-        self.leader
-            .lock()
-            .unwrap_or_else(|e| e.into_inner())
-            .clone()
+        m.others().filter_map(load).collect()
     }
 
     /// What this controller believes; told to the others.
     pub fn set_leader(&self, l: Option<(Label, Epoch)>) {
-        *self.leader.lock().unwrap_or_else(|e| e.into_inner()) = l;
+        if self.members().set_leader(l) {
+            self.tell_all();
+        }
     }
 
     /// The latest leader that any controller in touch speaks of.
     pub fn best_leader(&self) -> Option<(Label, Epoch)> {
-        let now = self.clock.now();
-        let heard = self.heard();
-        let told = heard.values().filter(|h| now - h.at < DOWN_AFTER);
-        let told = told.filter_map(|h| h.leader.clone());
-        told.chain(self.own_leader()).max_by_key(|(_, e)| *e)
-    }
-
-    fn both_ways(&self, l: &Label) -> bool {
-        let now = self.clock.now();
-        let heard = self.heard();
-        let me = self.me.as_str();
-        heard
-            .get(l)
-            .is_some_and(|h| now - h.at < DOWN_AFTER && h.hears.iter().any(|x| x == me))
+        self.members().best_leader(self.now())
     }
 
     /// Any other controller can be talked to.
     pub fn any(&self) -> bool {
-        self.links.keys().any(|l| self.both_ways(l))
+        self.members().any(self.now())
     }
 
     /// Controllers that can't be talked to directly.
     pub fn out_of_reach(&self) -> Vec<Label> {
-        let all = self.links.keys().cloned();
-        all.filter(|l| !self.both_ways(l)).collect()
-    }
-
-    /// The neighbour through which `to` can be reached, if any.
-    fn route(&self, to: &Label) -> Option<Label> {
-        if self.both_ways(to) {
-            return Some(to.clone());
-        }
-        let via = |l: &&Label| {
-            let knows = self
-                .heard()
-                .get(*l)
-                .is_some_and(|h| h.hears.iter().any(|x| x == to.as_str()));
-            *l != to && self.both_ways(l) && knows
-        };
-        self.links.keys().find(via).cloned()
+        self.members().out_of_reach(self.now())
     }
 
     /// Whether that controller understands what needs this.
     pub fn speaks(&self, to: &Label, needs: u32) -> bool {
-        needs == 0 || self.heard().get(to).is_some_and(|h| h.more.speaks >= needs)
+        self.members().speaks(to, needs)
     }
 
     pub fn reachable(&self, to: &Label) -> bool {
-        self.route(to).is_some()
+        self.members().route(self.now(), to).is_some()
     }
 
     /// False if there is no way at the moment; nothing is sent then.
     pub fn send(&self, to: &Label, msgs: Vec<PeerMsg>) -> bool {
-        let Some(via) = self.route(to) else {
-            return false;
-        };
-        self.links
-            .get(&via)
-            .is_some_and(|q| q.try_send(msgs).is_ok())
+        let via = self.members().route(self.now(), to).cloned();
+        let link = via.and_then(|l| self.links.get(&l));
+        link.is_some_and(|l| l.queue.try_send(msgs).is_ok())
     }
 
     fn keep_link(&self, to: &Label, addr: SocketAddr, queue: Receiver<Vec<PeerMsg>>) {
+        let Some(link) = self.links.get(to) else {
+            return;
+        };
+        let mut in_vain = 0;
         loop {
+            let process = link.process.load(Ordering::SeqCst);
             let Ok(mut s) = TcpStream::connect_timeout(&addr, CALL) else {
                 while queue.try_recv().is_ok() {}
-                std::thread::sleep(Duration::from_millis(300));
+                let soon = in_vain < AGAIN_SOON.1;
+                std::thread::sleep(if soon { AGAIN_SOON.0 } else { AGAIN });
+                in_vain += 1;
                 continue;
             };
+            in_vain = 0;
             let _ = s.set_nodelay(true);
             let _ = s.set_write_timeout(Some(CALL));
-            let mut sent = std::time::Instant::now();
-            let since = std::time::Instant::now();
+            let mut sent = Instant::now();
+            let since = Instant::now();
             let mut ok = self.write(&mut s, vec![self.ping()], &queue).is_ok();
             // A peer that came back after a crash may leave the old connection
             // unanswered for long; only its own word says that we are heard.
-            while ok && (since.elapsed() < UNHEARD || self.both_ways(to)) {
+            let heard = || {
+                let still = link.process.load(Ordering::SeqCst) == process;
+                still && (since.elapsed() < UNHEARD || self.members().both_ways(self.now(), to))
+            };
+            while ok && heard() {
                 match queue.recv_timeout(PING.saturating_sub(sent.elapsed())) {
+                    Ok(_) if link.process.load(Ordering::SeqCst) != process => break,
                     Ok(m) => ok = self.write(&mut s, m, &queue).is_ok(),
                     Err(RecvTimeoutError::Timeout) => {
-                        sent = std::time::Instant::now();
+                        sent = Instant::now();
                         ok = self.write(&mut s, vec![self.ping()], &queue).is_ok();
                     }
                     Err(RecvTimeoutError::Disconnected) => return,
                 }
                 if sent.elapsed() >= PING {
-                    sent = std::time::Instant::now();
+                    sent = Instant::now();
                     ok = ok && self.write(&mut s, vec![self.ping()], &queue).is_ok();
                 }
             }
@@ -279,7 +284,7 @@
 
     fn accept<F>(self: Arc<Self>, listener: TcpListener, inbox: F)
     where
-        F: Fn(PeerMsg) -> bool + Send + Clone + 'static,
+        F: Fn(FromPeers) -> bool + Send + Clone + 'static,
     {
         let open = Arc::new(AtomicUsize::new(0));
         for s in listener.incoming() {
@@ -302,11 +307,12 @@
         }
     }
 
-    fn listen_to(&self, s: TcpStream, inbox: &impl Fn(PeerMsg) -> bool) {
+    fn listen_to(&self, s: TcpStream, inbox: &impl Fn(FromPeers) -> bool) {
         // A live peer pings twice a second.
         let _ = s.set_read_timeout(Some(Duration::from_secs(10)));
         let mut s = BufReader::with_capacity(32 * 1024, s);
-        while let Ok((msg, more)) = read(&mut s) {
+        let id = LinkId(self.next_link.fetch_add(1, Ordering::Relaxed));
+        while let Ok((msg, (more, own))) = read(&mut s) {
             let msg = match msg {
                 PeerMsg::Ping {
                     from,
@@ -314,15 +320,17 @@
                     hears,
                     workers,
                 } => {
-                    let leader = leader.map(|(l, e)| (l.as_str().into(), Epoch(e)));
-                    let heard = Heard {
-                        at: self.clock.now(),
-                        hears,
-                        leader,
+                    let told = Told {
+                        instance: own.map(|o| Instance(o.instance)),
+                        hears: hears.iter().map(|l| l.as_str().into()).collect(),
+                        leader: leader.map(|(l, e)| (l.as_str().into(), Epoch(e))),
                         workers,
-                        more,
+                        workers_most: more.workers_most,
+                        speaks: more.speaks,
                     };
-                    self.heard().insert(from.as_str().into(), heard);
+                    if !self.hear(from.as_str().into(), id, told, inbox) {
+                        break;
+                    }
                     continue;
                 }
                 m => m,
@@ -331,24 +339,58 @@
                 PeerMsg::Ask { to, .. } | PeerMsg::Tell { to, .. } => to.as_str(),
                 PeerMsg::Ping { .. } => continue,
             };
-            if to == self.me.as_str() {
-                if !inbox(msg) {
-                    return;
+            if to == self.me.label.as_str() {
+                if !inbox(FromPeers::Msg(msg)) {
+                    break;
                 }
             } else {
                 // Passed on once, straight to where it belongs.
                 let to = Label::from(to);
-                if self.both_ways(&to)
-                    && let Some(q) = self.links.get(&to)
+                if self.members().both_ways(self.now(), &to)
+                    && let Some(l) = self.links.get(&to)
                 {
-                    let _ = q.try_send(vec![msg]);
+                    let _ = l.queue.try_send(vec![msg]);
                 }
             }
         }
+        let gone = self.members().link_ended(id);
+        if let Some(label) = gone {
+            tracing::debug!(%label, "its link has ended");
+            self.tell_all();
+            inbox(FromPeers::Gone(label));
+        }
+    }
+
+    /// Takes a ping; false once nobody listens any more.
+    fn hear(
+        &self,
+        from: Label,
+        by: LinkId,
+        told: Told,
+        inbox: &impl Fn(FromPeers) -> bool,
+    ) -> bool {
+        let Some(link) = self.links.get(&from) else {
+            return true;
+        };
+        let news = self.members().hear(self.now(), &from, by, told);
+        match news {
+            News::Same | News::Late => true,
+            News::Came => {
+                // It waits for our word that it is heard.
+                self.tell_all();
+                true
+            }
+            News::Restarted => {
+                tracing::info!(label = %from, "another process has taken up that label");
+                link.process.fetch_add(1, Ordering::SeqCst);
+                self.tell_all();
+                inbox(FromPeers::Gone(from))
+            }
+        }
     }
 }
 
-fn frame(m: &PeerMsg, more: PingMore, out: &mut Vec<u8>) -> std::io::Result<()> {
+fn frame(m: &PeerMsg, more: (PingMore, PingSelf), out: &mut Vec<u8>) -> std::io::Result<()> {
     let start = out.len();
     out.extend_from_slice(&[0; 4]);
     let config = bincode::config::standard();
@@ -361,7 +403,10 @@
     Ok(())
 }
 
-fn read(s: &mut impl Read) -> std::io::Result<(PeerMsg, PingMore)> {
+/// What follows a ping; the latter is not told by earlier versions.
+type More = (PingMore, Option<PingSelf>);
+
+fn read(s: &mut impl Read) -> std::io::Result<(PeerMsg, More)> {
     let mut len = [0; 4];
     s.read_exact(&mut len)?;
     let len = u32::from_be_bytes(len) as usize;
@@ -374,8 +419,11 @@
     let (m, taken) = bincode::decode_from_slice(&body, config)
         .map_err(|e| std::io::Error::other(e.to_string()))?;
     // Of an earlier version nothing more comes.
-    let more = bincode::decode_from_slice(&body[taken..], config).map(|m| m.0);
-    Ok((m, more.unwrap_or_default()))
+    let Ok((more, n)) = bincode::decode_from_slice(&body[taken..], config) else {
+        return Ok((m, Default::default()));
+    };
+    let own = bincode::decode_from_slice(&body[taken + n..], config).map(|o| o.0);
+    Ok((m, (more, own.ok())))
 }
 
 #[cfg(test)]
@@ -398,17 +446,21 @@
             workers_most: Some(7),
             speaks: 1,
         };
+        let own = PingSelf { instance: 9 };
         let mut new = vec![];
-        frame(&ping(), more, &mut new).unwrap();
-        assert_eq!(read(&mut &new[..]).unwrap(), (ping(), more));
+        frame(&ping(), (more, own), &mut new).unwrap();
+        assert_eq!(read(&mut &new[..]).unwrap(), (ping(), (more, Some(own))));
+        // The release before says no more than what it can hold and understand.
+        let before = bincode::encode_to_vec((ping(), more), bincode::config::standard()).unwrap();
+        let mut framed = (before.len() as u32).to_be_bytes().to_vec();
+        framed.extend_from_slice(&before);
+        assert_eq!(read(&mut &framed[..]).unwrap(), (ping(), (more, None)));
+        assert_eq!(new[4..4 + before.len()], before);
         // An earlier version sends no more than the message, and reads no more.
         let old = bincode::encode_to_vec(ping(), bincode::config::standard()).unwrap();
         let mut framed = (old.len() as u32).to_be_bytes().to_vec();
         framed.extend_from_slice(&old);
-        assert_eq!(
-            read(&mut &framed[..]).unwrap(),
-            (ping(), PingMore::default())
-        );
+        assert_eq!(read(&mut &framed[..]).unwrap(), (ping(), More::default()));
         assert_eq!(new[4..4 + old.len()], old);
     }
 }
--- a/src/sched/direct.rs
+++ b/src/sched/direct.rs
@@ -4,7 +4,7 @@
 use super::job::Phase;
 use super::machine::{Life, Machine};
 use super::{DirectResult, Effect, Sched};
-use crate::ids::{CallId, Host, JobId};
+use crate::ids::{CallId, Host, JobId, Token};
 use crate::time::{Span, Time};
 use crate::wire::worker::{Order, Orders};
 
@@ -99,10 +99,18 @@
             return;
         }
         m.direct = None;
+        self.direct_answer(now, &host, fresh, r);
+        self.probed(now, call);
+    }
+
+    fn direct_answer(&mut self, now: Time, host: &Host, fresh: Token, r: DirectResult) {
+        let Some(m) = self.machines.get_mut(host) else {
+            return;
+        };
         match r {
             DirectResult::Done(report) => {
                 self.take_report(now, &report, false);
-                self.push(now, &host);
+                self.push(now, host);
             }
             DirectResult::Conflict(report) => {
                 // A probe of a machine that had not reported yet ends so, too.
@@ -111,6 +119,7 @@
                 }
                 self.take_report(now, &report, false);
             }
+            DirectResult::Unsent => {}
             DirectResult::Refused => {
                 m.no_push_until = now + PUSH_REST;
                 let zone = m.zone.clone();
--- a/src/sched/fleet.rs
+++ b/src/sched/fleet.rs
@@ -6,11 +6,10 @@
 use super::machine::{Life, Machine};
 use super::place::allowed;
 use super::{Effect, Sched};
-use crate::ids::{Build, CallId, Epoch, Host, JobId, Label, Session, TaskId, Zone};
+use crate::ids::{Build, Epoch, Host, JobId, Label, TaskId, Zone};
 use crate::time::{Span, Time};
 use crate::wire::cloud::{Hire, Listed};
 use crate::wire::user::Kind;
-use crate::wire::worker::Orders;
 use hookworks_life::Failure;
 use std::collections::{BTreeMap, HashMap, HashSet};
 
@@ -121,6 +120,7 @@
         let token = self.base_token();
         let renewed = self.maybe_renewed(now);
         let mut unexpected = 0;
+        let mut unheard = vec![];
         for l in list {
             if self.fleet.is_gone(&l.host) {
                 continue;
@@ -151,30 +151,11 @@
                 tracing::info!(host = %m.host, "stopped on its own, released");
                 m.life = Life::Leaving { next: now };
             }
-            // Hundreds of calls into a zone that is gone, again with each list,
-            // held up those to all others.
-            let silent = self.watch.silent(&m.zone) || self.fences.inherited(&m.zone).is_some();
-            let probe = l.status == "running" && !m.reported && !silent && m.direct.is_none();
-            if let Some(addr) = m.addr.clone().filter(|_| probe && now >= m.no_push_until) {
-                // A command for no session of its changes nothing and brings
-                // its report, sooner than it would come by itself.
-                let call = CallId(self.next_call);
-                self.next_call += 1;
-                m.direct = Some(call);
-                let orders = Orders {
-                    token: m.token,
-                    session: Session(0),
-                    orders: vec![],
-                };
-                let host = m.host.clone();
-                self.out.push(Effect::Orders {
-                    call,
-                    host,
-                    addr,
-                    orders,
-                });
+            if l.status == "running" && !m.reported {
+                unheard.push(l.host);
             }
         }
+        self.wish_for_reports(now, unheard);
         if unexpected > 0 {
             tracing::info!(machines = unexpected, "not expected but listed");
         }
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -16,6 +16,7 @@
 mod place;
 mod places;
 mod preempt;
+mod probe;
 mod records;
 mod report;
 mod room;
@@ -81,6 +82,8 @@
     Conflict(Box<Report>),
     /// The connection was refused, so nothing was sent.
     Refused,
+    /// It waited for too long here and was not sent: no word on the worker.
+    Unsent,
     /// May be executed at any later time.
     Unclear,
 }
@@ -175,6 +178,7 @@
     rules: BTreeMap<Class, RetryRule>,
     arrivals: spare::Arrivals,
     fleet: fleet::Fleet,
+    probes: probe::Probes,
     watch: zones::Watch,
     fences: fences::Fences,
     finals: HashMap<JobId, Final>,
@@ -235,6 +239,7 @@
             look_ups: Budget::new(cfg.look_ups, (2.0 * cfg.look_ups).max(1.0)),
             arrivals: Default::default(),
             fleet: fleet::Fleet::new(epoch),
+            probes: Default::default(),
             watch: zones::Watch::new(&cfg, now),
             fences: Default::default(),
             cfg,
@@ -450,6 +455,8 @@
         self.answer_held(now, false);
         self.answer_at_fence(now);
         self.watch_machines(now);
+        self.probe(now);
+        self.tell_progress(now);
         self.plan_fleet(now);
         self.push_all(now);
         self.read_parents(now);
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -38,6 +38,8 @@
     fn grant(&self, ttl_ms: u64) -> Result<u64, ReadError>;
     /// `Ok(false)`: the lease has ended.
     fn renew(&self, lease: u64) -> Result<bool, ReadError>;
+    /// Ends a lease at once, and with it its keys. An unclear outcome is no error:
+    /// whoever needs to know reads the key.
     fn revoke(&self, lease: u64);
 }
 
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -66,3 +66,10 @@
     /// What it understands, see [`SPEAKS`].
     pub speaks: u32,
 }
+
+/// Follows that in turn; the release before ignores it as well.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct PingSelf {
+    /// Tells the sending process from an earlier one under the same label.
+    pub instance: u64,
+}
--- a/src/wire/state.rs
+++ b/src/wire/state.rs
@@ -12,6 +12,9 @@
     pub value: Value,
     #[serde(rename = "Stamp")]
     pub stamp: Stamp,
+    /// The lease that the key goes with, if any.
+    #[serde(rename = "Permit", default)]
+    pub lease: Option<u64>,
 }
 
 #[derive(Clone, Debug, Deserialize)]
--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -3,7 +3,7 @@
 mod world;
 
 use hookworks::ids::*;
-use hookworks::lead::{Elect, Elector};
+use hookworks::lead::{Candidate, Elect, Elector, Home};
 use hookworks::sched::job::{Final, Job};
 use hookworks::sched::{DirectResult, Effect, Event, HireResult, Key, Sched};
 use hookworks::store::client::State;
@@ -50,7 +50,16 @@
 // 1. One leader.
 
 fn elector(s: &Handle, name: &str) -> Elector<Handle> {
-    Elector::new(s.clone(), name.into(), 1, Span::secs(2.0))
+    candidate(s, name, 1, None)
+}
+
+fn candidate(s: &Handle, name: &str, instance: u64, home: Option<Home>) -> Elector<Handle> {
+    let me = Candidate {
+        label: name.into(),
+        instance: Instance(instance),
+        home,
+    };
+    Elector::new(s.clone(), me, Span::secs(2.0))
 }
 
 #[test]
--- a/tests/world/cloud.rs
+++ b/tests/world/cloud.rs
@@ -8,6 +8,14 @@
 use rand::RngExt;
 
 impl World {
+    /// Which machines there are, as a leader is told by the cloud.
+    pub(super) fn list_to(&mut self, i: usize) {
+        if self.ctls[i].up && self.ctls[i].term.is_some() {
+            let list = self.list();
+            self.event(i, Event::Listed(list));
+        }
+    }
+
     pub(super) fn list(&self) -> Vec<Listed> {
         let age = |w: &Worker| (self.now - w.born) as f64 / 1e6;
         let one = |w: &Worker| {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -15,7 +15,7 @@
 
 pub use given::{flavor, job, settings};
 use hookworks::ids::*;
-use hookworks::lead::Elector;
+use hookworks::lead::{Candidate, Elector};
 use hookworks::sched::{DirectResult, Effect, Event, Sched};
 use hookworks::store::commit::{Committer, Step};
 use hookworks::store::{Outcome, final_key};
@@ -50,6 +50,7 @@
     Release(usize, Epoch, Vec<Host>),
     CloudDone(usize, Epoch, Box<Event>),
     List(usize),
+    ListOnce(usize),
     User(Ask),
     Restart(usize),
     Kill(usize),
@@ -212,8 +213,13 @@
     fn new_ctl(&self, i: usize, life: u64) -> Ctl {
         let label = Label::from(format!("c{i}").as_str());
         let ttl = Span::secs(settings("x").tuning.leader_lease_s);
+        let me = Candidate {
+            label,
+            instance: Instance(life),
+            home: Some(given::home(i)),
+        };
         Ctl {
-            elector: Elector::new(self.store.clone(), label, life, ttl),
+            elector: Elector::new(self.store.clone(), me, ttl),
             term: None,
             up: true,
             life,
@@ -438,12 +444,10 @@
                 }
             }
             Ev::List(i) => {
-                if self.ctls[i].up && self.ctls[i].term.is_some() {
-                    let list = self.list();
-                    self.event(i, Event::Listed(list));
-                }
+                self.list_to(i);
                 self.at(5.0, Ev::List(i));
             }
+            Ev::ListOnce(i) => self.list_to(i),
             Ev::Beat(h) => self.beat(h),
             Ev::ToCtl(i, host, body) => {
                 let sent = self.workers.get(&host).map_or(0, |w| w.sent_at);
@@ -545,6 +549,9 @@
             Ev::Restart(i) => {
                 let life = self.ctls[i].life + 1;
                 self.ctls[i] = self.new_ctl(i, life);
+                // A new process looks at once who leads, and hears of machines.
+                self.stand(i);
+                self.at(0.1, Ev::ListOnce(i));
             }
             Ev::Cut(h, cut) => {
                 if let Some(w) = self.workers.get_mut(&h) {
--- a/tests/world/steps.rs
+++ b/tests/world/steps.rs
@@ -11,6 +11,13 @@
 
 impl World {
     pub(super) fn elect(&mut self, i: usize) {
+        self.stand(i);
+        let pause = self.ctls[i].elector.pause().as_secs();
+        self.at(pause, Ev::Elect(i));
+    }
+
+    /// One step of its election.
+    pub(super) fn stand(&mut self, i: usize) {
         let now = self.time();
         let wall = self.wall();
         if self.ctls[i].up {
@@ -50,8 +57,6 @@
                 Elect::NoAnswer => {}
             }
         }
-        let pause = self.ctls[i].elector.pause().as_secs();
-        self.at(pause, Ev::Elect(i));
     }
 
     /// What controller `i` is told.
--- a/tests/world/store.rs
+++ b/tests/world/store.rs
@@ -98,6 +98,7 @@
             key: key.into(),
             value: v.0.clone(),
             stamp: Stamp(v.1),
+            lease: v.2,
         }))
     }
 
@@ -144,6 +145,7 @@
                 key: k.clone(),
                 value: v.0.clone(),
                 stamp: Stamp(v.1),
+                lease: v.2,
             })
             .collect();
         let more = items.len() > limit.min(7) as usize;
