A job that ends while its first write is unclear leaves no record behind

Cause: the end deleted the records known to exist; one whose write had an unclear outcome was not among them and stayed beside the final state, so that the next leader took a cancelled job for a waiting one. The end is now conditioned on that record's absence.

--- a/src/store/commit.rs
+++ b/src/store/commit.rs
@@ -132,6 +132,13 @@
             let f = sched.final_of(job)?;
             changes.push(put(&key, j.final_record(f)));
             keys.push((key, true));
+            let first = part_key(job, 0);
+            if !self.stamps.contains_key(&first) {
+                // As far as we know it was never stored. Its first write may have
+                // been carried out all the same, without an answer: left there,
+                // the next leader would find the job as it was at first.
+                keys.push((first, false));
+            }
             let known = (0..j.parts.len()).map(|p| part_key(job, p));
             let most = self.limits.txn_ops - 1;
             for key in known.filter(|k| self.stamps.contains_key(k)).take(most) {
--- a/tests/election.rs
+++ b/tests/election.rs
@@ -358,3 +358,40 @@
         }
     }
 }
+
+/// A job was cancelled while nobody knew whether its first write had been carried
+/// out. It had: its record stayed beside the final state, and the next leader
+/// took the job for one that waits to run.
+#[test]
+fn a_job_that_ends_while_its_first_write_is_unclear_leaves_no_record() {
+    let s = Handle::default();
+    let mut a = elector(&s, "a");
+    let Elect::Won { stamp, .. } = a.step(|| Time(0)) else {
+        panic!()
+    };
+    let (mut d, mut c, txn, id) = submitted(stamp);
+    assert!(matches!(s.apply(&txn), Outcome::Ok(_)));
+    c.finished(Time(d.now), id, Outcome::Unclear, &mut d.s);
+    d.ask(hookworks::wire::peer::Ask::Cancel(JOB.into()));
+    for _ in 0..6 {
+        d.now += 300_000;
+        let Some((id, txn)) = c.next(Time(d.now), &mut d.s) else {
+            break;
+        };
+        let outcome = s.apply(&txn);
+        let (events, steps) = c.finished(Time(d.now), id, outcome, &mut d.s);
+        for e in events {
+            d.event(e);
+        }
+        for step in steps {
+            let Step::Read(key) = step else { panic!() };
+            let item = s.read(&key).map_err(|_| ());
+            let (events, _) = c.read_back(key, item, &mut d.s);
+            for e in events {
+                d.event(e);
+            }
+        }
+    }
+    let left: Vec<String> = s.keys().into_iter().filter(|k| k.contains(JOB)).collect();
+    assert_eq!(left, [hookworks::store::final_key(&JOB.into())]);
+}
