Served shares by class and team: told in overview and log, with a floor in placing

The tests' world no longer lets machines answer direct calls before they are up: a seeded history took their lease for shorter than it was.

--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -20,6 +20,7 @@
 mod records;
 mod report;
 mod room;
+mod served;
 mod spare;
 mod team;
 mod users;
@@ -132,6 +133,8 @@
     pub zones: hookworks_zones::Limits,
     /// Verdicts on zones are acted on, not only shown.
     pub act_on_zones: bool,
+    /// Room for classes and teams that are hardly served.
+    pub floor: hookworks_served::Floor,
     /// How far the time of day may be off.
     pub clock_error: Span,
     /// The other controllers and their zones.
@@ -152,6 +155,7 @@
             hold: Span::secs(s.tuning.hold_ms / 1000.0),
             zones: s.tuning.zones.limits(s.platform.params.workers.report_s),
             act_on_zones: s.tuning.zones.act,
+            floor: s.tuning.served.floor(),
             clock_error: Span::secs(s.platform.params.clock_error_ms / 1000.0),
             controllers: s.platform.controllers(),
         }
@@ -179,6 +183,7 @@
     arrivals: spare::Arrivals,
     fleet: fleet::Fleet,
     probes: catchup::Probes,
+    books: served::Books,
     watch: zones::Watch,
     fences: fences::Fences,
     finals: HashMap<JobId, Final>,
@@ -240,6 +245,7 @@
             arrivals: Default::default(),
             fleet: fleet::Fleet::new(epoch),
             probes: Default::default(),
+            books: served::Books::new(cfg.floor),
             watch: zones::Watch::new(&cfg, now),
             fences: Default::default(),
             cfg,
@@ -434,6 +440,7 @@
                 self.stop_all(now, &id);
             }
         }
+        self.book_loaded(now);
         self.load_waiting(now);
         self.dirty.changed.extend(self.jobs.keys().cloned());
         self.replan = true;
@@ -459,6 +466,7 @@
         self.tell_progress(now);
         self.plan_fleet(now);
         self.push_all(now);
+        self.look_at_shares(now);
         self.read_parents(now);
         self.end_overlong(now);
         // What waits for time alone, such as a back-off, is tried again.
@@ -466,6 +474,7 @@
         if now >= self.sum_up_at {
             self.sum_up_at = now + SUM_UP_EVERY;
             self.sum_up(now);
+            self.tell_shares();
         }
     }
 
--- a/src/sched/order.rs
+++ b/src/sched/order.rs
@@ -20,6 +20,14 @@
     seq: u64,
 }
 
+/// A job's turn in a pass.
+#[derive(Clone, Debug)]
+pub(super) struct Turn {
+    pub job: JobId,
+    /// No more of its tasks than this, none: all that it may.
+    pub most: Option<i64>,
+}
+
 /// The ranks of all jobs at one moment.
 pub(super) struct Order {
     within: HashSet<JobId>,
@@ -40,15 +48,25 @@
         self.ranks.get(id)
     }
 
-    /// Jobs with tasks to start, those first that are served first.
-    pub fn served(&self, s: &Sched, now: Time) -> Vec<JobId> {
+    /// Jobs with tasks to start, those first that are served first; ahead of them
+    /// some tasks of those that are below the floor, which stand here twice.
+    pub fn served(&self, s: &Sched, now: Time) -> Vec<Turn> {
         let waits = |j: &&Job| j.pending() > 0 && now >= j.backoff_until;
+        let lifted = s.books.lifted().filter_map(|id| s.jobs.get(id));
+        let lifted = lifted.filter(waits).map(|j| Turn {
+            job: j.id().clone(),
+            most: s.books.lift(j.id()),
+        });
         let waiting = s.jobs.values().filter(waits);
         let mut v: Vec<(&Rank, &JobId)> = waiting
             .filter_map(|j| Some((self.ranks.get(j.id())?, j.id())))
             .collect();
         v.sort_by(|a, b| a.0.partial_cmp(b.0).unwrap_or(std::cmp::Ordering::Equal));
-        v.into_iter().map(|(_, id)| id.clone()).collect()
+        let turns = v.into_iter().map(|(_, id)| Turn {
+            job: id.clone(),
+            most: None,
+        });
+        lifted.chain(turns).collect()
     }
 }
 
--- a/src/sched/overview.rs
+++ b/src/sched/overview.rs
@@ -98,6 +98,7 @@
             "classes": by_class.into_iter().map(|(c, (p, l))|
                 (c, serde_json::json!({"pending": p, "started": l}))).collect::<serde_json::Map<_, _>>(),
             "teams": self.teams.overview(),
+            "served": self.books.view(),
             "unwritten": self.dirty.len(),
             "writes_waiting": {
                 "now": writes[0], "starts": writes[1], "ends": writes[2], "progress": writes[3],
--- a/src/sched/place.rs
+++ b/src/sched/place.rs
@@ -10,7 +10,7 @@
 use super::fleet::Short;
 use super::job::{Job, Live, Phase};
 use super::machine::{ENDLESS, Machine, Slot};
-use super::order::Order;
+use super::order::{Order, Turn};
 use super::places::Place;
 use super::records::Purpose;
 use super::spare::Spare;
@@ -36,21 +36,21 @@
 impl Sched {
     pub(super) fn place(&mut self, now: Time) {
         let order = self.order(now);
-        let served: Vec<JobId> = order.served(self, now);
+        let served: Vec<Turn> = order.served(self, now);
         let mut short = vec![];
         let mut held = BTreeSet::new();
         let mut rest = &served[..];
         while !rest.is_empty() {
             // What must be settled before the next is looked at goes by itself.
-            let alone = |id: &JobId| self.jobs.get(id).is_some_and(by_itself);
+            let alone = |t: &Turn| self.jobs.get(&t.job).is_some_and(by_itself);
             let n = rest.iter().position(alone).unwrap_or(rest.len());
             let (starts, lack) = self.plan(now, &rest[..n], &held, &order);
             for (id, host) in starts {
                 self.start(now, &id, &host, None);
             }
             short.extend(lack);
-            if let Some(id) = rest.get(n) {
-                short.extend(self.place_alone(now, id, &mut held, &order));
+            if let Some(t) = rest.get(n) {
+                short.extend(self.place_alone(now, &t.job, &mut held, &order));
             }
             rest = rest.get(n + 1..).unwrap_or(&[]);
         }
@@ -87,7 +87,7 @@
     }
 
     /// Serves the jobs in this order, as far as room and quota go.
-    fn plan(&self, now: Time, jobs: &[JobId], held: &BTreeSet<Host>, order: &Order) -> Planned {
+    fn plan(&self, now: Time, jobs: &[Turn], held: &BTreeSet<Host>, order: &Order) -> Planned {
         if jobs.is_empty() {
             return (vec![], vec![]);
         }
@@ -106,7 +106,8 @@
         let can_rent = self.fleet.can_rent(now);
         // With more waiting than there is room for, all of it fills up, and
         // the image decides first; otherwise it would spoil the best fit.
-        let waiting = jobs.iter().filter_map(|id| self.jobs.get(id));
+        let whole = jobs.iter().filter(|t| t.most.is_none());
+        let waiting = whole.filter_map(|t| self.jobs.get(&t.job));
         let mut wanted = Room::default();
         for j in waiting {
             wanted += j.need.scaled(j.pending() as i64);
@@ -114,11 +115,14 @@
         let crowded = !open.covers(&wanted);
         let mut quota: BTreeMap<&Team, Room> = BTreeMap::new();
         let (mut starts, mut short) = (vec![], vec![]);
-        for id in jobs {
+        let mut given: BTreeMap<&JobId, i64> = BTreeMap::new();
+        for Turn { job: id, most } in jobs {
             let Some(j) = self.jobs.get(id) else { continue };
             let team = &j.spec.team;
             let left = quota.entry(team).or_insert_with(|| self.teams.left(team));
-            let want = (j.pending() as i64).min(left.times(&j.need));
+            let given = given.entry(id).or_default();
+            let want = (j.pending() as i64 - *given).min(left.times(&j.need));
+            let want = most.map_or(want, |m| want.min(m));
             let mut view = View::of(self, now, j, order, can_rent);
             view.by_image |= crowded;
             let mut heap: BinaryHeap<Reverse<(Score, usize)>> = BinaryHeap::new();
@@ -153,7 +157,9 @@
                 }
             }
             *left -= j.need.scaled(got);
-            if got < want {
+            *given += got;
+            // What is lifted has another turn, and is short only then.
+            if got < want && most.is_none() {
                 short.push(Short::anywhere(id, want - got));
             }
         }
@@ -244,6 +250,7 @@
         let est = estimate::of(j);
         let part = j.part_of(ix);
         let quick = self.quick.contains(&j.spec.class);
+        self.books.started(id);
         let purpose = if quick { Purpose::Now } else { Purpose::Start };
         let machine = self.machines.get(host);
         let place = machine.map(|m| Place {
@@ -399,7 +406,7 @@
     }
 }
 
-fn by_itself(j: &Job) -> bool {
+pub(super) fn by_itself(j: &Job) -> bool {
     j.spec.kind == Kind::Gang || j.spec.one_zone || j.spec.spread
 }
 
--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -146,6 +146,8 @@
         let mut stopping = Room::default();
         let mut victims = vec![];
         for job in self.jobs.values().filter(|j| !j.live.is_empty()) {
+            // What was set aside for it is not taken away again.
+            let guarded = self.books.guards(job);
             let est = estimate::of(job).as_secs();
             let rank = order.rank(job.id());
             for (t, l) in &job.live {
@@ -161,7 +163,7 @@
                     _ => 0.0,
                 };
                 let array = job.spec.kind == Kind::Array;
-                if !array || ran > NEARLY_DONE * est || !machine.open(now, fresh) {
+                if guarded || !array || ran > NEARLY_DONE * est || !machine.open(now, fresh) {
                     continue;
                 }
                 let saves = job.spec.checkpoint_s > 0.0;
--- a/src/sched/records.rs
+++ b/src/sched/records.rs
@@ -7,6 +7,7 @@
 use crate::time::{Span, Time};
 use crate::wire::peer::Answer;
 use crate::wire::user::{JobState, Kind};
+use hookworks_served::What;
 use std::collections::{HashSet, VecDeque};
 
 /// A record of the store.
@@ -212,6 +213,11 @@
                 };
                 self.remember_final(&id, f);
                 self.dirty.changed.insert(id.clone());
+                let what = match f.state {
+                    JobState::Cancelled => What::Cancelled,
+                    _ => What::Done,
+                };
+                self.book(now, &id, what);
                 if let Some(j) = self.jobs.remove(&id) {
                     self.tell_waiters_final(&id, j.waiters, f);
                 }
--- a/src/sched/report.rs
+++ b/src/sched/report.rs
@@ -11,6 +11,7 @@
 use crate::wire::user::Kind;
 use crate::wire::worker::{Cause, Order, Report, ReportAnswer, TaskReport, TaskState};
 use hookworks_life::{Failure, What};
+use hookworks_served::What::Begun;
 use std::collections::BTreeSet;
 
 /// Reports whose answers wait at a time.
@@ -307,6 +308,7 @@
             }
             self.note_limit(&r.task, since);
             if first {
+                self.book(now, &r.task.job, Begun);
                 self.came(now, &r.task.job, Came::Started);
             }
         }
--- /dev/null
+++ b/src/sched/served.rs
@@ -0,0 +1,246 @@
+//! Who is served, by class and by team, and room for who hardly is.
+//!
+//! The figures are [`hookworks_served`]'s; here is what happens to jobs, what
+//! waits, and what follows for placing. A class or team below the floor gets the
+//! room set aside for it ahead of all but production work, and keeps it from being
+//! stopped, until it has that much; the rest of its jobs keep their place in the
+//! order. Gangs, services and jobs of a single zone are counted, but not lifted:
+//! room for them is found by other rules.
+
+use super::job::Job;
+use super::place::by_itself;
+use super::{Room, Sched};
+use crate::ids::{Class, JobId, Team};
+use crate::time::{Span, Time};
+use hookworks_served::{Figures, Floor, Served, Waits, What};
+use serde::Serialize;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Figures are made up so often.
+const LOOK_EVERY: Span = Span(1_000_000);
+/// A class without aims may wait so long.
+const PATIENCE_S: f64 = 120.0;
+
+/// Figures by class and by team.
+#[derive(Default, Serialize)]
+pub struct View {
+    pub classes: BTreeMap<String, Figures>,
+    pub teams: BTreeMap<String, Figures>,
+}
+
+pub struct Books {
+    floor: Floor,
+    classes: Served<Class>,
+    teams: Served<Team>,
+    figures: (BTreeMap<Class, Figures>, BTreeMap<Team, Figures>),
+    look_at: Time,
+    /// Tasks that may start ahead of others until the next look.
+    lifted: BTreeMap<JobId, i64>,
+    /// Below the floor, with no more than what is set aside for them.
+    guarded: (BTreeSet<Class>, BTreeSet<Team>),
+}
+
+impl Books {
+    pub fn new(floor: Floor) -> Books {
+        Books {
+            floor,
+            classes: Served::default(),
+            teams: Served::default(),
+            figures: Default::default(),
+            look_at: Time::default(),
+            lifted: BTreeMap::new(),
+            guarded: Default::default(),
+        }
+    }
+
+    pub fn note(&mut self, now: Time, class: &Class, team: &Team, what: What) {
+        self.classes.note(now, class, what);
+        self.teams.note(now, team, what);
+    }
+
+    /// So many of its tasks may start ahead of others.
+    pub fn lift(&self, id: &JobId) -> Option<i64> {
+        self.lifted.get(id).copied().filter(|n| *n > 0)
+    }
+
+    pub fn lifted(&self) -> impl Iterator<Item = &JobId> {
+        self.lifted
+            .iter()
+            .filter(|(_, n)| **n > 0)
+            .map(|(id, _)| id)
+    }
+
+    /// One of its tasks starts.
+    pub fn started(&mut self, id: &JobId) {
+        if let Some(n) = self.lifted.get_mut(id) {
+            *n -= 1;
+        }
+    }
+
+    /// Its tasks are not stopped for others.
+    pub fn guards(&self, j: &Job) -> bool {
+        self.guarded.0.contains(&j.spec.class) || self.guarded.1.contains(&j.spec.team)
+    }
+
+    pub fn view(&self) -> View {
+        let (classes, teams) = &self.figures;
+        let names = |(k, f): (&Class, &Figures)| (k.to_string(), *f);
+        let teams = teams.iter().map(|(k, f)| (k.to_string(), *f));
+        View {
+            classes: classes.iter().map(names).collect(),
+            teams: teams.collect(),
+        }
+    }
+}
+
+/// Since when a job has waited for a start of the tasks that it still has.
+fn waits_since(j: &Job) -> Time {
+    let latest = j.live.values().map(|l| l.placed).max();
+    latest.map_or(j.arrived, |t| t.max(j.arrived))
+}
+
+impl Sched {
+    /// What a class may wait: the longest of its aims.
+    fn patience(&self) -> BTreeMap<Class, Span> {
+        let mut all: BTreeMap<Class, f64> = BTreeMap::new();
+        for o in &self.cfg.objectives {
+            if let (Some(c), Some(s)) = (&o.class, o.within_s) {
+                let longest = all.entry(c.clone()).or_default();
+                *longest = longest.max(s);
+            }
+        }
+        all.into_iter().map(|(c, s)| (c, Span::secs(s))).collect()
+    }
+
+    /// Jobs that a new leader finds on record.
+    pub(super) fn book_loaded(&mut self, now: Time) {
+        for j in self.jobs.values() {
+            let (class, team) = (&j.spec.class, &j.spec.team);
+            self.books.note(now, class, team, What::Came);
+            if j.history.first_start().is_some() {
+                self.books.note(now, class, team, What::Begun);
+            }
+        }
+    }
+
+    pub(super) fn book(&mut self, now: Time, id: &JobId, what: What) {
+        if let Some(j) = self.jobs.get(id) {
+            self.books.note(now, &j.spec.class, &j.spec.team, what);
+        }
+    }
+
+    /// Makes the figures up, and decides who is below the floor.
+    pub(super) fn look_at_shares(&mut self, now: Time) {
+        if now < self.books.look_at {
+            return;
+        }
+        self.books.look_at = now + LOOK_EVERY;
+        let patience = self.patience();
+        let usual = Span::secs(PATIENCE_S);
+        let mut by_class: BTreeMap<Class, Waits> = BTreeMap::new();
+        let mut by_team: BTreeMap<Team, Waits> = BTreeMap::new();
+        for j in self.jobs.values().filter(|j| j.pending() > 0) {
+            let (tasks, waited) = (j.pending() as u64, now - waits_since(j));
+            let p = patience.get(&j.spec.class).copied().unwrap_or(usual);
+            let class = by_class.entry(j.spec.class.clone()).or_default();
+            class.note(tasks, waited, p);
+            let team = by_team.entry(j.spec.team.clone()).or_default();
+            team.note(tasks, waited, p);
+        }
+        let b = &mut self.books;
+        b.figures = (
+            b.classes.figures(now, &by_class),
+            b.teams.figures(now, &by_team),
+        );
+        self.set_room_aside();
+    }
+
+    /// Room for the classes and teams below the floor, job by job.
+    fn set_room_aside(&mut self) {
+        let floor = self.books.floor;
+        let low = |f: &Figures| floor.is_below(f);
+        let (classes, teams) = &self.books.figures;
+        let mut classes: BTreeMap<Class, i64> = below(classes, low);
+        let mut teams: BTreeMap<Team, i64> = below(teams, low);
+        self.books.lifted.clear();
+        self.books.guarded = Default::default();
+        if classes.is_empty() && teams.is_empty() {
+            return;
+        }
+        let mut fleet = Room::default();
+        for m in self.machines.values() {
+            fleet += m.capacity;
+        }
+        for j in self.jobs.values() {
+            let uses = j.need.cpu * j.live.len() as i64;
+            if let Some(n) = classes.get_mut(&j.spec.class) {
+                *n += uses;
+            }
+            if let Some(n) = teams.get_mut(&j.spec.team) {
+                *n += uses;
+            }
+        }
+        // Both tables together are set aside no more than the floor.
+        let half = |groups: usize, others: usize| match others {
+            0 => fleet.cpu,
+            _ => fleet.cpu * groups as i64 / (groups + others) as i64,
+        };
+        let (c, t) = (classes.len(), teams.len());
+        let mut classes = floor.budgets(half(c, t), &classes);
+        let mut teams = floor.budgets(half(t, c), &teams);
+        let rests = |left: &i64| *left >= 0;
+        self.books.guarded.0 = keys(&classes, rests);
+        self.books.guarded.1 = keys(&teams, rests);
+        // Those that have waited for longest first.
+        let waits = |j: &&Job| j.pending() > 0 && !by_itself(j);
+        let mut waiting: Vec<&Job> = self.jobs.values().filter(waits).collect();
+        waiting.sort_by_key(|j| (waits_since(j), j.seq));
+        let mut lifted = BTreeMap::new();
+        for j in waiting {
+            let class = classes.get_mut(&j.spec.class).filter(|n| **n > 0);
+            let left = match class {
+                Some(n) => Some(n),
+                None => teams.get_mut(&j.spec.team).filter(|n| **n > 0),
+            };
+            let Some(left) = left else { continue };
+            let need = j.need.cpu.max(1);
+            let tasks = (*left).div_euclid(need).max(1).min(j.pending() as i64);
+            *left -= tasks * need;
+            lifted.insert(j.id().clone(), tasks);
+        }
+        self.books.lifted = lifted;
+    }
+
+    /// One line for whoever reads the log.
+    pub(super) fn tell_shares(&self) {
+        let line = |all: BTreeMap<String, Figures>| {
+            let one = |(k, f): (String, Figures)| {
+                let (r, w) = (f.recent, f.waiting_jobs);
+                let (oldest, share) = (f.oldest_wait_s, f.share);
+                format!(
+                    "{k}: came {} begun {} done {} refused {} waits {w}/{} oldest {oldest:.0} share {share:.2}",
+                    r.came, r.begun, r.done, r.refused, f.waiting_tasks
+                )
+            };
+            let all: Vec<String> = all.into_iter().map(one).collect();
+            all.join("; ")
+        };
+        let v = self.books.view();
+        let below = self.books.lifted().count();
+        tracing::info!(classes = %line(v.classes), teams = %line(v.teams), lifted_jobs = below, "served");
+    }
+}
+
+/// Groups below the floor; what they use is yet to be added up.
+fn below<K: Ord + Clone>(
+    all: &BTreeMap<K, Figures>,
+    low: impl Fn(&Figures) -> bool,
+) -> BTreeMap<K, i64> {
+    let low = all.iter().filter(|(_, f)| low(f));
+    low.map(|(k, _)| (k.clone(), 0)).collect()
+}
+
+fn keys<K: Ord + Clone>(all: &BTreeMap<K, i64>, which: impl Fn(&i64) -> bool) -> BTreeSet<K> {
+    let some = all.iter().filter(|(_, n)| which(n));
+    some.map(|(k, _)| k.clone()).collect()
+}
--- a/src/sched/users.rs
+++ b/src/sched/users.rs
@@ -9,6 +9,7 @@
 use crate::wire::cloud::Flavor;
 use crate::wire::peer::{Answer, Ask};
 use crate::wire::user::{JobSpec, JobState, JobView, Kind};
+use hookworks_served::What;
 
 /// More live jobs than this are not taken on: the machine is small.
 const MAX_JOBS: usize = 4000;
@@ -148,11 +149,15 @@
         // A repeated submission must never get 400 or 422, so what would be
         // refused is only refused after a look at what is over already.
         match self.never_runs(&spec) {
-            Err(e) => return self.answer(req, Answer::later(&e, 1)),
+            Err(e) => {
+                self.books.note(now, &spec.class, &spec.team, What::Refused);
+                return self.answer(req, Answer::later(&e, 1));
+            }
             Ok(Some(_)) => return self.look_up(req, id, Ask::Submit(_body)),
             Ok(None) => {}
         }
         if self.jobs.len() >= MAX_JOBS {
+            self.books.note(now, &spec.class, &spec.team, What::Refused);
             return self.answer(req, Answer::later("too many unfinished jobs", 10));
         }
         let size = part_size(self.cfg.value_kb);
@@ -178,6 +183,7 @@
         // Its user waits: the next pass comes soon.
         self.pass_at = self.pass_at.min(now + SOON);
         self.jobs.insert(id.clone(), job);
+        self.book(now, &id, What::Came);
         self.begin_waiting(now, &id);
         self.replan = true;
     }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -3,12 +3,14 @@
 mod classes;
 mod connections;
 mod platform;
+mod served;
 mod tuning;
 mod zones;
 
 pub use classes::Classes;
 pub use connections::Connections;
 pub use platform::{Limits, Objective, Params, Platform, Seed, StateLimits, TeamLimit, Workers};
+pub use served::ServedLimits;
 pub use tuning::Tuning;
 pub use zones::ZoneLimits;
 
--- a/src/settings/tuning.rs
+++ b/src/settings/tuning.rs
@@ -1,6 +1,6 @@
 //! The operators' own settings, in XML.
 
-use super::{Classes, Connections, SettingsError, ZoneLimits, within};
+use super::{Classes, Connections, ServedLimits, SettingsError, ZoneLimits, within};
 use crate::ids::Class;
 use hookworks_life::RetryRule;
 use serde::{Deserialize, Serialize};
@@ -37,6 +37,8 @@
     pub classes: Classes,
     /// When a zone counts as lost, and how it comes back.
     pub zones: ZoneLimits,
+    /// When a class or team counts as hardly served.
+    pub served: ServedLimits,
 }
 
 impl Default for Tuning {
@@ -55,6 +57,7 @@
             connections: Connections::default(),
             classes: Classes::default(),
             zones: ZoneLimits::default(),
+            served: ServedLimits::default(),
         }
     }
 }
@@ -86,6 +89,7 @@
         t.connections.check(file)?;
         t.classes.check(file)?;
         t.zones.check(file)?;
+        t.served.check(file)?;
         Ok(t)
     }
 }
--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -78,7 +78,7 @@
             let at = k as f64 * 5.0 + w.rng.random_range(0.0..2.0);
             w.at(at, Ev::User(Ask::Poll(id.to_string())));
         }
-        if w.rng.random_bool(0.4) {
+        if w.rng.random_bool(0.5) {
             hold_and_release(&mut w, id);
         }
         if w.rng.random_bool(0.25) {
--- a/tests/world/cloud.rs
+++ b/tests/world/cloud.rs
@@ -21,7 +21,8 @@
         let one = |w: &Worker| {
             serde_json::from_value(serde_json::json!({
                 "Id": w.host, "Endpoint": "x:1", "Build": "m8", "Yard": w.zone,
-                "Lendable": w.spot, "Status": "running", "HeldS": age(w)
+                "Lendable": w.spot, "Status": if w.up { "running" } else { "booting" },
+                "HeldS": age(w)
             }))
             .unwrap()
         };
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -484,6 +484,10 @@
                 let Some(w) = self.workers.get_mut(&h) else {
                     return;
                 };
+                if !w.up {
+                    let r = DirectResult::Refused;
+                    return self.at(0.002, Ev::Direct(i, epoch, call, h, r));
+                }
                 if w.cut || w.hangs {
                     // Held back until the cut is over.
                     return self.at(1.0, Ev::Orders(i, epoch, call, h, orders));
--- a/tests/world/steps.rs
+++ b/tests/world/steps.rs
@@ -81,6 +81,7 @@
             return;
         };
         w.step(now, lease);
+        w.up = true;
         // What it is about to tell has happened.
         self.done_tasks.extend(w.take_done());
         if now < w.next_beat {
--- a/tests/world/worker.rs
+++ b/tests/world/worker.rs
@@ -32,6 +32,8 @@
     pub zone: Zone,
     pub spot: bool,
     pub born: u64,
+    /// Since its first report; before, nobody answers there.
+    pub up: bool,
     session: u64,
     seq: u64,
     pub token: u64,
@@ -56,10 +58,11 @@
             zone,
             spot,
             born: now,
+            up: false,
             session: 1,
             seq: 0,
             token: 0,
-            renewed: now + 20_000_000,
+            renewed: now,
             sent_at: 0,
             next_beat: 0,
             cut: false,
@@ -73,6 +76,10 @@
 
     /// Time passes: images arrive, tasks end, the lease may run out.
     pub fn step(&mut self, now: u64, lease: u64) {
+        if !self.up {
+            // Its session begins when it is up.
+            self.renewed = now;
+        }
         if now > self.renewed + lease {
             self.tasks.clear();
             self.session += 1;
--- a/tests/zone_histories.rs
+++ b/tests/zone_histories.rs
@@ -55,7 +55,8 @@
     for _ in 0..3 {
         let (at, i) = (w.rng.random_range(20.0..180.0), w.rng.random_range(0..3));
         w.at(at, Ev::Kill(i));
-        w.at(at + 6.0, Ev::Restart(i));
+        let back = w.rng.random_range(0.02..8.0);
+        w.at(at + back, Ev::Restart(i));
     }
     if w.rng.random_bool(0.5) {
         let (at, long) = (
@@ -85,7 +86,8 @@
             for _ in 0..w.rng.random_range(1..3) {
                 let (at, i) = (w.rng.random_range(0.0..20.0), w.rng.random_range(0..3));
                 w.at(at, Ev::Kill(i));
-                w.at(at + 6.0, Ev::Restart(i));
+                let back = w.rng.random_range(0.02..8.0);
+                w.at(at + back, Ev::Restart(i));
             }
         }
         let long = [3.0, 9.0, 16.0, 30.0, 55.0][w.rng.random_range(0..5)];
