Served: stories of floods, room set aside is kept, a group stays low until none is late

A group left the floor with its first start, so that its next task waited as long again, and what was started was stopped by the flood at once. Stories: a class under a steady flood of urgent work, a team beside one that fills the fleet, urgent work keeps 0.85 of its throughput.

--- a/crates/served/src/lib.rs
+++ b/crates/served/src/lib.rs
@@ -72,13 +72,16 @@
     pub oldest: Span,
     /// Jobs that have waited for longer than their class is to wait at all.
     pub overdue: u64,
+    /// The same, of those that came so long ago, whatever began of them since.
+    pub late: u64,
 }
 
 impl Waits {
-    /// A job with so many waiting tasks, that has waited so long; `patience` is
-    /// what its class may wait.
-    pub fn note(&mut self, tasks: u64, waited: Span, patience: Span) {
+    /// A job with so many waiting tasks, that came so long ago and has waited for
+    /// a start since then; `patience` is what its class may wait.
+    pub fn note(&mut self, tasks: u64, came: Span, waited: Span, patience: Span) {
         self.jobs += 1;
+        self.late += (came > patience) as u64;
         self.tasks += tasks;
         self.oldest = self.oldest.max(waited);
         self.overdue += (waited > patience) as u64;
@@ -96,6 +99,7 @@
     pub waiting_tasks: u64,
     pub oldest_wait_s: f64,
     pub overdue_jobs: u64,
+    pub late_jobs: u64,
     /// Of those that began lately or should have: the share that did. 1 where
     /// nothing was due.
     pub share: f64,
@@ -177,6 +181,7 @@
             waiting_tasks: w.tasks,
             oldest_wait_s: w.oldest.as_secs(),
             overdue_jobs: w.overdue,
+            late_jobs: w.late,
             share: match due {
                 0 => 1.0,
                 _ => recent.begun as f64 / due as f64,
@@ -197,17 +202,31 @@
 
 impl Floor {
     /// Whether a group is below the floor: jobs of it are overdue, and too few
-    /// began meanwhile.
-    pub fn is_below(&self, f: &Figures) -> bool {
-        self.room > 0.0 && f.overdue_jobs > 0 && f.share < self.below
+    /// began meanwhile. One that was stays so until none of its jobs is late: the
+    /// first start alone would leave the rest to wait as long again.
+    pub fn is_below(&self, was: bool, f: &Figures) -> bool {
+        let falls = f.overdue_jobs > 0 && f.share < self.below;
+        self.room > 0.0 && (falls || was && f.late_jobs > 0)
     }
 
     /// What each of the groups below the floor may still take ahead of others,
     /// given what they use of a fleet of this size. Below zero: it has more than
-    /// its part already.
+    /// its part already, as one has that floods the fleet and is not served by half
+    /// for that; its part is the others'.
     pub fn budgets<K: Ord + Clone>(&self, fleet: i64, used: &BTreeMap<K, i64>) -> BTreeMap<K, i64> {
-        let part = fleet as f64 * self.room / used.len().max(1) as f64;
-        let left = |(k, used): (&K, &i64)| (k.clone(), part as i64 - used);
+        let all = (fleet as f64 * self.room) as i64;
+        let mut uses: Vec<i64> = used.values().copied().collect();
+        uses.sort_unstable();
+        // The largest leave, one by one, as long as they have more than an equal part.
+        while uses.len() > 1 && uses.last().is_some_and(|u| *u > all / uses.len() as i64) {
+            uses.pop();
+        }
+        let part = all / uses.len().max(1) as i64;
+        let most = uses.last().copied().unwrap_or(0);
+        let left = |(k, used): (&K, &i64)| match *used > most {
+            true => (k.clone(), -used),
+            false => (k.clone(), part - used),
+        };
         used.iter().map(left).collect()
     }
 }
@@ -223,7 +242,8 @@
     fn waits(jobs: &[(u64, f64, f64)]) -> Waits {
         let mut w = Waits::default();
         for (tasks, waited, patience) in jobs {
-            w.note(*tasks, Span::secs(*waited), Span::secs(*patience));
+            let waited = Span::secs(*waited);
+            w.note(*tasks, waited, waited, Span::secs(*patience));
         }
         w
     }
@@ -279,11 +299,33 @@
             share,
             ..Figures::default()
         };
-        assert!(floor.is_below(&of(3, 0.5)));
-        assert!(!floor.is_below(&of(3, 0.9)));
-        assert!(!floor.is_below(&of(0, 0.0)));
+        assert!(floor.is_below(false, &of(3, 0.5)));
+        assert!(!floor.is_below(false, &of(3, 0.9)));
+        assert!(!floor.is_below(false, &of(0, 0.0)));
+        let late = Figures {
+            late_jobs: 1,
+            ..of(0, 0.5)
+        };
+        assert!(floor.is_below(true, &late) && !floor.is_below(false, &late));
         let off = Floor { room: 0.0, ..floor };
-        assert!(!off.is_below(&of(3, 0.5)));
+        assert!(!off.is_below(true, &of(3, 0.5)));
+    }
+
+    /// A class floods the fleet, is served by less than half for that, and is not
+    /// to take the part of one that has nothing.
+    #[test]
+    fn who_has_more_than_its_part_leaves_it_to_the_others() {
+        let floor = Floor {
+            room: 0.1,
+            below: 0.7,
+        };
+        let used = BTreeMap::from([("flood", 900), ("none", 0), ("little", 20)]);
+        let left = floor.budgets(1000, &used);
+        assert_eq!(
+            (left["none"], left["little"], left["flood"]),
+            (50, 30, -900)
+        );
+        assert_eq!(floor.budgets(0, &BTreeMap::from([("a", 0)]))["a"], 0);
     }
 
     /// Whatever they use, together they are never set aside more than the floor.
@@ -300,7 +342,8 @@
                 used.insert(k, u.int_in_range(0..=fleet)?);
             }
             let left = floor.budgets(fleet, &used);
-            let most: i64 = left.iter().map(|(k, l)| (l + used[k]).max(0)).sum();
+            let parts = left.iter().filter(|(_, l)| **l >= 0);
+            let most: i64 = parts.map(|(k, l)| l + used[k]).sum();
             assert!(most as f64 <= fleet as f64 * 0.1 + 1.0);
             assert_eq!(left.len(), used.len());
             Ok(())
--- a/src/sched/place.rs
+++ b/src/sched/place.rs
@@ -126,21 +126,26 @@
             let mut view = View::of(self, now, j, order, can_rent);
             view.by_image |= crowded;
             let mut heap: BinaryHeap<Reverse<(Score, usize)>> = BinaryHeap::new();
-            if want > 0 && view.may_take(&spare, true) {
+            // Room kept for quick classes is for them, and for who is below the floor.
+            let may_take = |spare: &Spare, spot| most.is_some() || view.may_take(spare, spot);
+            if want > 0 && may_take(&spare, true) {
                 let scores = room.iter().enumerate();
                 let scores = scores.filter_map(|(i, c)| Some(Reverse((view.score(c)?, i))));
                 heap = scores.collect::<Vec<_>>().into();
             }
             let mut got = 0;
-            while got < want && view.may_take(&spare, true) {
+            while got < want && may_take(&spare, true) {
                 let Some(Reverse((_, i))) = heap.pop() else {
                     break;
                 };
-                if !view.may_take(&spare, room[i].m.spot) {
+                if !may_take(&spare, room[i].m.spot) {
                     continue;
                 }
                 debug_assert!(
-                    !starts.is_empty() || crowded || self.agrees(now, id, held, order, room[i].m),
+                    !starts.is_empty()
+                        || crowded
+                        || most.is_some()
+                        || self.agrees(now, id, held, order, room[i].m),
                     "{id}: the pass and the plain choice differ"
                 );
                 let c = &mut room[i];
@@ -250,7 +255,7 @@
         let est = estimate::of(j);
         let part = j.part_of(ix);
         let quick = self.quick.contains(&j.spec.class);
-        self.books.started(id);
+        self.books.started(id, ix);
         let purpose = if quick { Purpose::Now } else { Purpose::Start };
         let machine = self.machines.get(host);
         let place = machine.map(|m| Place {
@@ -296,7 +301,7 @@
     }
 }
 
-fn task_id(id: &JobId, ix: TaskIx) -> TaskId {
+pub(super) fn task_id(id: &JobId, ix: TaskIx) -> TaskId {
     TaskId {
         job: id.clone(),
         ix,
--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -4,7 +4,7 @@
 use super::job::{Job, Phase};
 use super::machine::Machine;
 use super::order::{Order, Rank};
-use super::place::allowed;
+use super::place::{allowed, task_id};
 use super::{Room, Sched, estimate};
 use crate::ids::{JobId, TaskIx, Zone};
 use crate::time::{Span, Time};
@@ -146,8 +146,6 @@
         let mut stopping = Room::default();
         let mut victims = vec![];
         for job in self.jobs.values().filter(|j| !j.live.is_empty()) {
-            // What was set aside for it is not taken away again.
-            let guarded = self.books.guards(job);
             let est = estimate::of(job).as_secs();
             let rank = order.rank(job.id());
             for (t, l) in &job.live {
@@ -163,6 +161,8 @@
                     _ => 0.0,
                 };
                 let array = job.spec.kind == Kind::Array;
+                // What was set aside for it is not taken away again.
+                let guarded = self.books.guards(&task_id(job.id(), *t));
                 if guarded || !array || ran > NEARLY_DONE * est || !machine.open(now, fresh) {
                     continue;
                 }
--- a/src/sched/report.rs
+++ b/src/sched/report.rs
@@ -427,6 +427,7 @@
 
     /// The attempt's claim on machine, quota and zone ends.
     fn release_slot(&mut self, now: Time, t: &TaskId) {
+        self.books.gone(t);
         let Some(j) = self.jobs.get(&t.job) else {
             return;
         };
--- a/src/sched/served.rs
+++ b/src/sched/served.rs
@@ -10,7 +10,7 @@
 use super::job::Job;
 use super::place::by_itself;
 use super::{Room, Sched};
-use crate::ids::{Class, JobId, Team};
+use crate::ids::{Class, JobId, TaskId, TaskIx, Team};
 use crate::time::{Span, Time};
 use hookworks_served::{Figures, Floor, Served, Waits, What};
 use serde::Serialize;
@@ -36,8 +36,10 @@
     look_at: Time,
     /// Tasks that may start ahead of others until the next look.
     lifted: BTreeMap<JobId, i64>,
-    /// Below the floor, with no more than what is set aside for them.
-    guarded: (BTreeSet<Class>, BTreeSet<Team>),
+    /// Who is below the floor.
+    low: (BTreeSet<Class>, BTreeSet<Team>),
+    /// Tasks that were started so, until they are gone.
+    kept: BTreeSet<TaskId>,
 }
 
 impl Books {
@@ -49,7 +51,8 @@
             figures: Default::default(),
             look_at: Time::default(),
             lifted: BTreeMap::new(),
-            guarded: Default::default(),
+            low: Default::default(),
+            kept: BTreeSet::new(),
         }
     }
 
@@ -71,15 +74,21 @@
     }
 
     /// One of its tasks starts.
-    pub fn started(&mut self, id: &JobId) {
-        if let Some(n) = self.lifted.get_mut(id) {
+    pub fn started(&mut self, id: &JobId, ix: TaskIx) {
+        if let Some(n) = self.lifted.get_mut(id).filter(|n| **n > 0) {
             *n -= 1;
+            let job = id.clone();
+            self.kept.insert(TaskId { job, ix });
         }
     }
 
-    /// Its tasks are not stopped for others.
-    pub fn guards(&self, j: &Job) -> bool {
-        self.guarded.0.contains(&j.spec.class) || self.guarded.1.contains(&j.spec.team)
+    pub fn gone(&mut self, t: &TaskId) {
+        self.kept.remove(t);
+    }
+
+    /// It is not stopped for others: its room was set aside for it.
+    pub fn guards(&self, t: &TaskId) -> bool {
+        self.kept.contains(t)
     }
 
     pub fn view(&self) -> View {
@@ -141,11 +150,12 @@
         let mut by_team: BTreeMap<Team, Waits> = BTreeMap::new();
         for j in self.jobs.values().filter(|j| j.pending() > 0) {
             let (tasks, waited) = (j.pending() as u64, now - waits_since(j));
+            let came = now - j.arrived;
             let p = patience.get(&j.spec.class).copied().unwrap_or(usual);
             let class = by_class.entry(j.spec.class.clone()).or_default();
-            class.note(tasks, waited, p);
+            class.note(tasks, came, waited, p);
             let team = by_team.entry(j.spec.team.clone()).or_default();
-            team.note(tasks, waited, p);
+            team.note(tasks, came, waited, p);
         }
         let b = &mut self.books;
         b.figures = (
@@ -158,12 +168,12 @@
     /// Room for the classes and teams below the floor, job by job.
     fn set_room_aside(&mut self) {
         let floor = self.books.floor;
-        let low = |f: &Figures| floor.is_below(f);
         let (classes, teams) = &self.books.figures;
-        let mut classes: BTreeMap<Class, i64> = below(classes, low);
-        let mut teams: BTreeMap<Team, i64> = below(teams, low);
+        let mut classes: BTreeMap<Class, i64> = below(classes, &self.books.low.0, &floor);
+        let mut teams: BTreeMap<Team, i64> = below(teams, &self.books.low.1, &floor);
+        self.books.low.0 = classes.keys().cloned().collect();
+        self.books.low.1 = teams.keys().cloned().collect();
         self.books.lifted.clear();
-        self.books.guarded = Default::default();
         if classes.is_empty() && teams.is_empty() {
             return;
         }
@@ -188,9 +198,6 @@
         let (c, t) = (classes.len(), teams.len());
         let mut classes = floor.budgets(half(c, t), &classes);
         let mut teams = floor.budgets(half(t, c), &teams);
-        let rests = |left: &i64| *left >= 0;
-        self.books.guarded.0 = keys(&classes, rests);
-        self.books.guarded.1 = keys(&teams, rests);
         // Those that have waited for longest first.
         let waits = |j: &&Job| j.pending() > 0 && !by_itself(j);
         let mut waiting: Vec<&Job> = self.jobs.values().filter(waits).collect();
@@ -211,6 +218,12 @@
         self.books.lifted = lifted;
     }
 
+    /// CPUs that a team's attempts take, all that are not proven gone.
+    pub fn team_use(&self, t: &Team) -> f64 {
+        let used = self.teams.used(t).unwrap_or_default();
+        used.cpu as f64 / 1000.0
+    }
+
     /// One line for whoever reads the log.
     pub(super) fn tell_shares(&self) {
         let line = |all: BTreeMap<String, Figures>| {
@@ -234,13 +247,11 @@
 /// Groups below the floor; what they use is yet to be added up.
 fn below<K: Ord + Clone>(
     all: &BTreeMap<K, Figures>,
-    low: impl Fn(&Figures) -> bool,
+    were: &BTreeSet<K>,
+    floor: &Floor,
 ) -> BTreeMap<K, i64> {
-    let low = all.iter().filter(|(_, f)| low(f));
+    let low = all
+        .iter()
+        .filter(|(k, f)| floor.is_below(were.contains(k), f));
     low.map(|(k, _)| (k.clone(), 0)).collect()
 }
-
-fn keys<K: Ord + Clone>(all: &BTreeMap<K, i64>, which: impl Fn(&i64) -> bool) -> BTreeSet<K> {
-    let some = all.iter().filter(|(_, n)| which(n));
-    some.map(|(k, _)| k.clone()).collect()
-}
--- /dev/null
+++ b/tests/served.rs
@@ -0,0 +1,103 @@
+//! No class and no team starves, whoever floods the fleet.
+
+mod world;
+
+use hookworks::ids::{JobId, Team};
+use hookworks::wire::peer::Ask;
+use hookworks::wire::user::{JobSpec, Priority};
+use world::{Ev, World, job};
+
+/// A fleet of four machines with room for sixteen tasks; ever more work comes for
+/// five minutes than it can do, and one job of another kind at the beginning.
+fn flood(floor: f64, other: &JobSpec, steady: impl Fn(&mut JobSpec)) -> World {
+    let mut w = World::new(11, 3);
+    (w.floor, w.capacity, w.wealth, w.run_s) = (floor, 1, 100.0, 10.0);
+    let submit = |w: &mut World, at: f64, j: JobSpec| {
+        let body = serde_json::to_vec(&j).unwrap();
+        w.specs.insert(j.id.clone(), j);
+        for k in 0..3 {
+            w.at(at + 2.0 * k as f64, Ev::User(Ask::Submit(body.clone())));
+        }
+    };
+    for n in 0..240 {
+        let mut j = job(100 + n, 4);
+        steady(&mut j);
+        submit(&mut w, 3.0 + 1.25 * n as f64, j);
+    }
+    submit(&mut w, 20.0, other.clone());
+    w
+}
+
+/// How many of its tasks have been done.
+fn done(w: &World, id: &JobId) -> usize {
+    w.done_tasks.iter().filter(|t| t.job == *id).count()
+}
+
+fn share_of(w: &World, class: &str) -> f64 {
+    let s = w.sched(w.leader().unwrap());
+    let v = s.overview(hookworks::time::Time(w.now));
+    v["served"]["classes"][class]["share"].as_f64().unwrap()
+}
+
+fn urgent(j: &mut JobSpec) {
+    (j.class, j.priority, j.team) = ("quick".into(), Priority::High, "blue".into());
+}
+
+/// Work of low priority waited for as long as urgent work kept coming.
+#[test]
+fn a_class_under_a_steady_flood_of_urgent_work_gets_its_part() {
+    let mut low = job(1, 6);
+    low.priority = Priority::Low;
+    let mut w = flood(0.0, &low, urgent);
+    w.run(290.0);
+    assert_eq!(done(&w, &low.id), 0, "the flood leaves nothing by itself");
+    assert_eq!(share_of(&w, "work"), 0.0);
+
+    let mut w = flood(0.13, &low, urgent);
+    // It may wait for 120 s; then room is set aside for one task at a time, and
+    // is there as soon as any other ends.
+    w.run(20.0 + 120.0 + 20.0);
+    assert!(share_of(&w, "work") < 1.0 || done(&w, &low.id) > 0);
+    w.run(130.0);
+    assert!(done(&w, &low.id) >= 4, "{}", done(&w, &low.id));
+    // What was set aside was not taken away again, and is no more than its part.
+    let red = Team::from("red");
+    let runs = w.workers.values().flat_map(|m| &m.runs);
+    let starts = runs.filter(|(t, _)| t.job == low.id).count();
+    assert!(starts <= 6, "started {starts} times");
+    let used = w.sched(w.leader().unwrap()).team_use(&red);
+    assert!(used <= 4.0, "{used} of 32 CPUs");
+    assert!(w.broken.is_empty(), "{:?}", w.broken);
+}
+
+/// A team fills the fleet with work of the same class and priority, which comes
+/// first as it is done sooner.
+#[test]
+fn a_team_beside_one_that_fills_the_fleet_gets_its_part() {
+    // Larger than its team's guarantee.
+    let mut large = job(1, 500);
+    (large.team, large.priority) = ("blue".into(), Priority::Low);
+    let red = |j: &mut JobSpec| j.team = "red".into();
+    let mut w = flood(0.0, &large, red);
+    w.run(290.0);
+    assert_eq!(done(&w, &large.id), 0);
+    let mut w = flood(0.13, &large, red);
+    w.run(290.0);
+    assert!(done(&w, &large.id) >= 4, "{}", done(&w, &large.id));
+    assert!(w.broken.is_empty(), "{:?}", w.broken);
+}
+
+/// Urgent work keeps its aims while others are given their part.
+#[test]
+fn the_floor_leaves_the_rest_to_urgent_work() {
+    let mut low = job(1, 40);
+    low.priority = Priority::Low;
+    let urgent_done = |floor: f64| {
+        let mut w = flood(floor, &low, urgent);
+        w.run(290.0);
+        let n = w.done_tasks.iter().filter(|t| t.job != low.id).count();
+        n as f64
+    };
+    let (without, with) = (urgent_done(0.0), urgent_done(0.13));
+    assert!(with >= 0.85 * without, "{with} of {without}");
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -134,6 +134,8 @@
     links: links::Links,
     /// Limits of teams, in times of the usual.
     pub wealth: f64,
+    /// Share of the fleet that is set aside for who is hardly served.
+    pub floor: f64,
     /// How machines have been asked for, and given back: when, which, how many.
     pub rentals: Vec<(u64, Zone, usize)>,
     pub releases_of: Vec<(u64, Host)>,
@@ -192,6 +194,7 @@
             zones: vec!["a".into(), "b".into()],
             links: links::Links::default(),
             wealth: 1.0,
+            floor: 0.0,
             rentals: vec![],
             releases_of: vec![],
             run_s: 15.0,
--- a/tests/world/steps.rs
+++ b/tests/world/steps.rs
@@ -62,6 +62,7 @@
     /// What controller `i` is told.
     fn config(&self, i: usize, s: &Settings) -> Config {
         let mut cfg = Config::from(s);
+        cfg.floor.room = self.floor;
         for t in &mut cfg.teams {
             for limit in [&mut t.cpus, &mut t.cpus_max, &mut t.gpus_max] {
                 *limit *= self.wealth;
