A final state read back counts as our own write only if it says the same

Cause: a late retry of a job that was done, cancelled before the store answered, ended in memory as cancelled; its conflict with the final state on record was taken for a lost answer, and done became cancelled.

--- a/src/sched/records.rs
+++ b/src/sched/records.rs
@@ -238,10 +238,11 @@
     }
 
     pub(super) fn already_final(&mut self, now: Time, id: JobId, f: Final) {
+        let mine = self.final_of(&id);
         let Some(j) = self.jobs.get_mut(&id) else {
             return;
         };
-        if j.closing.is_some() {
+        if mine.is_some_and(|m| m.state == f.state) {
             // Our own write, whose answer was lost.
             return self.stored(now, Key::Final(id), 0);
         }
--- a/tests/election.rs
+++ b/tests/election.rs
@@ -4,12 +4,14 @@
 
 use hookworks::ids::*;
 use hookworks::lead::{Candidate, Elect, Elector, Home};
+use hookworks::sched::job::Final;
 use hookworks::sched::{Event, Key};
 use hookworks::store::client::{ReadError, State};
 use hookworks::store::commit::{Committer, Step};
 use hookworks::store::{EPOCH, LEADER, Outcome};
 use hookworks::time::{Span, Time};
 use hookworks::wire::state::{Item, Page, Txn};
+use hookworks::wire::user::JobState;
 use std::cell::Cell;
 use world::desk::Desk;
 use world::store::Handle;
@@ -395,3 +397,26 @@
     let left: Vec<String> = s.keys().into_iter().filter(|k| k.contains(JOB)).collect();
     assert_eq!(left, [hookworks::store::final_key(&JOB.into())]);
 }
+
+/// A submission was sent again after its job was done and another leader had
+/// come; before the store answered, it was cancelled. The conflict of that end
+/// with the one on record was taken for a lost answer: done became cancelled.
+#[test]
+fn a_late_retry_that_is_cancelled_at_once_tells_what_is_on_record() {
+    let mut d = Desk::new(6);
+    d.stores = false;
+    let submitted = d.submit(&job(1, 7));
+    let cancelled = d.ask(hookworks::wire::peer::Ask::Cancel(JOB.into()));
+    let f = Final {
+        state: JobState::Done,
+        done: 7,
+    };
+    d.event(Event::AlreadyFinal(JOB.into(), f));
+    for req in [submitted, cancelled] {
+        let a = d.answer(req).expect("answered");
+        assert!(a.status == 200 && a.body.contains("\"done\""), "{a:?}");
+    }
+    let poll = d.ask(hookworks::wire::peer::Ask::Poll(JOB.into()));
+    assert!(d.answer(poll).unwrap().body.contains("\"done\""));
+    assert!(d.s.jobs.is_empty());
+}
