Sizes by need: jobs, final states, requests and the inbox follow memory and connections

4,000 jobs, 20,000 final states, 1,500 open requests and 400 held answers were constants; with 1,982 machines whose answers wait, users would have been refused. They are worked out from the settings, shown by check and the overview, and the inbox, which had no bound, has one.

--- a/crates/gate/src/bounds.rs
+++ b/crates/gate/src/bounds.rs
@@ -13,7 +13,7 @@
 const BASICS: usize = 12;
 /// What a connection takes with its thread and its buffers, measured on the
 /// developers' machine (docs/notes/connections.md), with a margin.
-const PER_CONNECTION: u64 = 20 * 1024;
+pub const PER_CONNECTION: u64 = 20 * 1024;
 /// Fewer are no use to anyone.
 const FEWEST: usize = 16;
 /// Threads that a process may have besides those for connections.
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -15,7 +15,7 @@
 mod server;
 mod spread;
 
-pub use bounds::{Bounds, BoundsError, Limit, Machine, Wishes, descriptors};
+pub use bounds::{Bounds, BoundsError, Limit, Machine, PER_CONNECTION, Wishes, descriptors};
 pub use head::{Framing, Head, MAX_BODY, MAX_HEAD, encode, may_be_whole, parse};
 pub use lanes::{Arrival, ConnId, Counts, Lane, Lanes, Limits, Phase, Verdict, Why};
 pub use server::{Figures, LaneFigures, Server};
--- a/src/main.rs
+++ b/src/main.rs
@@ -157,6 +157,20 @@
                     }
                 );
             }
+            let z = s.sizes().map_err(|_| ExitCode::from(2))?;
+            let [c, j, f, m] = z.bytes.map(|n| n / 1_000_000);
+            println!(
+                "sizes: {} machines with no other controller left, {}",
+                z.machines, b.limited_by
+            );
+            println!(
+                "  {} unfinished jobs, {} final states at hand, {} open requests, {} messages",
+                z.jobs, z.finals, z.requests, z.inbox
+            );
+            println!(
+                "  memory at the most: connections {c} MB, jobs {j} MB, final states {f} MB, machines {m} MB of {} MB",
+                s.platform.params.machine_limits.ram_mb
+            );
             println!("  large bodies: {} KiB together", b.body_bytes / 1024);
             println!("  sockets set aside for calls to others: {}", b.set_aside);
             let w = &s.platform.params.workers;
--- a/src/node/asks.rs
+++ b/src/node/asks.rs
@@ -12,8 +12,6 @@
 
 /// A leader that is gone is no longer named by the state service after so long.
 const LOST_AFTER: Span = Span(2_600_000);
-/// More open requests are turned away at once.
-const MAX_PENDING: usize = 1500;
 
 impl Node {
     pub(super) fn new_req(&mut self, now: Time, origin: Origin, ask: &Ask) -> ReqId {
@@ -35,7 +33,11 @@
     }
 
     pub(super) fn ask_from_peer(&mut self, now: Time, origin: Origin, ask: Ask) {
+        let full = self.pending.len() >= self.sizes.requests;
         let req = self.new_req(now, origin, &ask);
+        if full {
+            return self.answer(now, req, Answer::later("too many requests", 2));
+        }
         if let Some(wanted) = read_only(&ask) {
             return self.list(now, req, wanted);
         }
@@ -54,7 +56,7 @@
     }
 
     pub(super) fn ask(&mut self, now: Time, origin: Origin, ask: Ask) {
-        let full = self.pending.len() >= MAX_PENDING;
+        let full = self.pending.len() >= self.sizes.requests;
         let req = self.new_req(now, origin, &ask);
         if self.stopping.is_some() {
             return self.answer(now, req, Answer::later("stopping", 1));
--- a/src/node/health.rs
+++ b/src/node/health.rs
@@ -63,6 +63,9 @@
             "answer_ms": quantiles(&self.latency),
             "loop_ms": quantiles(&self.turns),
             "messages_waiting": self.waiting,
+            "most": { "requests": self.sizes.requests, "messages": self.sizes.inbox,
+                "jobs": self.sizes.jobs, "final_states": self.sizes.finals,
+                "machines_alone": self.sizes.machines },
             "connections": self.server.figures(),
             "workers_reporting_here": self.balance.len(),
             "calls_waiting": {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -14,14 +14,14 @@
 use crate::peer::{FromPeers, Own, Peers};
 use crate::sched::job::Final;
 use crate::sched::{Effect, Event, Sched};
-use crate::settings::Settings;
+use crate::settings::{Settings, Sizes};
 use crate::store::commit::{Committer, Step};
 use crate::store::{Outcome, final_key};
 use crate::time::{Clock, Span, Time, wall};
 use crate::wire::cloud::Flavor;
 use crate::wire::peer::{Answer, PeerMsg};
 use crate::wire::state::{Item, Txn};
-use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, unbounded};
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
 use hdrhistogram::Histogram;
 use hookworks_gate::{Lane, Reply, Server};
 use hookworks_listing::Board;
@@ -136,6 +136,7 @@
     inbox: Sender<Msg>,
     pending: HashMap<ReqId, Pending>,
     next_req: u64,
+    sizes: Sizes,
     balance: balance::Balance,
     /// What goes to other controllers at the end of this turn.
     outbox: HashMap<Label, Vec<PeerMsg>>,
@@ -158,7 +159,8 @@
 /// Runs a controller until the process ends.
 pub fn serve(settings: Settings) -> std::io::Result<()> {
     let clock = Clock::start();
-    let (inbox, rx) = unbounded::<Msg>();
+    let sizes = settings.sizes().map_err(std::io::Error::other)?;
+    let (inbox, rx) = bounded::<Msg>(sizes.inbox);
     let p = &settings.platform;
     let notice = Arc::new(Notice::default());
     let term = Arc::new(AtomicU64::new(0));
@@ -213,6 +215,7 @@
         inbox,
         pending: HashMap::new(),
         next_req: first_request(instance),
+        sizes,
         balance: balance::Balance::default(),
         outbox: HashMap::new(),
         flavors: vec![],
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -133,6 +133,10 @@
     pub zones: hookworks_zones::Limits,
     /// Verdicts on zones are acted on, not only shown.
     pub act_on_zones: bool,
+    /// Unfinished jobs; more are turned away.
+    pub most_jobs: usize,
+    /// Final states kept at hand; older ones are read from the store.
+    pub finals: usize,
     /// Room for classes and teams that are hardly served.
     pub floor: hookworks_served::Floor,
     /// How far the time of day may be off.
@@ -143,7 +147,11 @@
 
 impl Config {
     pub fn from(s: &Settings) -> Config {
+        // Settings that can't be served were refused at start.
+        let sizes = s.sizes().ok();
         Config {
+            most_jobs: sizes.map_or(LEAST_JOBS, |s| s.jobs),
+            finals: sizes.map_or(LEAST_JOBS, |s| s.finals),
             workers: s.platform.params.workers.clone(),
             tuning: s.tuning.clone(),
             teams: s.platform.params.teams.clone(),
@@ -229,10 +237,10 @@
 /// Share of the state service's requests that look-ups may take: the rest is for
 /// what users and workers wait for.
 const LOOK_UPS: f64 = 0.1;
+/// Where sizes can't be told.
+const LEAST_JOBS: usize = 1000;
 /// How full the fleet is goes to the log so often.
 const SUM_UP_EVERY: Span = Span(10_000_000);
-/// Final states kept at hand; older ones are read from the store.
-const FINALS_KEPT: usize = 20_000;
 
 impl Sched {
     pub fn new(cfg: Config, epoch: Epoch, proven: Time, now: Time, wall: Wall) -> Sched {
@@ -449,7 +457,7 @@
     fn remember_final(&mut self, id: &JobId, f: Final) {
         if self.finals.insert(id.clone(), f).is_none() {
             self.finals_order.push_back(id.clone());
-            if self.finals_order.len() > FINALS_KEPT
+            if self.finals_order.len() > self.cfg.finals
                 && let Some(old) = self.finals_order.pop_front()
             {
                 self.finals.remove(&old);
--- a/src/sched/report.rs
+++ b/src/sched/report.rs
@@ -14,8 +14,6 @@
 use hookworks_served::What::Begun;
 use std::collections::BTreeSet;
 
-/// Reports whose answers wait at a time.
-const MAX_HELD: usize = 400;
 /// An answer waits no longer for its zone to be taken back on record.
 const AT_FENCE: Span = Span(1_000_000);
 /// Commands in one message.
@@ -107,7 +105,7 @@
     /// The answer waits until it is on record that the zone is answered again:
     /// sent away, workers came back just after their leases had run out.
     fn hold_at_fence(&mut self, now: Time, host: &Host, b: Beat) {
-        if self.at_fence.len() >= MAX_HELD || now - b.since >= AT_FENCE {
+        if now - b.since >= AT_FENCE {
             self.reports_refused += 1;
             return self.answer(b.req, Answer::later("its zone is being taken back", 1));
         }
@@ -125,7 +123,7 @@
     /// What the worker is to do next will be known in a moment: its answer can
     /// wait for that, which saves a direct call and further reports.
     fn worth_holding(&self, now: Time, host: &Host, freed: bool) -> bool {
-        if self.cfg.hold == Span::ZERO || !self.may_start(now) || self.held.len() >= MAX_HELD {
+        if self.cfg.hold == Span::ZERO || !self.may_start(now) {
             return false;
         }
         let able = |m: &Machine| m.life == Life::Up && m.direct.is_none();
--- a/src/sched/users.rs
+++ b/src/sched/users.rs
@@ -11,8 +11,6 @@
 use crate::wire::user::{JobSpec, JobState, JobView, Kind};
 use hookworks_served::What;
 
-/// More live jobs than this are not taken on: the machine is small.
-const MAX_JOBS: usize = 4000;
 /// A submission waits no longer than that for the next pass.
 const SOON: Span = Span(10_000);
 /// Reads of old final states under way at a time.
@@ -156,7 +154,7 @@
             Ok(Some(_)) => return self.look_up(req, id, Ask::Submit(_body)),
             Ok(None) => {}
         }
-        if self.jobs.len() >= MAX_JOBS {
+        if self.jobs.len() >= self.cfg.most_jobs {
             self.books.note(now, &spec.class, &spec.team, What::Refused);
             return self.answer(req, Answer::later("too many unfinished jobs", 10));
         }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -4,6 +4,7 @@
 mod connections;
 mod platform;
 mod served;
+mod sizes;
 mod tuning;
 mod zones;
 
@@ -11,6 +12,7 @@
 pub use connections::Connections;
 pub use platform::{Limits, Objective, Params, Platform, Seed, StateLimits, TeamLimit, Workers};
 pub use served::ServedLimits;
+pub use sizes::Sizes;
 pub use tuning::Tuning;
 pub use zones::ZoneLimits;
 
