--- a/crates/gate/src/bounds.rs
+++ b/crates/gate/src/bounds.rs
@@ -54,7 +54,7 @@
 impl Default for Wishes {
     fn default() -> Self {
         Wishes {
-            threads: 1500,
+            threads: 1850,
             memory_share: 0.5,
             body_share: 0.1,
             workers: 0.7,
@@ -204,7 +204,7 @@
     fn the_scarcest_of_threads_sockets_descriptors_and_memory_counts() {
         let plan = |m: Machine| Bounds::plan(&m, &Wishes::default()).unwrap();
         assert_eq!(plan(ROOMY).limited_by, Limit::Threads);
-        assert_eq!(plan(ROOMY).connections, 1500);
+        assert_eq!(plan(ROOMY).connections, 1850);
         let few = Machine {
             sockets: 300,
             ..ROOMY
@@ -232,7 +232,7 @@
     #[test]
     fn a_controller_left_alone_holds_more_workers_than_its_largest_fleet_has() {
         let b = Bounds::plan(&ROOMY, &Wishes::default()).unwrap();
-        assert!(b.most(Lane::Workers) >= 1321, "{}", b.most(Lane::Workers));
+        assert!(b.most(Lane::Workers) >= 1600, "{}", b.most(Lane::Workers));
     }
 
     #[test]
--- a/src/settings/connections.rs
+++ b/src/settings/connections.rs
@@ -4,7 +4,7 @@
 use hookworks_gate::Wishes;
 use serde::{Deserialize, Serialize};
 
-/// `<connections><threads>1500</threads>…</connections>`; all optional.
+/// `<connections><threads>1850</threads>…</connections>`; all optional.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case", default)]
 pub struct Connections {
