--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -494,11 +494,17 @@
         for req in late {
             self.give_up(now, req, "no answer in time");
         }
-        // What was passed to a leader that has fallen silent is not waited for.
+        // What was passed to a leader that has fallen silent is not waited for, nor
+        // what an earlier process of the one there is now was asked.
+        let best = self.peers.best_leader();
         let lost: Vec<ReqId> = self
             .pending
             .iter()
-            .filter(|(_, p)| p.with.as_ref().is_some_and(|l| !self.peers.reachable(&l.0)))
+            .filter(|(_, p)| {
+                p.with.as_ref().is_some_and(|l| {
+                    !self.peers.reachable(&l.0) || asks::replaced(l, best.as_ref())
+                })
+            })
             .map(|(r, _)| *r)
             .collect();
         for req in lost {
