--- a/tests/election.rs
+++ b/tests/election.rs
@@ -18,6 +18,7 @@
 use world::{job, settings};
 
 const JOB: &str = "job-000001";
+const DONE: &str = "\"Status\":\"done\"";
 
 fn elector(s: &Handle, name: &str) -> Elector<Handle> {
     candidate(s, name, 1, None)
@@ -414,9 +415,9 @@
     d.event(Event::AlreadyFinal(JOB.into(), f));
     for req in [submitted, cancelled] {
         let a = d.answer(req).expect("answered");
-        assert!(a.status == 200 && a.body.contains("\"done\""), "{a:?}");
+        assert!(a.status == 200 && a.body.contains(DONE), "{a:?}");
     }
     let poll = d.ask(hookworks::wire::peer::Ask::Poll(JOB.into()));
-    assert!(d.answer(poll).unwrap().body.contains("\"done\""));
+    assert!(d.answer(poll).unwrap().body.contains(DONE));
     assert!(d.s.jobs.is_empty());
 }
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -13,6 +13,16 @@
 
 const JOB: &str = "job-000001";
 
+/// A leader with room for all places eight tasks on two machines, and tells nobody.
+fn eight_placed() -> Desk {
+    let mut d = Desk::set_up(5, vec![], |c| c.teams[0].cpus_max = 99.0);
+    for n in 1..=2 {
+        d.beat(&report(n, 1, Token(0)));
+    }
+    d.submit(&job(1, 8));
+    d
+}
+
 /// Loads what `first` has on record of a job, as the next leader does.
 fn inherit(first: &Desk, change: impl Fn(&mut Config)) -> Desk {
     let record = first.s.jobs[&JobId::from(JOB)].encode(0);
@@ -44,11 +54,7 @@
 /// attempt: placed anew, a thousand tasks waited for a write each.
 #[test]
 fn what_an_earlier_leader_never_began_is_begun_without_a_write() {
-    let mut first = Desk::set_up(5, vec![], |c| c.teams[0].cpus_max = 99.0);
-    for n in 1..=2 {
-        first.beat(&report(n, 1, Token(0)));
-    }
-    first.submit(&job(1, 8));
+    let first = eight_placed();
     let mut d = inherit(&first, |c| c.teams[0].cpus_max = 99.0);
     d.refuses = true;
     let mut runs = reports(&mut d);
@@ -64,11 +70,7 @@
 /// and ended before that was stored: beginning it took a team past its limit.
 #[test]
 fn what_does_not_fit_the_limit_any_more_is_not_begun() {
-    let mut first = Desk::set_up(5, vec![], |c| c.teams[0].cpus_max = 99.0);
-    for n in 1..=2 {
-        first.beat(&report(n, 1, Token(0)));
-    }
-    first.submit(&job(1, 8));
+    let first = eight_placed();
     let mut d = inherit(&first, |_| {});
     d.refuses = true;
     let mut runs = reports(&mut d);
@@ -81,11 +83,7 @@
 /// Held, cancelled or on a machine that takes nothing: nothing is begun there.
 #[test]
 fn what_may_not_start_now_is_not_begun_either() {
-    let mut first = Desk::set_up(5, vec![], |c| c.teams[0].cpus_max = 99.0);
-    for n in 1..=2 {
-        first.beat(&report(n, 1, Token(0)));
-    }
-    first.submit(&job(1, 8));
+    let first = eight_placed();
     let mut d = inherit(&first, |c| c.teams[0].cpus_max = 99.0);
     d.refuses = true;
     d.ask(Ask::Hold(
