--- /dev/null
+++ b/tests/world/users.rs
@@ -0,0 +1,69 @@
+//! What users ask for, and what they are told.
+
+use super::World;
+use hookworks::ids::*;
+use hookworks::sched::Event;
+use hookworks::wire::peer::{Answer, Ask};
+use hookworks::wire::user::{JobSpec, JobState, JobView};
+use hookworks_life::{HoldRequest, ReleaseRequest};
+
+impl World {
+    pub fn submit(&mut self, spec: JobSpec) {
+        let body = serde_json::to_vec(&spec).unwrap();
+        self.specs.insert(spec.id.clone(), spec);
+        self.user(Ask::Submit(body));
+    }
+
+    pub fn user(&mut self, ask: Ask) {
+        let Some(i) = self.leader() else {
+            let a = Answer::later("no leader", 1);
+            return self.heard(ask, a);
+        };
+        self.ask(i, ask);
+    }
+
+    /// To a given controller, leader or not.
+    pub fn ask(&mut self, i: usize, ask: Ask) {
+        let req = ReqId(self.next_req);
+        self.next_req += 1;
+        self.asks.insert(req, ask.clone());
+        match &ask {
+            Ask::Release(id, body) => {
+                let key = (
+                    id.as_str().into(),
+                    ReleaseRequest::parse(body).unwrap().kind,
+                );
+                self.held.remove(&key);
+                *self.releases.entry(key).or_default() += 1;
+            }
+            Ask::Hold(id, body) => {
+                let key = (id.as_str().into(), HoldRequest::parse(body).unwrap().kind);
+                let sent = self.releases.get(&key).copied().unwrap_or(0);
+                self.holds_asked.insert(req, sent);
+            }
+            _ => {}
+        }
+        self.event(i, Event::Ask(req, ask));
+    }
+
+    pub fn answers_to(&self, id: &str) -> Vec<u16> {
+        let of = |a: &Ask| match a {
+            Ask::Submit(b) => JobSpec::parse(b).unwrap().id.to_string(),
+            Ask::Poll(i) | Ask::Cancel(i) | Ask::Show(i) => i.clone(),
+            Ask::Hold(i, _) | Ask::Release(i, _) => i.clone(),
+            Ask::Report(_) | Ask::List(_) | Ask::Events(_) => String::new(),
+        };
+        let mine = self.answers.iter().filter(|(a, _)| of(a) == id);
+        mine.map(|(_, a)| a.status).collect()
+    }
+
+    pub fn state_of(&mut self, id: &str) -> Option<JobState> {
+        self.user(Ask::Poll(id.into()));
+        self.run(0.5);
+        let polls = |x: &&(Ask, Answer)| matches!(&x.0, Ask::Poll(i) if i == id);
+        let last = self.answers.iter().rfind(polls)?;
+        serde_json::from_str::<JobView>(&last.1.body)
+            .ok()
+            .map(|v| v.state)
+    }
+}
