--- a/crates/gate/src/conn.rs
+++ b/crates/gate/src/conn.rs
@@ -102,28 +102,40 @@
         self.admit(lane)?;
         self.fresh = false;
         let (body, booked) = self.body(&head)?;
+        let asked = Instant::now();
         let answer = match request {
             Err(a) => a,
             Ok(r) => {
                 if let Some(why) = self.enter(Phase::Service) {
                     return Err(self.told(why));
                 }
-                let (reply, answer) = bounded(1);
-                self.shared.service.take(r, body, Reply(reply));
+                let (to, answer) = bounded(1);
+                self.shared.service.take(r, body, Reply { to, asked });
                 let none = |_| Answer::later("no answer in time", 1);
                 answer.recv_timeout(SERVICE).unwrap_or_else(none)
             }
         };
         drop(booked);
-        self.answer(lane, &head, answer)
+        self.answer(lane, &head, answer, asked)
     }
 
-    fn answer(&mut self, lane: Lane, head: &Head, mut a: Answer) -> Result<(), End> {
+    fn answer(
+        &mut self,
+        lane: Lane,
+        head: &Head,
+        mut a: Answer,
+        asked: Instant,
+    ) -> Result<(), End> {
         let mut lanes = self.shared.lanes();
         let told = lanes.enter(self.id, Phase::Write, Instant::now());
         let close = !head.keep_alive || told.is_some() || lanes.crowded(lane);
         drop(lanes);
         let close = close || self.shared.stopping();
+        // Looked at last: this process may have stood still since the answer was
+        // made, while another one told its user something newer.
+        if a.is_stale(asked) {
+            a = Answer::later("no longer certain", 1);
+        }
         if lane == Lane::Users {
             a.retry_after = a.retry_after.map(|s| self.shared.come_back(s));
         }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -21,25 +21,50 @@
 pub use server::{Figures, LaneFigures, Server};
 pub use spread::Spread;
 
+use bincode::de::Decoder;
+use bincode::error::DecodeError;
 use bincode::{Decode, Encode};
 use crossbeam_channel::Sender;
 use http::Method;
+use std::time::{Duration, Instant};
 
 /// An answer, with a JSON body; controllers pass it on among themselves.
-#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Encode)]
 pub struct Answer {
     pub status: u16,
     pub body: String,
     /// Seconds after which asking again makes sense; spread out on the way.
     pub retry_after: Option<u32>,
+    /// Microseconds for which it may be told, counted from when it was asked for;
+    /// none: for ever. What is passed on counts from when it was passed on, or
+    /// earlier, so no clocks are compared. Last, as earlier versions neither send
+    /// nor read it.
+    pub valid_us: Option<u64>,
 }
 
+impl<C> Decode<C> for Answer {
+    fn decode<D: Decoder<Context = C>>(from: &mut D) -> Result<Self, DecodeError> {
+        Ok(Answer {
+            status: Decode::decode(from)?,
+            body: Decode::decode(from)?,
+            retry_after: Decode::decode(from)?,
+            valid_us: match Decode::decode(from) {
+                Err(DecodeError::UnexpectedEnd { .. }) => None,
+                valid => valid?,
+            },
+        })
+    }
+}
+
+bincode::impl_borrow_decode!(Answer);
+
 impl Answer {
     pub fn new(status: u16, body: String) -> Answer {
         Answer {
             status,
             body,
             retry_after: None,
+            valid_us: None,
         }
     }
 
@@ -47,6 +72,12 @@
         Answer::new(status, serde_json::json!({ "error": text }).to_string())
     }
 
+    /// It may not be told any more, if it was asked for then.
+    pub fn is_stale(&self, asked: Instant) -> bool {
+        let valid = self.valid_us.map(Duration::from_micros);
+        valid.is_some_and(|v| asked.elapsed() >= v)
+    }
+
     /// 503 with `Retry-After`.
     pub fn later(text: &str, seconds: u32) -> Answer {
         Answer {
@@ -58,12 +89,20 @@
 
 /// The way back to whoever asked. Dropped unused, it answers 503.
 #[derive(Debug)]
-pub struct Reply(pub(crate) Sender<Answer>);
+pub struct Reply {
+    pub(crate) to: Sender<Answer>,
+    pub(crate) asked: Instant,
+}
 
 impl Reply {
+    /// When the whole request was here; the answer's validity counts from then.
+    pub fn asked(&self) -> Instant {
+        self.asked
+    }
+
     /// Hands the answer to the connection's routine; never blocks.
     pub fn answer(self, a: Answer) {
-        let _ = self.0.try_send(a);
+        let _ = self.to.try_send(a);
     }
 }
 
--- a/crates/served/src/lib.rs
+++ b/crates/served/src/lib.rs
@@ -198,8 +198,14 @@
     pub room: f64,
     /// A group is below the floor if a smaller share of it is served.
     pub below: f64,
+    /// A job is overtaken by others for no longer than this without any start; none:
+    /// for as long as the order of service has it.
+    pub overtaken: Option<Span>,
 }
 
+/// Of a job that was overtaken for so long, one in so many tasks begins.
+const PORTION: u64 = 10;
+
 impl Floor {
     /// Whether a group is below the floor: jobs of it are overdue, and too few
     /// began meanwhile. One that was stays so until none of its jobs is late: the
@@ -209,6 +215,17 @@
         self.room > 0.0 && (falls || was && f.late_jobs > 0)
     }
 
+    /// How many tasks of a job go ahead of others, of which so many wait and none
+    /// has begun for so long. Each time a part only: jobs of thousands of tasks
+    /// would stop everyone else's; and the rest is overtaken no longer than this
+    /// again, so that a job of any size has all begun within ten times that.
+    pub fn goes_ahead(&self, tasks: u64, waiting: u64, waited: Span) -> u64 {
+        match self.overtaken {
+            Some(most) if waited >= most => tasks.div_ceil(PORTION).min(waiting),
+            _ => 0,
+        }
+    }
+
     /// What each of the groups below the floor may still take ahead of others,
     /// given what they use of a fleet of this size. Below zero: it has more than
     /// its part already, as one has that floods the fleet and is not served by half
@@ -293,6 +310,7 @@
         let floor = Floor {
             room: 0.1,
             below: 0.7,
+            overtaken: None,
         };
         let of = |overdue_jobs, share| Figures {
             overdue_jobs,
@@ -311,6 +329,25 @@
         assert!(!off.is_below(true, &of(3, 0.5)));
     }
 
+    /// The largest jobs were overtaken for ever by a flood of small ones.
+    #[test]
+    fn a_job_is_overtaken_for_so_long_and_then_goes_ahead_in_part() {
+        let floor = Floor {
+            room: 0.0,
+            below: 0.7,
+            overtaken: Some(Span::secs(100.0)),
+        };
+        let ahead = |tasks, waiting, s| floor.goes_ahead(tasks, waiting, Span::secs(s));
+        assert_eq!(ahead(3000, 3000, 99.0), 0);
+        assert_eq!((ahead(3000, 3000, 100.0), ahead(1, 1, 100.0)), (300, 1));
+        assert_eq!(ahead(3000, 7, 500.0), 7);
+        let never = Floor {
+            overtaken: None,
+            ..floor
+        };
+        assert_eq!(never.goes_ahead(3000, 3000, Span::secs(1e6)), 0);
+    }
+
     /// A class floods the fleet, is served by less than half for that, and is not
     /// to take the part of one that has nothing.
     #[test]
@@ -318,6 +355,7 @@
         let floor = Floor {
             room: 0.1,
             below: 0.7,
+            overtaken: None,
         };
         let used = BTreeMap::from([("flood", 900), ("none", 0), ("little", 20)]);
         let left = floor.budgets(1000, &used);
@@ -335,6 +373,7 @@
             let floor = Floor {
                 room: 0.1,
                 below: 0.7,
+                overtaken: None,
             };
             let fleet: i64 = u.int_in_range(0..=10_000_000)?;
             let mut used = BTreeMap::new();
--- a/src/node/asks.rs
+++ b/src/node/asks.rs
@@ -14,10 +14,9 @@
 const LOST_AFTER: Span = Span(2_600_000);
 
 impl Node {
-    pub(super) fn new_req(&mut self, now: Time, origin: Origin, ask: &Ask) -> ReqId {
+    pub(super) fn new_req(&mut self, since: Time, origin: Origin, ask: &Ask) -> ReqId {
         let req = ReqId(self.next_req);
         self.next_req += 1;
-        let since = now;
         self.pending.insert(
             req,
             Pending {
@@ -25,6 +24,7 @@
                 since,
                 limit: limit_of(ask),
                 submits: matches!(ask, Ask::Submit(_)),
+                reports: matches!(ask, Ask::Report(_)),
                 report: None,
                 with: None,
             },
@@ -55,9 +55,9 @@
         }
     }
 
-    pub(super) fn ask(&mut self, now: Time, origin: Origin, ask: Ask) {
+    pub(super) fn ask(&mut self, now: Time, since: Time, origin: Origin, ask: Ask) {
         let full = self.pending.len() >= self.sizes.requests;
-        let req = self.new_req(now, origin, &ask);
+        let req = self.new_req(since, origin, &ask);
         if self.stopping.is_some() {
             return self.answer(now, req, Answer::later("stopping", 1));
         }
@@ -218,10 +218,22 @@
         }
     }
 
-    pub(super) fn answer(&mut self, now: Time, req: ReqId, answer: Answer) {
+    pub(super) fn answer(&mut self, now: Time, req: ReqId, mut answer: Answer) {
         let Some(p) = self.pending.remove(&req) else {
             return;
         };
+        // What rests on the proof of the leadership is told as long as that lasts,
+        // however long this process may stand still before it leaves; it has a
+        // limit already if it came from the leader. Leases of workers count from
+        // when they sent their reports, so those answers need none.
+        if let Role::Leader(t) = &self.role
+            && p.with.is_none()
+            && !p.reports
+            && answer.status < 429
+            && t.sched.may_start(now)
+        {
+            answer.valid_us = Some((t.sched.proven_until() - p.since).0);
+        }
         self.latency.saturating_record((now - p.since).0);
         if answer.status >= 429 && p.submits {
             let after_ms = (now - p.since).0 / 1000;
--- a/src/node/duties.rs
+++ b/src/node/duties.rs
@@ -4,7 +4,7 @@
 use crate::agent::AgentClient;
 use crate::cloud::CloudClient;
 use crate::ids::{CallId, Epoch, Host};
-use crate::lead::{Candidate, Elector};
+use crate::lead::{Candidate, Elect, Elector};
 use crate::sched::{DirectResult, Event};
 use crate::settings::Settings;
 use crate::store::StateClient;
@@ -23,6 +23,8 @@
 /// Those of the state service, the election, the cloud and direct calls; a
 /// client may hold two while it goes from one to another.
 pub(super) const SOCKETS: usize = STORE_THREADS + 4 + 4 + 2 * AGENT_THREADS;
+/// Word of the election that may wait for the main loop, some ten seconds of it.
+const ELECTIONS: usize = 32;
 /// A direct call that has waited for longer is given up unsent.
 const STALE_CALL: Span = Span(1_000_000);
 const LIST_EVERY: Span = Span(5_000_000);
@@ -79,14 +81,15 @@
     Stop(Sender<()>),
 }
 
-/// Looks who leads, campaigns, and keeps the leadership up.
+/// Looks who leads, campaigns, and keeps the leadership up. What comes of it has a
+/// channel of its own, as it passes all other messages.
 pub fn election(
     settings: &Settings,
     clock: Clock,
     me: Candidate,
-    inbox: Sender<Msg>,
-) -> Sender<ToElection> {
+) -> (Sender<ToElection>, Receiver<Elect>) {
     let (tell, told) = bounded::<ToElection>(8);
+    let (say, said) = bounded::<Elect>(ELECTIONS);
     let p = &settings.platform;
     let ttl = Span::secs(settings.tuning.leader_lease_s);
     let timeout = Duration::from_millis(1200);
@@ -95,7 +98,7 @@
     spawn("election", move || {
         loop {
             let e = elector.step(|| clock.now());
-            if inbox.send(Msg::Elect(e)).is_err() {
+            if say.send(e).is_err() {
                 elector.resign();
                 return;
             }
@@ -112,7 +115,7 @@
             }
         }
     });
-    tell
+    (tell, said)
 }
 
 pub enum CloudJob {
--- a/src/node/load.rs
+++ b/src/node/load.rs
@@ -9,6 +9,7 @@
 use crate::store::{FENCES, LIVE, PARTS, StateClient};
 use crate::time::{Clock, Time, Wall, wall};
 use crate::wire::state::Item;
+use crate::wire::user::JobState;
 use crossbeam_channel::Sender;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -22,7 +23,7 @@
     pub jobs: Vec<Job>,
     pub stamps: Vec<(String, Stamp)>,
     pub litter: Vec<String>,
-    pub unreadable: Vec<JobId>,
+    pub unreadable: BTreeMap<JobId, JobState>,
     /// Zones that earlier terms did not answer.
     pub fences: Option<FenceRecord>,
 }
@@ -72,7 +73,7 @@
         jobs: vec![],
         stamps: vec![],
         litter: vec![],
-        unreadable: vec![],
+        unreadable: BTreeMap::new(),
         fences: None,
     };
     for i in all(state, LIVE)? {
@@ -84,7 +85,7 @@
             }
             _ => {
                 tracing::error!(key = %i.key, "a record can't be read and is left alone");
-                l.unreadable.push(id);
+                l.unreadable.insert(id, Job::state_of_unreadable(&i.value));
             }
         }
     }
@@ -94,7 +95,7 @@
             continue;
         };
         let id = JobId::from(id);
-        if l.unreadable.contains(&id) {
+        if l.unreadable.contains_key(&id) {
             continue;
         }
         let Some(j) = jobs.get_mut(&id) else {
@@ -105,13 +106,11 @@
             .parse()
             .ok()
             .and_then(|p| j.decode_part(p, &i.value, now, wall));
-        if read.is_some() {
-            l.stamps.push((i.key, i.stamp));
-        } else {
-            tracing::error!(key = %i.key, "a record can't be read; its job is left alone");
-            jobs.remove(&id);
-            l.unreadable.push(id);
+        if read.is_none() {
+            tracing::error!(key = %i.key, "a record can't be read; its tasks start anew later");
+            j.damaged = true;
         }
+        l.stamps.push((i.key, i.stamp));
     }
     if let Some(i) = state.get(FENCES)? {
         l.fences = serde_json::from_value(i.value).ok();
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -21,7 +21,7 @@
 use crate::wire::cloud::Flavor;
 use crate::wire::peer::{Answer, PeerMsg};
 use crate::wire::state::{Item, Txn};
-use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded, select_biased};
 use hdrhistogram::Histogram;
 use hookworks_gate::{Lane, Reply, Server};
 use hookworks_listing::Board;
@@ -29,7 +29,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Small stacks: the machine is small, and nothing here recurses deeply.
 const STACK: usize = 256 * 1024;
@@ -59,7 +59,6 @@
 pub enum Msg {
     Http(Incoming),
     Peer(FromPeers),
-    Elect(Elect),
     Loaded(Box<Loaded>),
     /// Machine types, which every controller keeps at hand.
     Flavors(Vec<Flavor>),
@@ -96,6 +95,8 @@
     limit: Span,
     /// A submission, whose refusal operators would ask about.
     submits: bool,
+    /// A worker's report.
+    reports: bool,
     /// A worker's report that was passed on, in case that another leader
     /// comes before the answer.
     report: Option<Vec<u8>>,
@@ -187,7 +188,7 @@
     let cloud = duties::cloud(&settings, clock, term.clone(), inbox.clone());
     let agents = duties::agents(clock, inbox.clone());
     let lists = lists::start(&settings, clock, notice.clone(), inbox.clone());
-    let election = duties::election(&settings, clock, me, inbox.clone());
+    let (election, elections) = duties::election(&settings, clock, me);
     let tx = inbox.clone();
     if let Err(e) = ctrlc::set_handler(move || {
         let _ = tx.send(Msg::Stop);
@@ -226,7 +227,7 @@
         stopping: None,
         election,
     };
-    node.run(rx);
+    node.run(rx, elections);
     Ok(())
 }
 
@@ -242,7 +243,7 @@
 }
 
 impl Node {
-    fn run(mut self, rx: Receiver<Msg>) {
+    fn run(mut self, rx: Receiver<Msg>, elections: Receiver<Elect>) {
         // The first one is due at once: health checks are waiting.
         let mut tick = Time::default();
         loop {
@@ -254,13 +255,30 @@
                 until = until.min(pass.max(now + Span::millis(3)));
             }
             let mut turn = until;
-            match rx.recv_timeout((until - now).std().max(Duration::from_millis(1))) {
+            let wait = (until - now).std().max(Duration::from_millis(1));
+            let first = select_biased! {
+                recv(elections) -> e => {
+                    if let Ok(e) = e {
+                        self.elect(self.clock.now(), e);
+                    }
+                    Err(RecvTimeoutError::Timeout)
+                }
+                recv(rx) -> m => m.map_err(|_| RecvTimeoutError::Disconnected),
+                default(wait) => Err(RecvTimeoutError::Timeout),
+            };
+            match first {
                 Ok(m) => {
                     self.waiting = rx.len();
                     turn = self.clock.now();
                     self.take(m);
                     // What has come meanwhile is seen before anything is written.
                     for m in rx.try_iter().take(AT_ONCE) {
+                        // Proofs pass all else: with 600 jobs waiting, renewals that
+                        // were answered in time waited in line for a second, and
+                        // submissions were refused as not proven.
+                        for e in elections.try_iter() {
+                            self.elect(self.clock.now(), e);
+                        }
                         self.take(m);
                     }
                 }
@@ -306,7 +324,9 @@
         let now = self.clock.now();
         match m {
             Msg::Http(Incoming::Ask(reply, ask)) => {
-                self.ask(now, Origin::Http(reply), ask);
+                // From when it was here, not from when it had waited its turn.
+                let since = self.clock.at(reply.asked()).min(now);
+                self.ask(now, since, Origin::Http(reply), ask);
             }
             Msg::Http(Incoming::Overview(reply)) => {
                 let body = self.overview(now).to_string();
@@ -322,7 +342,6 @@
                 self.answer(now, ReqId(id), answer);
             }
             Msg::Peer(FromPeers::Msg(PeerMsg::Ping { .. })) => {}
-            Msg::Elect(e) => self.elect(now, e),
             Msg::Loaded(l) => self.loaded(now, *l),
             Msg::Flavors(f) => {
                 self.flavors = f.clone();
@@ -454,10 +473,10 @@
                         }
                     }
                 }
-                let left = t.sched.proof_left(now);
-                (left > Span::ZERO).then(|| Published {
+                let until = t.sched.proven_until();
+                (now < until).then(|| Published {
                     jobs: t.board.publish(),
-                    until: Instant::now() + left.std(),
+                    until: self.clock.moment(until),
                 })
             }
             _ => None,
--- a/src/sched/fleet.rs
+++ b/src/sched/fleet.rs
@@ -21,6 +21,8 @@
 const MIN_PAID: Span = Span(60_000_000);
 /// Machines asked for in one request.
 const MAX_HIRE: u32 = 50;
+/// Machines that don't hear are given back one in so long.
+const DEAF_EVERY: Span = Span(2_000_000);
 /// A worker whose controller has lost the leader is elsewhere after so long.
 const FINDS_WAY: Span = Span(8_000_000);
 /// Errors in a row that put a machine aside.
@@ -62,6 +64,8 @@
     gone: HashSet<Host>,
     /// When other controllers were last found out of reach.
     pub out_of_reach: HashMap<Label, Time>,
+    /// The next machine that does not hear may be given back then.
+    deaf_at: Time,
 }
 
 impl Fleet {
@@ -74,6 +78,7 @@
             refused: HashMap::new(),
             gone: HashSet::new(),
             out_of_reach: HashMap::new(),
+            deaf_at: Time::default(),
         }
     }
 
@@ -143,6 +148,7 @@
                     m.set_flavor(f);
                 }
             }
+            m.certain = true;
             if m.addr.is_none() {
                 m.addr = l.addr;
             }
@@ -176,20 +182,22 @@
         );
         let lease = self.lease_bound();
         // Zones in trouble are one matter, and machines that fall silent another.
-        let up = |m: &&Machine| m.life == Life::Up && !self.watch.silent(&m.zone);
+        let up = |m: &&Machine| m.life == Life::Up && m.certain && !self.watch.silent(&m.zone);
+        // What was not heard while this process stood still is no silence of theirs.
+        let awake = self.awake;
         let all = self.machines.values().filter(up).count();
-        let silent_one = |m: &&Machine| up(m) && now - m.heard > patience;
+        let silent_one = |m: &&Machine| up(m) && now - m.heard.max(awake) > patience;
         let silent = self.machines.values().filter(silent_one).count();
         // When most fall silent at once, the fault is likely on our side.
         let ours = all > 2 && silent * 2 > all;
-        let settled = now - self.began > patience;
+        let settled = now - self.began.max(awake) > patience;
         let mut lost: Vec<Host> = vec![];
         let mut drain: Vec<TaskId> = vec![];
         let kept: HashSet<Zone> = self.kept_zones(now);
         for m in self.machines.values_mut() {
             let zone_kept = kept.contains(&m.zone);
             // One that comes back has as long as any other to report.
-            let heard = m.heard.max(self.watch.zones.returned(&m.zone));
+            let heard = m.heard.max(self.watch.zones.returned(&m.zone)).max(awake);
             // While controllers refused each other a quarter of the fleet was
             // released, whose reports did not come through.
             let patience = match self.fleet.cut_off(now, &m.via) {
@@ -199,14 +207,15 @@
             match m.life {
                 Life::Booting => {
                     let boot = self.flavors.get(&m.build).map_or(60.0, |f| f.boot_s);
-                    if now - m.hired > late_boot(boot) && !zone_kept {
+                    let slept = now - awake < patience;
+                    if now - m.hired > late_boot(boot) && !zone_kept && !slept {
                         tracing::info!(host = %m.host, "never came up, released");
                         m.life = Life::Leaving { next: now };
                     }
                 }
                 Life::Up => {
                     let taken =
-                        m.notice_until.is_some_and(|t| now > t) && now - m.heard > Span::secs(4.5);
+                        m.notice_until.is_some_and(|t| now > t) && now - heard > Span::secs(4.5);
                     let silent = now - heard > patience && settled && !ours;
                     if (silent && !zone_kept) || taken {
                         tracing::info!(host = %m.host, tasks = m.slots.len(), "silent, released");
@@ -242,9 +251,12 @@
         m.answered = now;
         m.reported = false;
         let (zone, up) = (m.zone.clone(), m.life == Life::Up);
+        // One that reports all the same is looked after in `give_back`.
+        let deaf = m.deaf_since.is_some();
         let tasks: Vec<TaskId> = m.slots.keys().cloned().collect();
         // A lost zone's machines are good for its next session, when it is back.
         if up
+            && !deaf
             && !self.keeps_zone(now, &zone)
             && let Some(m) = self.machines.get_mut(host)
         {
@@ -295,8 +307,7 @@
         j.errors += 1;
         j.error_hosts.insert(host.clone());
         let works_elsewhere = j.done_count > 0;
-        let hosts = j.error_hosts.len();
-        if hosts >= 3 && !works_elsewhere {
+        if j.fails_everywhere() {
             // It fails everywhere: its machines are not to blame.
             let pause = 5.0 * 2f64.powi((j.errors / 3).min(4) as i32);
             j.backoff_until = now + Span::secs(pause.min(60.0));
@@ -340,7 +351,17 @@
             let Some(m) = self.machines.get(&h) else {
                 continue;
             };
-            let done_with = m.quarantined || m.notice_until.is_some();
+            let mut done_with = m.quarantined || m.notice_until.is_some();
+            if let Some(since) = m.deaf_since {
+                // Many at a time are likely to be a matter of the network: they are
+                // neither given up nor replaced in one moment.
+                if now - since < self.lease_bound() + self.lease_bound() || now < self.fleet.deaf_at
+                {
+                    continue;
+                }
+                self.fleet.deaf_at = now + DEAF_EVERY;
+                done_with = true;
+            }
             let limit = Span::secs(if spot { t.idle_spot_s } else { t.idle_s });
             let idles = now - since > limit && now - m.hired > MIN_PAID;
             let useful = |s: &Short| {
--- a/src/sched/fleet/rent.rs
+++ b/src/sched/fleet/rent.rs
@@ -302,6 +302,8 @@
                     self.machines.entry(h.clone()).or_insert_with(|| {
                         let (b, z) = (hire.build.clone(), hire.zone.clone());
                         let mut m = Machine::new(h, b, z, hire.spot, now, token);
+                        // Nobody else has ever told it anything.
+                        (m.certain, m.in_term) = (true, true);
                         if let Some(f) = flavor {
                             m.set_flavor(f);
                         }
--- /dev/null
+++ b/src/sched/hearing.rs
@@ -0,0 +1,97 @@
+//! Machines whose reports arrive while answers and commands don't reach them.
+//!
+//! Such a machine looks alive, its lease is not renewed whatever it is answered, and
+//! what it is told has no effect: best fit chose it again and again. What shows it is
+//! that reports sent after an answer bear no trace of it: neither its token, nor what
+//! it told to run; or that a session ended though its reports were answered.
+//!
+//! Nothing is placed there until it has confirmed a token that it was first told
+//! after that, which also puts commands that may still be under way out of force.
+//! While it has anything that is to end, its reports are not answered with 200: it
+//! might hear that very answer, and every one that renews its lease would have to
+//! tell it all there is to tell. What it has is gone by the usual proofs: a later
+//! session, the release carried out, a lease that ran out since the last 200.
+
+use super::Sched;
+use super::job::{Live, Phase};
+use crate::ids::{Host, TaskId};
+use crate::time::{Span, Time};
+use crate::wire::worker::Report;
+use std::collections::BTreeSet;
+
+/// Answers in a row without effect. One is lost now and then.
+const IN_VAIN: u32 = 2;
+/// A worker takes an answer that comes so long after its report.
+const TAKES_FOR: Span = Span(4_000_000);
+
+impl Sched {
+    /// What a new report shows of the answer to the one before; `shown`: the
+    /// attempts of ours on it.
+    pub(super) fn note_hearing(
+        &mut self,
+        now: Time,
+        r: &Report,
+        shown: &BTreeSet<TaskId>,
+        new_session: bool,
+    ) {
+        let fresh = self.next_token();
+        let Some(m) = self.machines.get_mut(&r.host) else {
+            return;
+        };
+        if m.deaf_since.is_some() && m.doubt.is_none() {
+            let seconds = m.deaf_since.map_or(0.0, |t| (now - t).as_secs());
+            tracing::info!(host = %r.host, seconds, "hears again");
+            (m.deaf_since, m.in_vain, m.told) = (None, 0, None);
+            m.idle_since = now;
+            self.replan = true;
+        }
+        let Some(m) = self.machines.get_mut(&r.host) else {
+            return;
+        };
+        let Some(told) = m.told.take() else { return };
+        let lease = Span::secs(self.cfg.workers.lease_s).shrunk() - TAKES_FOR;
+        let lost = new_session && now < m.answered + lease;
+        let began = |t: &TaskId| {
+            let l = self.jobs.get(&t.job).and_then(|j| j.live.get(&t.ix));
+            let waits = |l: &Live| l.phase == Phase::Placed && l.told == Some(told.seq);
+            !l.is_some_and(waits) || shown.contains(t)
+        };
+        let missed = lost || r.token < told.token || !new_session && !m.slots.keys().all(began);
+        m.in_vain = match missed {
+            true if lost => IN_VAIN,
+            true => m.in_vain + 1,
+            false => 0,
+        };
+        if m.in_vain < IN_VAIN || m.deaf_since.is_some() {
+            return;
+        }
+        m.deaf_since = Some(now);
+        (m.token, m.doubt) = (fresh, Some(fresh));
+        tracing::info!(host = %r.host, tasks = m.slots.len(), "does not hear");
+        // What was not told to start there can start elsewhere at once.
+        let tasks: Vec<TaskId> = m.slots.keys().cloned().collect();
+        for t in tasks {
+            if self.live_mut(&t).is_some_and(|l| !l.sent) {
+                self.gone(now, &t);
+            }
+        }
+    }
+
+    /// Something on the machine is to end: what was stopped or is no longer ours,
+    /// and what was told to start and has not been seen, which waits elsewhere.
+    /// If so, it is tried directly as well, which renews no lease.
+    pub(super) fn ends_something(&mut self, host: &Host) -> bool {
+        let Some(m) = self.machines.get(host) else {
+            return false;
+        };
+        let ends = |t: &TaskId| {
+            let l = self.jobs.get(&t.job).and_then(|j| j.live.get(&t.ix));
+            l.is_some_and(|l| l.stop.is_some() || l.phase == Phase::Placed)
+        };
+        let any = m.strays.values().any(|ended| !ended) || m.slots.keys().any(ends);
+        if any {
+            self.wish_for_token(host);
+        }
+        any
+    }
+}
--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -6,7 +6,7 @@
 use crate::ids::{Attempt, Host, JobId, ReqId, Seq, TaskIx};
 use crate::time::{Time, Wall};
 use crate::wire::user::{JobSpec, JobState, Kind};
-use hookworks_life::{At, Attempts, History, Holds};
+use hookworks_life::{At, Attempts, History, Holds, What};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -97,8 +97,12 @@
     /// Of the runtimes; kept, since every pass asks for it.
     pub median: Option<f64>,
     pub backoff_until: Time,
+    /// When the latest of its tasks was placed under this leader.
+    pub started: Time,
     pub errors: u32,
     pub error_hosts: BTreeSet<Host>,
+    /// Tasks that failed under earlier leaders, wherever that was.
+    failed_before: u32,
     /// All tasks of the gang's attempt were running at some time.
     pub gang_ran: bool,
     pub waiters: Vec<(u64, ReqId, Waiting)>,
@@ -123,6 +127,8 @@
     /// more, and how many still do.
     opened: Vec<u64>,
     closed: u32,
+    /// A part of its record could not be read.
+    pub damaged: bool,
     /// Fields of a later version, which are not to be lost.
     rest: Rest,
 }
@@ -138,6 +144,8 @@
 const LEAST_HISTORY: usize = 130;
 const MOST_HISTORY: usize = 700;
 
+/// A job that failed on so many machines and worked on none is at fault.
+const MACHINES_TO_BLAME: usize = 3;
 /// Enough finished tasks for a median that later ones hardly move.
 const RUNTIMES_KEPT: usize = 15;
 
@@ -215,8 +223,10 @@
             runtimes: vec![],
             median: None,
             backoff_until: Time::default(),
+            started: Time::default(),
             errors: 0,
             error_hosts: BTreeSet::new(),
+            failed_before: 0,
             gang_ran: false,
             waiters: vec![],
             holds: Holds::default(),
@@ -230,6 +240,7 @@
             never: 0,
             opened: vec![],
             closed: 0,
+            damaged: false,
             rest: Rest::default(),
         }
     }
@@ -238,6 +249,14 @@
         &self.spec.id
     }
 
+    /// What a record that can't be read as a whole says for certain.
+    pub fn state_of_unreadable(value: &serde_json::Value) -> JobState {
+        match value.get("cancelled").and_then(serde_json::Value::as_bool) {
+            Some(true) => JobState::Cancelled,
+            _ => JobState::Queued,
+        }
+    }
+
     /// The state to show to users, of what is stored.
     pub fn state(&self) -> JobState {
         if self.cancelled {
@@ -266,6 +285,13 @@
         }
     }
 
+    /// It has failed on several machines and succeeded on none: the fault is
+    /// likely its own.
+    pub fn fails_everywhere(&self) -> bool {
+        let before = self.failed_before as usize;
+        self.done_count == 0 && self.error_hosts.len().max(before) >= MACHINES_TO_BLAME
+    }
+
     /// Tasks that neither run nor are done.
     pub fn pending(&self) -> u32 {
         if self.cancelled || self.closing.is_some() || self.held() || self.blocked() {
@@ -473,6 +499,7 @@
         (job.met, job.never) = (h.met, h.never);
         let history = h.history.and_then(|v| History::decode(At(h.at), &v));
         job.history = history.unwrap_or_else(|| History::new(At(h.at)));
+        job.failed_before = job.history.count(What::Failed);
         job.rest = h.rest;
         job.take_part(0, h.first, now, wall)?;
         Some(job)
--- a/src/sched/life.rs
+++ b/src/sched/life.rs
@@ -30,7 +30,7 @@
             self.answer(req, a);
         } else if !self.may_start(now) {
             self.no_proof(req);
-        } else if self.unreadable.contains(id) {
+        } else if self.unreadable.contains_key(id) {
             self.answer(req, Answer::later("the job's record can't be read", 30));
         } else if let Some(j) = self.jobs.get_mut(id) {
             if j.closing.is_some() {
@@ -280,7 +280,7 @@
         if !self.may_start(now) {
             return self.no_proof(req);
         }
-        if self.unreadable.contains(&id) {
+        if self.unreadable.contains_key(&id) {
             return self.answer(req, Answer::later("the job's record can't be read", 30));
         }
         let stored = |j: &&Job| j.parts[0].stored > 0 && j.closing.is_none();
--- a/src/sched/machine.rs
+++ b/src/sched/machine.rs
@@ -59,6 +59,19 @@
     pub reported: bool,
     /// Its last report in this term.
     pub reported_at: Option<Time>,
+    /// It is there: rented or listed in this term, or heard in answer to it. A
+    /// copy of an earlier report proves nothing, and may be of one long gone.
+    pub certain: bool,
+    /// Its session is known from what it sent in this term, so whatever it was
+    /// told before has ended once it reports a later one.
+    pub in_term: bool,
+    /// What its latest report was answered with.
+    pub told: Option<Told>,
+    /// Reports in a row that showed no effect of the answer before.
+    pub in_vain: u32,
+    /// It reports, but does not hear: nothing more is placed there until it has
+    /// confirmed the token of that moment.
+    pub deaf_since: Option<Time>,
     /// Its zone is in trouble, or not back in full: it takes nothing new.
     pub shut: bool,
     pub notice_until: Option<Time>,
@@ -75,6 +88,13 @@
     pub rest_until: Time,
 }
 
+/// An answer to a report: which one, and the token that it carried.
+#[derive(Clone, Copy, Debug)]
+pub struct Told {
+    pub seq: Seq,
+    pub token: Token,
+}
+
 /// A fetch may take a third longer than the rate says.
 const FETCH_MARGIN: f64 = 1.33;
 const IMAGES_REMEMBERED: usize = 100;
@@ -103,6 +123,11 @@
             answered: now,
             reported: false,
             reported_at: None,
+            certain: false,
+            in_term: false,
+            told: None,
+            in_vain: 0,
+            deaf_since: None,
             shut: false,
             notice_until: None,
             idle_since: now,
@@ -125,6 +150,8 @@
     pub fn open(&self, now: Time, fresh: Span) -> bool {
         self.life == Life::Up
             && self.reported
+            && self.certain
+            && self.deaf_since.is_none()
             && !self.shut
             && !self.quarantined
             && self.notice_until.is_none()
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -3,12 +3,14 @@
 
 mod after;
 mod audit;
+mod beats;
 mod catchup;
 mod direct;
 mod estimate;
 mod fences;
 mod fleet;
 mod gang;
+mod hearing;
 pub mod job;
 mod life;
 pub mod machine;
@@ -40,6 +42,7 @@
 use crate::time::{Span, Time, Wall};
 use crate::wire::cloud::{Flavor, Hire, Listed};
 use crate::wire::peer::{Answer, Ask};
+use crate::wire::user::JobState;
 use crate::wire::worker::{Orders, Report};
 use hookworks_life::RetryRule;
 use job::{Final, Job};
@@ -208,6 +211,10 @@
     next_call: u64,
     proven: Time,
     began: Time,
+    /// The latest tick, and the end of the latest pause in which this process stood
+    /// still: what was not heard meanwhile says nothing of others.
+    ticked: Time,
+    awake: Time,
     wall: Wall,
     /// Something has changed that the next pass over the jobs should see.
     replan: bool,
@@ -226,17 +233,20 @@
     /// Machines for which something has been stored since commands last left.
     ready: BTreeSet<Host>,
     /// Reports whose answers wait for what is being stored.
-    held: BTreeMap<Host, report::Beat>,
+    held: BTreeMap<Host, beats::Beat>,
     /// Those that wait for their zone to be taken back on record.
-    at_fence: BTreeMap<Host, report::Beat>,
+    at_fence: BTreeMap<Host, beats::Beat>,
     out: Vec<Effect>,
-    /// Jobs whose records could not be read: asked about, they get no answer.
-    unreadable: BTreeSet<JobId>,
+    /// Jobs whose records can't be read, and whether what can be says that they
+    /// were cancelled. They are left alone, but known.
+    unreadable: BTreeMap<JobId, JobState>,
 }
 
 /// Share of the state service's requests that look-ups may take: the rest is for
 /// what users and workers wait for.
 const LOOK_UPS: f64 = 0.1;
+/// Ticks come four times a second; so long without any, this process stood still.
+const STOOD_STILL: Span = Span(2_000_000);
 /// Where sizes can't be told.
 const LEAST_JOBS: usize = 1000;
 /// How full the fleet is goes to the log so often.
@@ -272,6 +282,8 @@
             next_call: 1,
             proven,
             began: now,
+            ticked: now,
+            awake: Time::default(),
             wall,
             replan: false,
             pass_at: now,
@@ -349,22 +361,26 @@
 
     /// Leadership is proven at this moment; anything new needs that.
     pub fn may_start(&self, now: Time) -> bool {
-        let lease = self.cfg.leader_lease.shrunk() - Span::millis(50);
-        now < self.proven + lease
+        now < self.proven_until()
     }
 
-    /// Reports may be answered for a while after the last proof.
+    /// Until when the leadership is proven.
+    pub fn proven_until(&self) -> Time {
+        self.proven + (self.cfg.leader_lease.shrunk() - Span::millis(50))
+    }
+
+    /// Reports may be answered for a while after the last proof: in an outage of
+    /// the state service for all. Who hears no other controller either may be the
+    /// only one that has lost it, and its workers are served better elsewhere.
     pub fn may_report(&self, now: Time) -> bool {
-        now < self.proven + self.cfg.report_grace()
+        self.may_start(now) || now < self.proven + self.cfg.report_grace() && !self.alone(now)
     }
 
-    /// For how long the leadership is proven yet.
-    pub fn proof_left(&self, now: Time) -> Span {
-        let lease = self.cfg.leader_lease.shrunk() - Span::millis(50);
-        match self.may_start(now) {
-            true => self.proven + lease - now,
-            false => Span::ZERO,
-        }
+    /// There are other controllers, and none of them can be talked to.
+    fn alone(&self, now: Time) -> bool {
+        let away = |l| self.fleet.out_of_reach.get(l);
+        let lately = |l| away(l).is_some_and(|t| now - *t < Span::secs(1.0));
+        !self.cfg.controllers.is_empty() && self.cfg.controllers.keys().all(lately)
     }
 
     fn next_token(&mut self) -> Token {
@@ -405,9 +421,15 @@
     }
 
     /// Takes over what earlier leaders stored; called before any event.
-    pub fn load(&mut self, now: Time, jobs: Vec<Job>, unreadable: Vec<JobId>) {
-        self.unreadable = unreadable.into_iter().collect();
-        for job in jobs {
+    pub fn load(&mut self, now: Time, jobs: Vec<Job>, unreadable: BTreeMap<JobId, JobState>) {
+        self.unreadable = unreadable;
+        for mut job in jobs {
+            if job.damaged {
+                // What the lost part had on machines is not known: it is over, by
+                // our word or with its lease, before anything of the job starts.
+                job.backoff_until =
+                    self.maybe_renewed(now) + self.lease_bound() + self.lease_bound();
+            }
             self.next_seq = self.next_seq.max(job.seq + 1);
             let id = job.id().clone();
             let estimate = estimate::of(&job);
@@ -466,6 +488,11 @@
     }
 
     fn tick(&mut self, now: Time) {
+        let pause = now - std::mem::replace(&mut self.ticked, now);
+        if pause > STOOD_STILL {
+            tracing::warn!(seconds = pause.as_secs(), "stood still");
+            self.awake = now;
+        }
         self.push_ready(now);
         self.answer_held(now, false);
         self.answer_at_fence(now);
--- a/src/sched/order.rs
+++ b/src/sched/order.rs
@@ -26,6 +26,8 @@
     pub job: JobId,
     /// No more of its tasks than this, none: all that it may.
     pub most: Option<i64>,
+    /// Ahead of its place in the order, where it has another turn.
+    pub lifted: bool,
 }
 
 /// The ranks of all jobs at one moment.
@@ -56,15 +58,22 @@
         let lifted = lifted.filter(waits).map(|j| Turn {
             job: j.id().clone(),
             most: s.books.lift(j.id()),
+            lifted: true,
         });
         let waiting = s.jobs.values().filter(waits);
         let mut v: Vec<(&Rank, &JobId)> = waiting
             .filter_map(|j| Some((self.ranks.get(j.id())?, j.id())))
             .collect();
         v.sort_by(|a, b| a.0.partial_cmp(b.0).unwrap_or(std::cmp::Ordering::Equal));
+        // What fails everywhere is tried a task at a time: with all of its tasks it
+        // took the machines of others, and fetched its image on each, for nothing.
+        let one = |j: &&Job| j.fails_everywhere();
+        let rest = |j: &Job| 1 - j.live.len().min(1) as i64;
+        let most = |id: &JobId| s.jobs.get(id).filter(one).map(rest);
         let turns = v.into_iter().map(|(_, id)| Turn {
             job: id.clone(),
-            most: None,
+            most: most(id),
+            lifted: false,
         });
         lifted.chain(turns).collect()
     }
@@ -79,14 +88,19 @@
         }
         let rank = |j: &Job| {
             let within = within.contains(j.id());
+            let first = self.books.goes_first(j.id());
             let tier = match j.spec.priority {
+                _ if first => 0,
                 Priority::Production => 0,
                 Priority::High => 1,
                 _ if within => 2,
                 Priority::Normal => 3,
                 Priority::Low => 4,
             };
-            let due = self.latest_start(now, j, within, &whole);
+            let due = match first {
+                true => 0.0,
+                false => self.latest_start(now, j, within, &whole),
+            };
             let seq = j.seq;
             (j.id().clone(), Rank { tier, due, seq })
         };
--- a/src/sched/place.rs
+++ b/src/sched/place.rs
@@ -106,7 +106,7 @@
         let can_rent = self.fleet.can_rent(now);
         // With more waiting than there is room for, all of it fills up, and
         // the image decides first; otherwise it would spoil the best fit.
-        let whole = jobs.iter().filter(|t| t.most.is_none());
+        let whole = jobs.iter().filter(|t| !t.lifted);
         let waiting = whole.filter_map(|t| self.jobs.get(&t.job));
         let mut wanted = Room::default();
         for j in waiting {
@@ -116,7 +116,12 @@
         let mut quota: BTreeMap<&Team, Room> = BTreeMap::new();
         let (mut starts, mut short) = (vec![], vec![]);
         let mut given: BTreeMap<&JobId, i64> = BTreeMap::new();
-        for Turn { job: id, most } in jobs {
+        for Turn {
+            job: id,
+            most,
+            lifted,
+        } in jobs
+        {
             let Some(j) = self.jobs.get(id) else { continue };
             let team = &j.spec.team;
             let left = quota.entry(team).or_insert_with(|| self.teams.left(team));
@@ -127,7 +132,7 @@
             view.by_image |= crowded;
             let mut heap: BinaryHeap<Reverse<(Score, usize)>> = BinaryHeap::new();
             // Room kept for quick classes is for them, and for who is below the floor.
-            let may_take = |spare: &Spare, spot| most.is_some() || view.may_take(spare, spot);
+            let may_take = |spare: &Spare, spot| *lifted || view.may_take(spare, spot);
             if want > 0 && may_take(&spare, true) {
                 let scores = room.iter().enumerate();
                 let scores = scores.filter_map(|(i, c)| Some(Reverse((view.score(c)?, i))));
@@ -264,6 +269,7 @@
             spot: m.spot,
         });
         let ver = j.touch(part, &mut self.dirty, purpose);
+        j.started = now;
         j.live.insert(
             ix,
             Live {
--- a/src/sched/report.rs
+++ b/src/sched/report.rs
@@ -1,158 +1,22 @@
-//! Dealings with workers: reports in, commands out, and when an attempt is
-//! proven gone.
+//! What workers' reports say, what they are told, and when an attempt is proven
+//! gone. How reports are answered is in `beats`.
 
 use super::after::Came;
 use super::job::{Phase, Stop};
 use super::machine::{Life, Machine};
 use super::{Sched, estimate};
-use crate::ids::{Attempt, Host, JobId, Label, ReqId, Session, TaskId, TaskIx};
+use crate::ids::{Attempt, Host, JobId, Session, TaskId, TaskIx};
 use crate::time::{Span, Time};
-use crate::wire::peer::Answer;
 use crate::wire::user::Kind;
-use crate::wire::worker::{Cause, Order, Report, ReportAnswer, TaskReport, TaskState};
+use crate::wire::worker::{Cause, Order, Report, TaskReport, TaskState};
 use hookworks_life::{Failure, What};
 use hookworks_served::What::Begun;
 use std::collections::BTreeSet;
 
-/// An answer waits no longer for its zone to be taken back on record.
-const AT_FENCE: Span = Span(1_000_000);
 /// Commands in one message.
 const MAX_ORDERS: usize = 200;
 
-/// A report that is being answered.
-pub(super) struct Beat {
-    req: ReqId,
-    since: Time,
-    ours: bool,
-    /// The newest of its worker, which may be told what to do.
-    newest: bool,
-}
-
 impl Sched {
-    pub(super) fn beat(&mut self, now: Time, req: ReqId, body: &[u8], via: Option<Label>) {
-        let report: Report = match serde_json::from_slice(body) {
-            Ok(r) => r,
-            Err(e) => return self.answer(req, Answer::error(400, &e.to_string())),
-        };
-        if !self.may_report(now) || self.fleet.is_gone(&report.host) {
-            self.reports_refused += 1;
-            return self.answer(req, Answer::later("not entitled to answer", 1));
-        }
-        if report.token.0 >= self.epoch.base() + (1 << 24) {
-            // A later leader has spoken to it.
-            return self.answer(req, Answer::error(503, "a later leader has spoken"));
-        }
-        let host = report.host.clone();
-        let base = self.base_token();
-        let slots = |s: &Sched| s.machines.get(&host).map_or(0, |m| m.slots.len());
-        let before = slots(self);
-        let newer = self.take_report(now, &report, true);
-        if newer && let Some(m) = self.machines.get_mut(&host) {
-            m.via = via;
-        }
-        let freed = slots(self) < before;
-        // A worker has one report in flight, so it has given that one up.
-        let earlier = self.held.remove(&host);
-        if let Some(h) = earlier.or_else(|| self.at_fence.remove(&host)) {
-            self.answer(h.req, Answer::later("a newer report is here", 1));
-        }
-        let beat = Beat {
-            req,
-            since: now,
-            // Only a worker that has heard our token drops the answers of an
-            // earlier leader; until then its lease may be renewed there.
-            ours: report.token >= base,
-            newest: newer,
-        };
-        if newer && self.worth_holding(now, &host, freed) {
-            self.reports_held += 1;
-            self.held.insert(host, beat);
-        } else {
-            self.answer_beat(now, &host, beat);
-        }
-    }
-
-    pub(super) fn answer_beat(&mut self, now: Time, host: &Host, b: Beat) {
-        if !self.may_report(now) {
-            return self.answer(b.req, Answer::later("not entitled to answer", 1));
-        }
-        let Some(m) = self.machines.get_mut(host) else {
-            return self.answer(b.req, Answer::later("unknown machine", 1));
-        };
-        // Its lease may go on only once the record no longer says otherwise: also
-        // a record that has not left yet must not say so later.
-        let zone = m.zone.clone();
-        self.lower_fence(&zone);
-        if self.fences.closed(&zone) {
-            return self.hold_at_fence(now, host, b);
-        }
-        let Some(m) = self.machines.get_mut(host) else {
-            return;
-        };
-        m.answered = if b.ours { now } else { m.answered.max(now) };
-        let token = m.token;
-        self.fences.note_answer(&m.zone, now);
-        let orders = if b.newest {
-            self.orders_for(now, host, true)
-        } else {
-            vec![]
-        };
-        let a = ReportAnswer { token, orders };
-        let body = serde_json::to_string(&a).unwrap_or_default();
-        self.answer(b.req, Answer::new(200, body));
-    }
-
-    /// The answer waits until it is on record that the zone is answered again:
-    /// sent away, workers came back just after their leases had run out.
-    fn hold_at_fence(&mut self, now: Time, host: &Host, b: Beat) {
-        if now - b.since >= AT_FENCE {
-            self.reports_refused += 1;
-            return self.answer(b.req, Answer::later("its zone is being taken back", 1));
-        }
-        self.at_fence.insert(host.clone(), b);
-    }
-
-    /// Answers that waited at a fence: those whose zone is open, and those that
-    /// have waited for too long.
-    pub(super) fn answer_at_fence(&mut self, now: Time) {
-        for (h, b) in std::mem::take(&mut self.at_fence) {
-            self.answer_beat(now, &h, b);
-        }
-    }
-
-    /// What the worker is to do next will be known in a moment: its answer can
-    /// wait for that, which saves a direct call and further reports.
-    fn worth_holding(&self, now: Time, host: &Host, freed: bool) -> bool {
-        if self.cfg.hold == Span::ZERO || !self.may_start(now) {
-            return false;
-        }
-        let able = |m: &Machine| m.life == Life::Up && m.direct.is_none();
-        let waits = self.unsent.contains(host) || freed && !self.fleet.short.is_empty();
-        waits && self.machines.get(host).is_some_and(able)
-    }
-
-    /// Answers to reports that need not, or may not, wait any longer.
-    pub(super) fn answer_held(&mut self, now: Time, passed: bool) {
-        let hold = self.cfg.hold;
-        let unsent = &self.unsent;
-        let over = |(h, b): (&Host, &Beat)| {
-            let idle = passed && !unsent.contains(h);
-            (idle || now - b.since >= hold).then(|| h.clone())
-        };
-        let hosts: Vec<Host> = self.held.iter().filter_map(over).collect();
-        for h in hosts {
-            if let Some(b) = self.held.remove(&h) {
-                self.answer_beat(now, &h, b);
-            }
-        }
-    }
-
-    /// When the next held answer is due.
-    pub(super) fn held_until(&self) -> Option<Time> {
-        let first = self.held.values().map(|b| b.since).min();
-        first.map(|t| t + self.cfg.hold)
-    }
-
     /// Takes what a report says, unless a newer one was there before.
     pub(super) fn take_report(&mut self, now: Time, r: &Report, beat: bool) -> bool {
         let token = self.base_token();
@@ -168,8 +32,15 @@
             return false;
         }
         // After a take-over the first report tells nothing of what went before:
-        // the loaded attempts may well be of this very session.
+        // the loaded attempts may well be of this very session. It may be a copy
+        // of an old one besides, unless it was sent in this term: it carries our
+        // token, or answers a call.
+        let sent_in_term = !beat || r.token >= token;
         let new_session = m.session != Session(0) && r.session > m.session;
+        let known = m.in_term;
+        m.in_term |= sent_in_term;
+        m.certain |= sent_in_term;
+        let uncertain = !m.certain;
         (m.session, m.seq) = (r.session, r.seq);
         m.heard = now;
         m.reported_at = Some(now);
@@ -199,12 +70,16 @@
             m.doubt = None;
         }
         let noticed = m.notice_until.is_some();
-        m.notice_until = r.notice_s.map(|s| now + Span::secs(s));
+        let notice = r.notice_s.filter(|_| m.in_term);
+        m.notice_until = notice.map(|s| now + Span::secs(s));
         if m.notice_until.is_some() && !noticed {
             tracing::info!(host = %r.host, seconds = r.notice_s, "spot notice");
         }
         if new_session {
-            self.new_session(now, &r.host);
+            self.new_session(now, &r.host, known);
+        }
+        if uncertain {
+            self.wish_for_token(&r.host);
         }
         let mut strays = std::collections::BTreeMap::new();
         let mut shown = BTreeSet::new();
@@ -222,20 +97,31 @@
         if let Some(m) = self.machines.get_mut(&r.host) {
             m.strays = strays;
         }
+        if beat {
+            self.note_hearing(now, r, &shown, new_session);
+        }
         self.take_missing(now, &r.host, &shown, beat);
         true
     }
 
-    /// The worker's lease ran out, so all that was there is gone.
-    fn new_session(&mut self, now: Time, host: &Host) {
+    /// The worker's lease ran out, so all that was there is gone; if the session
+    /// before is not `known` from this term, all that is known to be of it. A copy
+    /// of a report from before once made the present session look new: what an
+    /// earlier leader had told it was taken for gone, and ran twice.
+    fn new_session(&mut self, now: Time, host: &Host, known: bool) {
         let Some(m) = self.machines.get_mut(host) else {
             return;
         };
-        m.doubt = None;
+        if known {
+            m.doubt = None;
+        }
         let tasks: Vec<TaskId> = m.slots.keys().cloned().collect();
         for t in tasks {
-            let sent = self.live_mut(&t).is_some_and(|l| l.sent);
-            if sent {
+            let of_it = |l: &&mut super::job::Live| {
+                let seen = !l.inherited || l.phase != Phase::Placed;
+                l.sent && (known || seen)
+            };
+            if self.live_mut(&t).filter(of_it).is_some() {
                 tracing::debug!(%host, task = %t, "gone with its worker's session");
                 self.gone_by(now, &t, Some(Failure::Lost), false);
             }
--- a/src/sched/served.rs
+++ b/src/sched/served.rs
@@ -36,6 +36,8 @@
     look_at: Time,
     /// Tasks that may start ahead of others until the next look.
     lifted: BTreeMap<JobId, i64>,
+    /// Jobs that go first as a whole, as no part of them can start by itself.
+    first: BTreeSet<JobId>,
     /// Who is below the floor.
     low: (BTreeSet<Class>, BTreeSet<Team>),
     /// Tasks that were started so, until they are gone.
@@ -51,6 +53,7 @@
             figures: Default::default(),
             look_at: Time::default(),
             lifted: BTreeMap::new(),
+            first: BTreeSet::new(),
             low: Default::default(),
             kept: BTreeSet::new(),
         }
@@ -66,6 +69,11 @@
         self.lifted.get(id).copied().filter(|n| *n > 0)
     }
 
+    /// It has been overtaken for as long as it may be, and goes first.
+    pub fn goes_first(&self, id: &JobId) -> bool {
+        self.first.contains(id)
+    }
+
     pub fn lifted(&self) -> impl Iterator<Item = &JobId> {
         self.lifted
             .iter()
@@ -105,7 +113,7 @@
 /// Since when a job has waited for a start of the tasks that it still has.
 fn waits_since(j: &Job) -> Time {
     let latest = j.live.values().map(|l| l.placed).max();
-    latest.map_or(j.arrived, |t| t.max(j.arrived))
+    latest.unwrap_or_default().max(j.started).max(j.arrived)
 }
 
 impl Sched {
@@ -148,7 +156,9 @@
         let usual = Span::secs(PATIENCE_S);
         let mut by_class: BTreeMap<Class, Waits> = BTreeMap::new();
         let mut by_team: BTreeMap<Team, Waits> = BTreeMap::new();
-        for j in self.jobs.values().filter(|j| j.pending() > 0) {
+        // One that fails everywhere waits for its user, not for room.
+        let waits = |j: &&Job| j.pending() > 0 && !j.fails_everywhere();
+        for j in self.jobs.values().filter(waits) {
             let (tasks, waited) = (j.pending() as u64, now - waits_since(j));
             let came = now - j.arrived;
             let p = patience.get(&j.spec.class).copied().unwrap_or(usual);
@@ -163,6 +173,26 @@
             b.teams.figures(now, &by_team),
         );
         self.set_room_aside();
+        self.put_ahead(now);
+    }
+
+    /// Jobs that have been overtaken for as long as they may be. Where many large
+    /// ones were late for all their aims, they came last of all and never began.
+    fn put_ahead(&mut self, now: Time) {
+        let floor = self.books.floor;
+        let waits = |j: &&Job| j.pending() > 0 && now >= j.backoff_until && !j.fails_everywhere();
+        let mut first = BTreeSet::new();
+        for j in self.jobs.values().filter(waits) {
+            let waiting = j.pending() as u64;
+            let n = floor.goes_ahead(j.spec.tasks as u64, waiting, now - waits_since(j)) as i64;
+            if n > 0 && by_itself(j) {
+                first.insert(j.id().clone());
+            } else if n > 0 {
+                let lifted = self.books.lifted.entry(j.id().clone()).or_default();
+                *lifted = n.max(*lifted);
+            }
+        }
+        self.books.first = first;
     }
 
     /// Room for the classes and teams below the floor, job by job.
@@ -199,7 +229,7 @@
         let mut classes = floor.budgets(part(c, t), &classes);
         let mut teams = floor.budgets(part(t, c), &teams);
         // Those that have waited for longest first.
-        let waits = |j: &&Job| j.pending() > 0 && !by_itself(j);
+        let waits = |j: &&Job| j.pending() > 0 && !by_itself(j) && !j.fails_everywhere();
         let mut waiting: Vec<&Job> = self.jobs.values().filter(waits).collect();
         waiting.sort_by_key(|j| (waits_since(j), j.seq));
         let mut lifted = BTreeMap::new();
--- a/src/sched/users.rs
+++ b/src/sched/users.rs
@@ -118,8 +118,10 @@
             let f = *f;
             return self.answer(req, final_answer(&id, f));
         }
-        if self.unreadable.contains(&id) {
-            return self.answer(req, Answer::later("the job's record can't be read", 30));
+        if let Some(state) = self.unreadable.get(&id).filter(|_| self.may_start(now)) {
+            // Accepted once, for certain.
+            let a = Answer::new(200, view(&id, *state, 0, 0));
+            return self.answer(req, a);
         }
         if let Some(j) = self.jobs.get_mut(&id) {
             if j.parts[0].stored == 0 && j.parts[0].ver > 0 {
@@ -205,8 +207,6 @@
             self.answer(req, final_answer(id, f));
         } else if !self.may_start(now) {
             self.no_proof(req);
-        } else if self.unreadable.contains(id) {
-            self.answer(req, Answer::later("the job's record can't be read", 30));
         } else {
             return false;
         }
@@ -217,6 +217,11 @@
         if self.answered_early(now, req, &id) {
             return;
         }
+        if let Some(state) = self.unreadable.get(&id) {
+            // No user may conclude that it was forgotten.
+            let a = Answer::new(200, view(&id, *state, 0, 0));
+            return self.answer(req, a);
+        }
         match self.jobs.get(&id) {
             Some(j) if j.parts[0].stored == 0 && j.parts[0].ver > 0 => {
                 self.answer(req, Answer::later("the job is being stored", 1));
@@ -230,6 +235,13 @@
         if self.answered_early(now, req, &id) {
             return;
         }
+        if let Some(state) = self.unreadable.get(&id) {
+            let a = match state {
+                JobState::Cancelled => Answer::new(200, view(&id, *state, 0, 0)),
+                _ => Answer::later("the job's record can't be read", 30),
+            };
+            return self.answer(req, a);
+        }
         let Some(j) = self.jobs.get_mut(&id) else {
             return self.look_up(req, id.clone(), Ask::Cancel(id.to_string()));
         };
--- a/src/sched/zones.rs
+++ b/src/sched/zones.rs
@@ -161,7 +161,7 @@
                     let gone = self.watch.zones.gone_since(&m.zone);
                     e.back += gone.is_some_and(|t| m.heard > t) as u32;
                     e.newest = e.newest.max(m.reported_at);
-                    if now - m.heard > late {
+                    if now - m.heard.max(self.awake) > late {
                         e.overdue += 1;
                         e.fell_silent = Some(match e.fell_silent {
                             None => (m.heard, m.heard),
--- a/src/settings/served.rs
+++ b/src/settings/served.rs
@@ -1,6 +1,7 @@
 //! When a class or team counts as hardly served, and what it is given then.
 
 use super::{SettingsError, within};
+use crate::time::Span;
 use hookworks_served::Floor;
 use serde::{Deserialize, Serialize};
 
@@ -14,6 +15,10 @@
     /// Below the floor is a class or team with overdue jobs of which a smaller
     /// share began within the last five minutes.
     pub below: f64,
+    /// A job of whose waiting tasks none has begun for so many seconds has a tenth
+    /// of them begun ahead of others, as far as its team's limit goes; a gang, a
+    /// service or a job of one zone goes first as a whole. 0: never.
+    pub overtaken_s: f64,
 }
 
 impl Default for ServedLimits {
@@ -21,6 +26,7 @@
         ServedLimits {
             room: 0.0,
             below: 0.7,
+            overtaken_s: 0.0,
         }
     }
 }
@@ -30,6 +36,7 @@
         Floor {
             room: self.room,
             below: self.below,
+            overtaken: (self.overtaken_s > 0.0).then(|| Span::secs(self.overtaken_s)),
         }
     }
 
@@ -37,6 +44,7 @@
         let all = [
             ("room", self.room, 0.0, 0.5),
             ("below", self.below, 0.0, 1.0),
+            ("overtaken-s", self.overtaken_s, 0.0, 1e6),
         ];
         within(file, "served/", all)
     }
--- a/src/time.rs
+++ b/src/time.rs
@@ -12,7 +12,15 @@
     }
     /// One hour is added so that "an hour ago" can be told at the start too.
     pub fn now(&self) -> Time {
-        Time(self.0.elapsed().as_micros() as u64 + 3_600_000_000)
+        self.at(std::time::Instant::now())
+    }
+    /// That moment on this clock.
+    pub fn at(&self, moment: std::time::Instant) -> Time {
+        Time(moment.duration_since(self.0).as_micros() as u64 + 3_600_000_000)
+    }
+    /// When this clock shows that.
+    pub fn moment(&self, t: Time) -> std::time::Instant {
+        self.0 + (t - Time(3_600_000_000)).std()
     }
 }
 
