A pass judges a bounded number of machines; answers and records between releases

With 600 jobs waiting a pass judged each machine with room for each of them, a second's work. Now it stops after 40,000 and the next one goes on there, after the urgent; who was not looked at lacks what it lacked before. Stories: the bound, nobody passed over, an answer that grew old on its way, answers of the release before, a damaged record of a cancelled job, a damaged part.

--- a/crates/gate/tests/floods.rs
+++ b/crates/gate/tests/floods.rs
@@ -224,6 +224,28 @@
     assert_eq!(server.figures().body_bytes_free, free);
 }
 
+/// A process that stood still had an answer ready from before, and gave it after
+/// another one had told the user something newer.
+#[test]
+fn an_answer_that_has_grown_old_on_its_way_is_not_given() {
+    let server = server(100, Limits::default());
+    for (valid, status) in [(Some(60_000_000), 200), (Some(1000), 503), (None, 200)] {
+        let mut c = Client::to(server.addr());
+        c.send("GET /hold HTTP/1.1\r\n\r\n").unwrap();
+        until("held", || server.service().held.lock().unwrap().len() == 1);
+        let reply = server.service().held.lock().unwrap().remove(0);
+        std::thread::sleep(std::time::Duration::from_millis(20));
+        let mut a = Answer::new(200, "{}".into());
+        a.valid_us = valid;
+        reply.answer(a);
+        let got = c.answer().unwrap();
+        assert_eq!(
+            (got.status, got.retry_after),
+            (status, (status == 503).then_some(1))
+        );
+    }
+}
+
 /// Five hundred bodies of 64 KiB at a time would be half of a machine.
 #[test]
 fn large_bodies_have_a_bound_together() {
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -439,6 +439,31 @@
         }
     }
 
+    /// The release before sends no limit with an answer, and reads none.
+    #[test]
+    fn answers_are_understood_between_versions() {
+        let config = bincode::config::standard();
+        let mut answer = crate::wire::peer::Answer::later("x", 3);
+        answer.valid_us = Some(1_500_000);
+        let (id, to) = (5, "b".to_string());
+        let new = PeerMsg::Tell { id, to, answer };
+        let bytes = bincode::encode_to_vec(&new, config).unwrap();
+        let (read, _): (PeerMsg, _) = bincode::decode_from_slice(&bytes, config).unwrap();
+        assert_eq!(read, new);
+        // The third kind of message; its fields, as they were.
+        let before = (2u32, 5u64, "b", 503u16, r#"{"error":"x"}"#, Some(3u32));
+        let before = bincode::encode_to_vec(before, config).unwrap();
+        assert_eq!(bytes[..before.len()], before);
+        let (read, n): (PeerMsg, _) = bincode::decode_from_slice(&before, config).unwrap();
+        let PeerMsg::Tell { answer, .. } = read else {
+            panic!("{read:?}")
+        };
+        assert_eq!(
+            (n, answer.retry_after, answer.valid_us),
+            (before.len(), Some(3), None)
+        );
+    }
+
     /// Controllers are restarted one after the other, so two versions talk.
     #[test]
     fn pings_are_understood_between_versions() {
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -222,6 +222,8 @@
     pass_at: Time,
     preempt_at: Time,
     sum_up_at: Time,
+    /// The job with which the next pass goes on.
+    goes_on_at: Option<JobId>,
     /// Machines judged for tasks since the beginning: how much work placing is.
     judged: std::cell::Cell<u64>,
     reports_held: u64,
@@ -289,6 +291,7 @@
             pass_at: now,
             preempt_at: now,
             sum_up_at: now,
+            goes_on_at: None,
             judged: Default::default(),
             reports_held: 0,
             reports_refused: 0,
--- a/src/sched/order.rs
+++ b/src/sched/order.rs
@@ -12,6 +12,9 @@
 /// How much the time for which a job would fill the fleet counts against it.
 const WORK_WEIGHT: f64 = 12.0;
 
+/// Production and high priority: the first tiers.
+const URGENT: u8 = 1;
+
 /// A job's place in the order; the smaller is served first.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 pub(super) struct Rank {
@@ -70,8 +73,14 @@
         let one = |j: &&Job| j.fails_everywhere();
         let rest = |j: &Job| 1 - j.live.len().min(1) as i64;
         let most = |id: &JobId| s.jobs.get(id).filter(one).map(rest);
-        let turns = v.into_iter().map(|(_, id)| Turn {
-            job: id.clone(),
+        // Where the last pass stopped, after those that can't wait a turn.
+        let from = s.goes_on_at.as_ref();
+        let from = from.and_then(|id| v.iter().position(|x| x.1 == id));
+        let (before, on) = v.split_at(from.unwrap_or(0));
+        let (urgent, others): (Vec<_>, Vec<_>) = before.iter().partition(|x| x.0.tier <= URGENT);
+        let v = urgent.into_iter().chain(on).chain(others);
+        let turns = v.map(|(_, id)| Turn {
+            job: (*id).clone(),
             most: most(id),
             lifted: false,
         });
--- a/src/sched/place.rs
+++ b/src/sched/place.rs
@@ -22,8 +22,9 @@
 use std::cmp::{Ordering, Reverse};
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
-/// What a pass found: where tasks start, and which jobs lack room for how many.
-type Planned = (Vec<(JobId, Host)>, Vec<Short>);
+/// What a pass found: where tasks start, which jobs lack room for how many, and
+/// how many turns were taken.
+type Planned = (Vec<(JobId, Host)>, Vec<Short>, usize);
 
 /// A machine with room, as it will be once what is planned has started.
 pub(super) struct Candidate<'a> {
@@ -34,27 +35,39 @@
 }
 
 impl Sched {
+    /// One pass over all that waits, or as much of it as one pass may judge: with
+    /// 600 jobs waiting it once took a second, in which nobody was answered. The
+    /// next one goes on where this one stopped, after the urgent.
     pub(super) fn place(&mut self, now: Time) {
         let order = self.order(now);
         let served: Vec<Turn> = order.served(self, now);
         let mut short = vec![];
         let mut held = BTreeSet::new();
         let mut rest = &served[..];
-        while !rest.is_empty() {
+        let until = self.judged.get() + MOST_JUDGED;
+        while !rest.is_empty() && self.judged.get() < until {
             // What must be settled before the next is looked at goes by itself.
             let alone = |t: &Turn| self.jobs.get(&t.job).is_some_and(by_itself);
             let n = rest.iter().position(alone).unwrap_or(rest.len());
-            let (starts, lack) = self.plan(now, &rest[..n], &held, &order);
+            let (starts, lack, done) = self.plan(now, &rest[..n], &held, &order, until);
             for (id, host) in starts {
                 self.start(now, &id, &host, None);
             }
             short.extend(lack);
+            if done < n {
+                rest = &rest[done..];
+                break;
+            }
             if let Some(t) = rest.get(n) {
                 short.extend(self.place_alone(now, &t.job, &mut held, &order));
             }
             rest = rest.get(n + 1..).unwrap_or(&[]);
         }
+        // Those that were not looked at lack what they lacked before.
+        let left: BTreeSet<&JobId> = rest.iter().map(|t| &t.job).collect();
+        short.extend(self.fleet.short.drain(..).filter(|s| left.contains(&s.job)));
         self.fleet.short = short;
+        self.goes_on_at = rest.first().map(|t| t.job.clone());
         if now >= self.preempt_at {
             self.preempt_at = now + PREEMPT_EVERY;
             self.preempt(now, &order);
@@ -87,9 +100,16 @@
     }
 
     /// Serves the jobs in this order, as far as room and quota go.
-    fn plan(&self, now: Time, jobs: &[Turn], held: &BTreeSet<Host>, order: &Order) -> Planned {
+    fn plan(
+        &self,
+        now: Time,
+        jobs: &[Turn],
+        held: &BTreeSet<Host>,
+        order: &Order,
+        until: u64,
+    ) -> Planned {
         if jobs.is_empty() {
-            return (vec![], vec![]);
+            return (vec![], vec![], 0);
         }
         let fresh = self.heard_within();
         let mut room: Vec<Candidate> = vec![];
@@ -116,12 +136,15 @@
         let mut quota: BTreeMap<&Team, Room> = BTreeMap::new();
         let (mut starts, mut short) = (vec![], vec![]);
         let mut given: BTreeMap<&JobId, i64> = BTreeMap::new();
-        for Turn {
-            job: id,
-            most,
-            lifted,
-        } in jobs
-        {
+        for (n, turn) in jobs.iter().enumerate() {
+            if self.judged.get() >= until {
+                return (starts, short, n);
+            }
+            let Turn {
+                job: id,
+                most,
+                lifted,
+            } = turn;
             let Some(j) = self.jobs.get(id) else { continue };
             let team = &j.spec.team;
             let left = quota.entry(team).or_insert_with(|| self.teams.left(team));
@@ -173,7 +196,7 @@
                 short.push(Short::anywhere(id, want - got));
             }
         }
-        (starts, short)
+        (starts, short, jobs.len())
     }
 
     /// The tests hold the pass against the plain computation.
@@ -434,6 +457,8 @@
 }
 
 const LAST_RESORT: u8 = 3;
+/// Machines judged for jobs in one pass, some tens of milliseconds of work.
+const MOST_JUDGED: u64 = 40_000;
 /// Making room for others is looked into so often.
 const PREEMPT_EVERY: Span = Span(200_000);
 
--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -384,6 +384,59 @@
     assert!(s.get("hookworks/live/job-000001").unwrap().is_some());
 }
 
+/// What is left of a record still says for certain that its user was told so.
+#[test]
+fn a_damaged_record_does_not_undo_a_cancellation() {
+    let s = Handle::default();
+    let damaged = serde_json::json!({"spec": 7, "cancelled": true});
+    s.put("hookworks/live/job-000001", damaged);
+    let l = hookworks::node::load::load(&s, Epoch(2), Stamp(1), Time(1), Wall(1)).unwrap();
+    let mut d = Desk::new(2);
+    d.s.load(Time(d.now), l.jobs, l.unreadable);
+    for ask in [Ask::Poll(JOB.into()), Ask::Cancel(JOB.into())] {
+        let req = d.ask(ask);
+        assert!(d.answer(req).unwrap().body.contains("\"cancelled\""));
+    }
+}
+
+/// With one of its records damaged the whole job was left alone for good.
+#[test]
+fn a_job_with_a_damaged_part_runs_once_what_it_had_must_be_over() {
+    let s = Handle::default();
+    let mut first = Desk::new(1);
+    first.beat(&report(1, 1, Token(0)));
+    first.submit(&job(1, 300));
+    let j = &first.s.jobs[&JobId::from(JOB)];
+    assert!(j.parts.len() > 1 && !j.live.is_empty());
+    s.put("hookworks/live/job-000001", j.encode(0));
+    s.put(
+        "hookworks/part/job-000001/000001",
+        serde_json::json!({"a": "x"}),
+    );
+    let l = hookworks::node::load::load(&s, Epoch(2), Stamp(1), Time(1), Wall(1)).unwrap();
+    assert!(l.unreadable.is_empty() && l.stamps.len() == 2);
+    let mut d = Desk::new(2);
+    d.refuses = true;
+    let mut jobs = l.jobs;
+    for j in &mut jobs {
+        j.live.clear();
+    }
+    d.s.load(Time(d.now), jobs, l.unreadable);
+    let poll = d.ask(Ask::Poll(JOB.into()));
+    assert_eq!(d.status(poll), Some(200));
+    let began = d.now;
+    let mut seq = 1u32;
+    while d.s.jobs[&JobId::from(JOB)].live.is_empty() {
+        seq += 1;
+        // What idles is given back, so another machine each time.
+        d.beat(&report(seq, 1, Token(0)));
+        d.wait(3.0);
+        assert!(d.now < began + 120_000_000, "left alone for good");
+    }
+    // Twice a lease, after the last moment at which an earlier leader may answer.
+    assert!(d.now > began + 60_000_000);
+}
+
 #[test]
 fn a_write_that_was_under_way_before_the_cancellation_does_not_confirm_it() {
     let mut d = Desk::new(5);
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -238,3 +238,38 @@
     m.saw_image(&Image::from("new"), 2.0);
     assert!(held(m, 15) && !held(m, 16), "the longest unused goes first");
 }
+
+/// With hundreds of jobs waiting one pass took a second, and whoever asked waited.
+#[test]
+fn a_pass_has_a_bound_and_the_next_goes_on_where_it_stopped() {
+    let mut d = roomy();
+    fleet(&mut d);
+    // Every machine has room for half of what most jobs need.
+    let mut most = job(1, MACHINES);
+    most.cpus = 7.0;
+    d.submit(&most);
+    let mut longest = 0;
+    for n in 0..300 {
+        let judged = d.s.judged();
+        d.submit(&job(100 + n, 4));
+        longest = longest.max(d.s.judged() - judged);
+    }
+    // The proof before it, the submission, and its record: a pass each.
+    assert!(longest < 3 * 45_000, "{longest} machines judged at once");
+    // Small enough to fit, and behind all the others.
+    let mut small = job(2, 1);
+    (small.cpus, small.deadline_s) = (1.0, Some(100_000.0));
+    d.submit(&small);
+    let placed = |d: &Desk, n: u64| !d.s.jobs[&job(n, 1).id].live.is_empty();
+    let mut passes = 0;
+    while !placed(&d, 2) {
+        passes += 1;
+        assert!(passes < 30, "passed over");
+        d.wait(0.25);
+    }
+    // What is urgent does not wait for its turn.
+    let mut urgent = job(3, 1);
+    (urgent.cpus, urgent.priority) = (1.0, Priority::High);
+    d.submit(&urgent);
+    assert!(placed(&d, 3));
+}
