Sweeping litter and ends of jobs no longer hold up who waits for a write

An array of 20,000 tasks had ended, and its 300 records were swept with every change there was, whenever the front of the queue, an end with eleven deletions, did not fit into what was left; and ends older than 1.5 s passed submissions.

An end now deletes the first record only, the others are swept one with each transaction, or more as long as two fifths of the budget are left; what a user or a quick start waits for passes all else. A story fails without it.

--- a/src/sched/records.rs
+++ b/src/sched/records.rs
@@ -67,6 +67,11 @@
 impl DirtyQueue {
     /// The next to be written, with this share of the write budget left.
     pub fn next(&mut self, now: Time, left: f64) -> Option<Dirty> {
+        // What a user or a quick start waits for passes even those: hundreds of jobs
+        // of one task that ended within a minute took all changes there were.
+        if let Some(d) = self.queues[Purpose::Now as usize].pop_front() {
+            return Some(d);
+        }
         let old = |d: &Dirty| now - d.since > END_WITHIN;
         let end = Purpose::End as usize;
         if self.queues[end].front().is_some_and(old) {
--- a/src/store/commit.rs
+++ b/src/store/commit.rs
@@ -20,6 +20,8 @@
 /// a slow state service once made submissions queue behind all else.
 const LANES: usize = 3;
 const LANES_NOW: usize = 6;
+/// Share of the write budget that must be left for litter to be swept.
+const LITTER_RESERVE: f64 = 0.4;
 /// Room left in a transaction of 64 KiB.
 const MAX_BYTES: usize = 56 * 1024;
 
@@ -133,18 +135,14 @@
             changes.push(put(&key, j.final_record(f)));
             keys.push((key, true));
             let first = part_key(job, 0);
-            if !self.stamps.contains_key(&first) {
-                // As far as we know it was never stored. Its first write may have
-                // been carried out all the same, without an answer: left there,
-                // the next leader would find the job as it was at first.
-                keys.push((first, false));
-            }
-            let known = (0..j.parts.len()).map(|p| part_key(job, p));
-            let most = self.limits.txn_ops - 1;
-            for key in known.filter(|k| self.stamps.contains_key(k)).take(most) {
-                changes.push(Change::Delete { key: key.clone() });
-                keys.push((key, false));
+            // The first record names the job; the others are litter without it.
+            if self.stamps.contains_key(&first) {
+                changes.push(Change::Delete { key: first.clone() });
             }
+            // As far as we know it was never stored, otherwise. Its first write may
+            // have been carried out all the same, without an answer: left there, the
+            // next leader would find the job as it was at first.
+            keys.push((first, false));
             What::End
         } else {
             let key = part_key(job, part);
@@ -245,11 +243,16 @@
         for d in skipped.into_iter().rev() {
             sched.dirty.put_back(d);
         }
-        if works.is_empty() {
-            while txn.changes.len() < most {
-                let Some(key) = self.litter.pop() else { break };
-                txn.changes.push(Change::Delete { key });
+        // A little at a time along with the rest, and never what others wait for:
+        // the 300 records of one job once took all changes there were for 15 s.
+        let some = if works.is_empty() { most } else { 1 };
+        for _ in 0..some {
+            let n = txn.changes.len();
+            if n >= most || share(n) < LITTER_RESERVE {
+                break;
             }
+            let Some(key) = self.litter.pop() else { break };
+            txn.changes.push(Change::Delete { key });
         }
         if txn.changes.is_empty() {
             return None;
--- a/tests/election.rs
+++ b/tests/election.rs
@@ -10,7 +10,8 @@
 use hookworks::store::commit::{Committer, Step};
 use hookworks::store::{EPOCH, LEADER, Outcome};
 use hookworks::time::{Span, Time};
-use hookworks::wire::state::{Item, Page, Txn};
+use hookworks::wire::peer::Ask;
+use hookworks::wire::state::{Change, Item, Page, Txn};
 use hookworks::wire::user::JobState;
 use std::cell::Cell;
 use world::desk::Desk;
@@ -285,6 +286,61 @@
     assert!(changes as f64 > 0.8 * limits.write_rps, "{changes}");
 }
 
+/// What a large job left behind took all changes while its sweeping went on, for
+/// fifteen seconds; and the ends of many small jobs passed those who waited.
+#[test]
+fn neither_litter_nor_ends_hold_up_who_waits() {
+    let mut d = Desk::new(1);
+    d.stores = false;
+    let limits = settings("x").platform.params.state;
+    let mut c = Committer::new(Stamp(1), &limits);
+    for n in 0..400 {
+        c.add_litter(format!("hookworks/part/job-900000/{n:06}"));
+    }
+    for n in 0..200 {
+        d.submit(&job(100 + n, 1));
+    }
+    d.store();
+    for n in 0..200 {
+        d.ask(Ask::Cancel(format!("job-{:06}", 100 + n)));
+    }
+    // The cancellations themselves are stored; the ends wait.
+    let lengths = d.s.dirty.lengths();
+    assert!(lengths[0] + lengths[2] >= 200, "{lengths:?}");
+    let (mut swept, mut ended, mut longest) = (0, 0, 0);
+    let mut waiting: Option<(ReqId, u64)> = None;
+    for step in 0..400 {
+        d.now += 25_000;
+        let now = Time(d.now);
+        d.s.handle(now, Event::Proven(now));
+        if step % 20 == 0 && waiting.is_none() && step > 200 {
+            waiting = Some((d.submit(&job(1000 + step, 1)), d.now));
+        }
+        while let Some((id, txn)) = c.next(now, &mut d.s) {
+            let litter = |x: &&Change| x.key().contains("job-900000");
+            swept += txn.changes.iter().filter(litter).count();
+            let (events, _) = c.finished(now, id, Outcome::Ok(Stamp(9)), &mut d.s);
+            for e in events {
+                ended += matches!(&e, Event::Stored(Key::Final(_), _)) as u32;
+                let fx = d.s.handle(now, e);
+                d.fx.extend(fx);
+            }
+        }
+        if let Some((req, since)) = waiting.filter(|(r, _)| d.status(*r).is_some()) {
+            assert_eq!(d.status(req), Some(201));
+            longest = longest.max(d.now - since);
+            waiting = None;
+        }
+    }
+    assert!(
+        (25_000..200_000).contains(&longest.max(25_000)),
+        "{longest} us"
+    );
+    assert!(waiting.is_none(), "a submission still waits");
+    // All the same, both go on.
+    assert!(swept > 20 && ended > 50, "{swept} swept, {ended} ended");
+}
+
 /// Its process ends with the `left`-th request: that one is carried out without
 /// an answer, or not at all.
 struct Dying {
