The largest jobs of each class are counted until they begin

Overview and log tell, by class, from how many tasks a job counts among the largest tenth, how many began, after how long at most, and what waits. The story of the largest has a take-over each minute, a lost zone and five times the flood besides, and reads those figures.

--- /dev/null
+++ b/crates/served/src/largest.rs
@@ -0,0 +1,108 @@
+//! The largest jobs of a class: how long they wait until they begin.
+//!
+//! They are the first to be overtaken, and an average over all jobs hides them. A
+//! job counts among the largest if it has at least as many tasks as nine in ten of
+//! its class that came since this leader began.
+
+use hdrhistogram::Histogram;
+use hookworks_base::time::Span;
+use serde::Serialize;
+
+/// Most tasks of a job, by the protocol.
+const MOST_TASKS: u64 = 100_000;
+
+/// What is kept of one class.
+#[derive(Clone, Debug)]
+pub struct Largest {
+    sizes: Histogram<u64>,
+    figures: LargestFigures,
+}
+
+/// Figures of the largest jobs of one class.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct LargestFigures {
+    /// Tasks from which on a job counts among them.
+    pub tasks_from: u64,
+    /// Those that have begun under this leader.
+    pub begun: u64,
+    /// The longest that any of these waited for its first start, in seconds.
+    pub longest_s: f64,
+    /// Those that wait for their first start now.
+    pub waiting: u64,
+    /// The longest that any of these has waited, in seconds.
+    pub oldest_s: f64,
+}
+
+impl Default for Largest {
+    fn default() -> Self {
+        Largest {
+            // Bounds that the library takes.
+            sizes: Histogram::new_with_max(MOST_TASKS, 1).expect("valid bounds"),
+            figures: LargestFigures::default(),
+        }
+    }
+}
+
+impl Largest {
+    /// A job of so many tasks came, or was found by a new leader.
+    pub fn came(&mut self, tasks: u64) {
+        self.sizes.saturating_record(tasks);
+    }
+
+    pub fn counts(&self, tasks: u64) -> bool {
+        tasks >= self.tasks_from()
+    }
+
+    fn tasks_from(&self) -> u64 {
+        let at = self.sizes.value_at_quantile(0.9);
+        self.sizes.lowest_equivalent(at)
+    }
+
+    /// The first task of a job of so many runs, so long after it came.
+    pub fn begun(&mut self, tasks: u64, waited: Span) {
+        if self.counts(tasks) {
+            self.figures.begun += 1;
+            self.figures.longest_s = self.figures.longest_s.max(waited.as_secs());
+        }
+    }
+
+    /// The figures, given what waits for its first start now: tasks and for how long.
+    pub fn figures(&self, waiting: impl Iterator<Item = (u64, Span)>) -> LargestFigures {
+        let tasks_from = self.tasks_from();
+        let start = LargestFigures {
+            tasks_from,
+            ..self.figures
+        };
+        waiting
+            .filter(|(n, _)| *n >= tasks_from)
+            .fold(start, |mut f, (_, waited)| {
+                f.waiting += 1;
+                f.oldest_s = f.oldest_s.max(waited.as_secs());
+                f
+            })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// The average over a class said that all was well.
+    #[test]
+    fn only_the_largest_tenth_counts() {
+        let mut l = Largest::default();
+        for n in 1..=19 {
+            l.came(n);
+            l.begun(1, Span::secs(500.0));
+        }
+        l.came(3000);
+        assert!(l.counts(3000) && !l.counts(9));
+        l.begun(3000, Span::secs(70.0));
+        let waiting = [(3000, Span::secs(9.0)), (2, Span::secs(99.0))];
+        let f = l.figures(waiting.into_iter());
+        assert_eq!((f.waiting, f.oldest_s), (1, 9.0));
+        assert!(f.tasks_from > 10 && f.tasks_from <= 19);
+        // The first of a class is its largest until others come.
+        assert_eq!(f.longest_s, 500.0);
+    }
+}
--- a/crates/served/src/lib.rs
+++ b/crates/served/src/lib.rs
@@ -10,6 +10,10 @@
 //! no thread here. Memory is bounded: a few counters for each group and ten
 //! seconds, for [`WINDOW`].
 
+mod largest;
+
+pub use largest::{Largest, LargestFigures};
+
 use hookworks_base::time::{Span, Time};
 use serde::Serialize;
 use std::collections::{BTreeMap, VecDeque};
--- a/src/sched/served.rs
+++ b/src/sched/served.rs
@@ -12,7 +12,7 @@
 use super::{Room, Sched};
 use crate::ids::{Class, JobId, TaskId, TaskIx, Team};
 use crate::time::{Span, Time};
-use hookworks_served::{Figures, Floor, Served, Waits, What};
+use hookworks_served::{Figures, Floor, Largest, LargestFigures, Served, Waits, What};
 use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -26,6 +26,8 @@
 pub struct View {
     pub classes: BTreeMap<String, Figures>,
     pub teams: BTreeMap<String, Figures>,
+    /// The largest jobs of each class, until they begin.
+    pub largest: BTreeMap<String, LargestFigures>,
 }
 
 pub struct Books {
@@ -33,6 +35,8 @@
     classes: Served<Class>,
     teams: Served<Team>,
     figures: (BTreeMap<Class, Figures>, BTreeMap<Team, Figures>),
+    largest: BTreeMap<Class, Largest>,
+    largest_figures: BTreeMap<Class, LargestFigures>,
     look_at: Time,
     /// Tasks that may start ahead of others until the next look.
     lifted: BTreeMap<JobId, i64>,
@@ -51,6 +55,8 @@
             classes: Served::default(),
             teams: Served::default(),
             figures: Default::default(),
+            largest: BTreeMap::new(),
+            largest_figures: BTreeMap::new(),
             look_at: Time::default(),
             lifted: BTreeMap::new(),
             first: BTreeSet::new(),
@@ -64,6 +70,15 @@
         self.teams.note(now, team, what);
     }
 
+    fn came(&mut self, class: &Class, tasks: u32) {
+        if !self.largest.contains_key(class) {
+            self.largest.insert(class.clone(), Largest::default());
+        }
+        if let Some(l) = self.largest.get_mut(class) {
+            l.came(tasks as u64);
+        }
+    }
+
     /// So many of its tasks may start ahead of others.
     pub fn lift(&self, id: &JobId) -> Option<i64> {
         self.lifted.get(id).copied().filter(|n| *n > 0)
@@ -106,6 +121,11 @@
         View {
             classes: classes.iter().map(names).collect(),
             teams: teams.collect(),
+            largest: self
+                .largest_figures
+                .iter()
+                .map(|(k, f)| (k.to_string(), *f))
+                .collect(),
         }
     }
 }
@@ -134,6 +154,7 @@
         for j in self.jobs.values() {
             let (class, team) = (&j.spec.class, &j.spec.team);
             self.books.note(now, class, team, What::Came);
+            self.books.came(class, j.spec.tasks);
             if j.history.first_start().is_some() {
                 self.books.note(now, class, team, What::Begun);
             }
@@ -143,6 +164,16 @@
     pub(super) fn book(&mut self, now: Time, id: &JobId, what: What) {
         if let Some(j) = self.jobs.get(id) {
             self.books.note(now, &j.spec.class, &j.spec.team, what);
+            let class = &j.spec.class;
+            match what {
+                What::Came => self.books.came(class, j.spec.tasks),
+                What::Begun => {
+                    if let Some(l) = self.books.largest.get_mut(class) {
+                        l.begun(j.spec.tasks as u64, now - j.arrived);
+                    }
+                }
+                _ => {}
+            }
         }
     }
 
@@ -156,6 +187,7 @@
         let usual = Span::secs(PATIENCE_S);
         let mut by_class: BTreeMap<Class, Waits> = BTreeMap::new();
         let mut by_team: BTreeMap<Team, Waits> = BTreeMap::new();
+        let mut unbegun: BTreeMap<Class, Vec<(u64, Span)>> = BTreeMap::new();
         // One that fails everywhere waits for its user, not for room.
         let waits = |j: &&Job| j.pending() > 0 && !j.fails_everywhere();
         for j in self.jobs.values().filter(waits) {
@@ -166,12 +198,21 @@
             class.note(tasks, came, waited, p);
             let team = by_team.entry(j.spec.team.clone()).or_default();
             team.note(tasks, came, waited, p);
+            if j.history.first_start().is_none() {
+                let class = unbegun.entry(j.spec.class.clone()).or_default();
+                class.push((j.spec.tasks as u64, came));
+            }
         }
         let b = &mut self.books;
         b.figures = (
             b.classes.figures(now, &by_class),
             b.teams.figures(now, &by_team),
         );
+        let figures = |(class, l): (&Class, &Largest)| {
+            let waiting = unbegun.get(class).into_iter().flatten().copied();
+            (class.clone(), l.figures(waiting))
+        };
+        b.largest_figures = b.largest.iter().map(figures).collect();
         self.set_room_aside();
         self.put_ahead(now);
     }
@@ -270,7 +311,15 @@
         };
         let v = self.books.view();
         let below = self.books.lifted().count();
-        tracing::info!(classes = %line(v.classes), teams = %line(v.teams), lifted_jobs = below, "served");
+        let one = |(k, f): (&String, &LargestFigures)| {
+            let (from, begun, waiting) = (f.tasks_from, f.begun, f.waiting);
+            let (longest, oldest) = (f.longest_s, f.oldest_s);
+            format!(
+                "{k}: from {from} tasks begun {begun} after {longest:.0} at most, waits {waiting} for {oldest:.0}"
+            )
+        };
+        let largest: Vec<String> = v.largest.iter().map(one).collect();
+        tracing::info!(largest = %largest.join("; "), classes = %line(v.classes), teams = %line(v.teams), lifted_jobs = below, "served");
     }
 }
 
--- a/tests/served.rs
+++ b/tests/served.rs
@@ -117,7 +117,9 @@
     };
     let mut gang = job(2, 4);
     (gang.kind, gang.one_zone, gang.team) = (Kind::Gang, true, "red".into());
-    for takeovers in [false, true] {
+    // A steady flood; besides, a take-over each minute; a zone lost; five times as much.
+    for trouble in 0..4 {
+        let takeovers = trouble == 1;
         let mut w = flood(0.0, &large(1), urgent);
         w.overtaken = Some(Span::secs(100.0));
         w.specs.insert(gang.id.clone(), gang.clone());
@@ -129,14 +131,27 @@
                 w.at(60.0 * k as f64 + 0.3, Ev::Restart(i));
             }
         }
+        if trouble == 2 {
+            w.at(50.0, Ev::CutZone("b".into(), true));
+            w.at(110.0, Ev::CutZone("b".into(), false));
+        }
+        for n in (0..200).filter(|_| trouble == 3) {
+            let mut j = job(1000 + n, 4);
+            urgent(&mut j);
+            let body = serde_json::to_vec(&j).unwrap();
+            w.specs.insert(j.id.clone(), j);
+            w.at(60.0 + 0.25 * n as f64, Ev::User(Ask::Submit(body)));
+        }
         w.run(20.0 + 240.0);
         w.assert_rules();
+        let s = w.sched(w.leader().unwrap());
+        let v = s.overview(hookworks::time::Time(w.now));
+        let f = &v["served"]["largest"]["work"];
+        assert_eq!(f["waiting"], 0, "{f}");
+        assert!(f["longest_s"].as_f64().unwrap() <= 240.0, "{f}");
         for id in ["job-000001", "job-000002"] {
             let id = JobId::from(id);
-            assert!(
-                done(&w, &id) > 0,
-                "{id} has not begun, take-overs {takeovers}"
-            );
+            assert!(done(&w, &id) > 0, "{id} has not begun, trouble {trouble}");
         }
         // The flood goes on: one in ten tasks, and not all of them at once.
         assert!(done(&w, &"job-000001".into()) < 40);
