--- a/tests/served.rs
+++ b/tests/served.rs
@@ -121,7 +121,7 @@
     for trouble in 0..4 {
         let takeovers = trouble == 1;
         let mut w = flood(0.0, &large(1), urgent);
-        w.overtaken = Some(Span::secs(100.0));
+        w.overtaken = Some(Span::secs(130.0));
         w.specs.insert(gang.id.clone(), gang.clone());
         let body = serde_json::to_vec(&gang).unwrap();
         w.at(20.0, Ev::User(Ask::Submit(body)));
