Questions take no more reads than their part, with and without a leader

While nobody led, each poll became a read at the followers; 165 requests were refused by the state service for their number, the looks of the election among them. A leader had no bound but 64 at a time, either.

Now each follower reads a tenth of the service's requests a second at most for questions, a leader a fifth, the rest is told to come back. Story: 500 questions about unknown ids.

--- a/src/node/asks.rs
+++ b/src/node/asks.rs
@@ -201,7 +201,13 @@
     pub(super) fn no_leader(&mut self, now: Time, req: ReqId, ask: Ask) {
         match ask {
             Ask::Poll(id) if JobId::well_formed(&id) => {
-                // What is final may be told by anyone who has read it.
+                // What is final may be told by anyone who has read it. While nobody
+                // led, questions took all requests there are, and the next leader
+                // was elected a second later for that.
+                if !self.looks.has(now, 1.0) {
+                    return self.answer(now, req, Answer::later("no leader in reach", 1));
+                }
+                self.looks.take(now, 1.0);
                 let _ = self.store.send(StoreJob::Look(req, id.as_str().into()));
             }
             Ask::Report(body) => {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -15,6 +15,7 @@
 use crate::sched::job::Final;
 use crate::sched::{Effect, Event, Sched};
 use crate::settings::{Settings, Sizes};
+use crate::store::budget::Budget;
 use crate::store::commit::{Committer, Step};
 use crate::store::{Outcome, final_key};
 use crate::time::{Clock, Span, Time, wall};
@@ -36,6 +37,9 @@
 const TICK: Span = Span(250_000);
 /// Messages taken before the loop looks at its other duties.
 const AT_ONCE: usize = 50;
+/// Share of the state service's requests that each controller may take for final
+/// states that it is asked about while no leader is in reach.
+const LOOKS: f64 = 0.1;
 /// At the end, answers that are due have so long to be written.
 const LAST_ANSWERS: Duration = Duration::from_millis(500);
 
@@ -138,6 +142,8 @@
     pending: HashMap<ReqId, Pending>,
     next_req: u64,
     sizes: Sizes,
+    /// Look-ups of final states without a leader.
+    looks: Budget,
     balance: balance::Balance,
     /// What goes to other controllers at the end of this turn.
     outbox: HashMap<Label, Vec<PeerMsg>>,
@@ -197,6 +203,7 @@
     }
     tracing::info!(label = %p.label, zone = %p.zone, listen = %p.listen, "started");
     let now = clock.now();
+    let looks = settings.platform.params.state.rps * LOOKS;
     let node = Node {
         settings,
         clock,
@@ -217,6 +224,7 @@
         pending: HashMap::new(),
         next_req: first_request(instance),
         sizes,
+        looks: Budget::new(looks, 2.0 * looks),
         balance: balance::Balance::default(),
         outbox: HashMap::new(),
         flavors: vec![],
--- a/src/sched/life.rs
+++ b/src/sched/life.rs
@@ -45,7 +45,7 @@
                 return false;
             }
         } else {
-            self.look_up(req, id.clone(), ask.clone());
+            self.look_up(now, req, id.clone(), ask.clone());
         }
         true
     }
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -206,6 +206,8 @@
     reads: HashMap<JobId, Vec<(ReqId, Ask)>>,
     record_reads: usize,
     look_ups: Budget,
+    /// The same for polls of jobs that are over or unknown.
+    poll_reads: Budget,
     counter: u64,
     next_seq: u64,
     next_call: u64,
@@ -262,6 +264,7 @@
             rules: cfg.tuning.rules(),
             record_reads: 0,
             look_ups: Budget::new(cfg.look_ups, (2.0 * cfg.look_ups).max(1.0)),
+            poll_reads: Budget::new(2.0 * cfg.look_ups, (4.0 * cfg.look_ups).max(1.0)),
             arrivals: Default::default(),
             fleet: fleet::Fleet::new(epoch),
             probes: Default::default(),
--- a/src/sched/users.rs
+++ b/src/sched/users.rs
@@ -153,7 +153,7 @@
                 self.books.note(now, &spec.class, &spec.team, What::Refused);
                 return self.answer(req, Answer::later(&e, 1));
             }
-            Ok(Some(_)) => return self.look_up(req, id, Ask::Submit(_body)),
+            Ok(Some(_)) => return self.look_up(now, req, id, Ask::Submit(_body)),
             Ok(None) => {}
         }
         if self.jobs.len() >= self.cfg.most_jobs {
@@ -227,7 +227,7 @@
                 self.answer(req, Answer::later("the job is being stored", 1));
             }
             Some(_) => self.tell_live(req, &id),
-            None => self.look_up(req, id.clone(), Ask::Poll(id.to_string())),
+            None => self.look_up(now, req, id.clone(), Ask::Poll(id.to_string())),
         }
     }
 
@@ -243,7 +243,7 @@
             return self.answer(req, a);
         }
         let Some(j) = self.jobs.get_mut(&id) else {
-            return self.look_up(req, id.clone(), Ask::Cancel(id.to_string()));
+            return self.look_up(now, req, id.clone(), Ask::Cancel(id.to_string()));
         };
         if j.closing.is_some() {
             j.waiters.push((u64::MAX, req, Waiting::Cancel));
@@ -278,7 +278,7 @@
         }
     }
 
-    pub(super) fn look_up(&mut self, req: ReqId, id: JobId, ask: Ask) {
+    pub(super) fn look_up(&mut self, now: Time, req: ReqId, id: JobId, ask: Ask) {
         // No job of another form can ever have been accepted.
         if !JobId::well_formed(id.as_str()) {
             return self.answer(req, Answer::error(404, "no such job"));
@@ -287,6 +287,14 @@
             return self.answer(req, Answer::later("too many look-ups at a time", 1));
         }
         let first = !self.reads.contains_key(&id);
+        // Questions take no more of the requests there are than their part, or all
+        // of them, renewals of the leadership among them, are refused for a while.
+        if first && matches!(ask, Ask::Poll(_)) {
+            if !self.poll_reads.has(now, 1.0) {
+                return self.answer(req, Answer::later("too many look-ups at a time", 1));
+            }
+            self.poll_reads.take(now, 1.0);
+        }
         self.reads.entry(id.clone()).or_default().push((req, ask));
         if first {
             self.read_final(&id);
--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -312,6 +312,33 @@
     assert_eq!(d.status(poll), Some(404));
 }
 
+/// Questions about ids that nobody knows took all requests there are.
+#[test]
+fn questions_about_unknown_ids_cost_a_bounded_number_of_reads() {
+    let mut d = Desk::new(5);
+    let (mut reads, mut refused) = (0, 0);
+    for n in 0..500 {
+        let req = d.ask(Ask::Poll(format!("job-{n:06}")));
+        let read = |f: &Effect| matches!(f, Effect::ReadFinal(_));
+        reads += d.fx.iter().filter(|f| read(f)).count();
+        d.fx.retain(|f| !read(f));
+        d.event(Event::FinalRead(
+            JobId::from(format!("job-{n:06}").as_str()),
+            Ok(None),
+        ));
+        refused += (d.status(req) == Some(503)) as usize;
+        assert!(matches!(d.status(req), Some(404 | 503)));
+        d.now += 10_000;
+    }
+    // A fifth of a hundred a second, for five seconds, and as much at once as in two.
+    assert!((90..=145).contains(&reads), "{reads} reads");
+    assert_eq!(reads + refused, 500);
+    // One that is live costs none.
+    d.submit(&job(900, 1));
+    let req = d.ask(Ask::Poll("job-000900".into()));
+    assert_eq!(d.status(req), Some(200));
+}
+
 #[test]
 fn a_late_retry_of_a_job_that_is_over_gets_its_state() {
     let mut d = Desk::new(5);
