--- a/tests/election.rs
+++ b/tests/election.rs
@@ -294,7 +294,7 @@
     d.stores = false;
     let limits = settings("x").platform.params.state;
     let mut c = Committer::new(Stamp(1), &limits);
-    for n in 0..400 {
+    for n in 0..2000 {
         c.add_litter(format!("hookworks/part/job-900000/{n:06}"));
     }
     for n in 0..200 {
@@ -309,11 +309,19 @@
     assert!(lengths[0] + lengths[2] >= 200, "{lengths:?}");
     let (mut swept, mut ended, mut longest) = (0, 0, 0);
     let mut waiting: Option<(ReqId, u64)> = None;
-    for step in 0..400 {
+    let mut burst: Vec<ReqId> = vec![];
+    for step in 0..800 {
         d.now += 25_000;
         let now = Time(d.now);
         d.s.handle(now, Event::Proven(now));
-        if step % 20 == 0 && waiting.is_none() && step > 200 {
+        if step == 760 {
+            assert!(d.s.dirty.is_empty(), "nothing but litter is left");
+            burst = (0..8).map(|n| d.submit(&job(5000 + n, 1))).collect();
+        } else if step == 764 {
+            let told = burst.iter().filter(|r| d.status(**r).is_some()).count();
+            assert_eq!(told, 8, "sweeping left nothing for them");
+        }
+        if step % 20 == 0 && waiting.is_none() && step > 200 && step < 700 {
             waiting = Some((d.submit(&job(1000 + step, 1)), d.now));
         }
         while let Some((id, txn)) = c.next(now, &mut d.s) {
