Answers that come too late say nothing of what a machine hears

The loop now says when requests have waited for 0.7 s; for ten seconds from then on nothing is concluded of any machine's hearing, and those found deaf are answered. A story fails without it.

--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -40,6 +40,9 @@
 /// Share of the state service's requests that each controller may take for final
 /// states that it is asked about while no leader is in reach.
 const LOOKS: f64 = 0.1;
+/// A request that has waited here for so long may be answered too late: a worker
+/// waits for 4 s in all.
+const BEHIND: Span = Span(700_000);
 /// At the end, answers that are due have so long to be written.
 const LAST_ANSWERS: Duration = Duration::from_millis(500);
 
@@ -153,6 +156,8 @@
     turns: Histogram<u64>,
     /// Messages that waited when the loop last looked.
     waiting: usize,
+    /// A request has waited for too long since the last tick.
+    behind: bool,
     started: Time,
     stopping: Option<Time>,
     election: Sender<duties::ToElection>,
@@ -231,6 +236,7 @@
         latency: histogram()?,
         turns: histogram()?,
         waiting: 0,
+        behind: false,
         started: now,
         stopping: None,
         election,
@@ -334,6 +340,7 @@
             Msg::Http(Incoming::Ask(reply, ask)) => {
                 // From when it was here, not from when it had waited its turn.
                 let since = self.clock.at(reply.asked()).min(now);
+                self.behind |= now - since > BEHIND;
                 self.ask(now, since, Origin::Http(reply), ask);
             }
             Msg::Http(Incoming::Overview(reply)) => {
@@ -510,6 +517,9 @@
             let epoch = t.epoch;
             let away = self.peers.out_of_reach();
             self.event(now, epoch, Event::OutOfReach(away));
+            if std::mem::take(&mut self.behind) {
+                self.event(now, epoch, Event::Behind);
+            }
             self.event(now, epoch, Event::Tick(wall()));
         }
         let late: Vec<ReqId> = self
--- a/src/sched/beats.rs
+++ b/src/sched/beats.rs
@@ -80,7 +80,7 @@
         let Some(m) = self.machines.get_mut(host) else {
             return;
         };
-        if m.deaf_since.is_some() && self.ends_something(host) {
+        if m.deaf_since.is_some() && self.keeps_up(now) && self.ends_something(host) {
             // What does not hear ends what it has with its lease, which no answer
             // of ours may renew: a cancellation holds by that.
             self.reports_refused += 1;
--- a/src/sched/hearing.rs
+++ b/src/sched/hearing.rs
@@ -22,6 +22,8 @@
 
 /// Answers in a row without effect. One is lost now and then.
 const IN_VAIN: u32 = 2;
+/// So long after requests last waited for too long, answers are in time again.
+const CAUGHT_UP: Span = Span(10_000_000);
 /// A worker takes an answer that comes so long after its report.
 const TAKES_FOR: Span = Span(4_000_000);
 
@@ -52,10 +54,15 @@
         new_session: bool,
     ) {
         let fresh = self.next_token();
+        let keeps_up = self.keeps_up(now);
         let Some(m) = self.machines.get_mut(&r.host) else {
             return;
         };
         let Some(told) = m.told.take() else { return };
+        if !keeps_up {
+            m.in_vain = 0;
+            return;
+        }
         let lease = Span::secs(self.cfg.workers.lease_s).shrunk() - TAKES_FOR;
         let lost = new_session && now < m.answered + lease;
         let began = |t: &TaskId| {
@@ -84,6 +91,13 @@
         }
     }
 
+    /// Answers leave in time. Where they don't, workers drop them, and what their
+    /// reports show says nothing of them: under a flood of jobs most of a fleet
+    /// once counted as deaf, was answered 503, and lost 15,000 tasks by its leases.
+    pub(super) fn keeps_up(&self, now: Time) -> bool {
+        now - self.behind > CAUGHT_UP
+    }
+
     /// Something on the machine is to end: what was stopped or is no longer ours,
     /// and what was told to start and has not been seen, which waits elsewhere.
     /// If so, it is tried directly as well, which renews no lease.
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -75,6 +75,8 @@
     /// Leadership is proven as of this moment, when the renewal was sent.
     Proven(Time),
     Tick(Wall),
+    /// Requests have waited here for so long that answers may come too late.
+    Behind,
     /// The moment that `wake_at` named.
     Wake,
 }
@@ -217,6 +219,8 @@
     /// still: what was not heard meanwhile says nothing of others.
     ticked: Time,
     awake: Time,
+    /// When requests were last found to have waited for too long.
+    behind: Time,
     wall: Wall,
     /// Something has changed that the next pass over the jobs should see.
     replan: bool,
@@ -289,6 +293,7 @@
             began: now,
             ticked: now,
             awake: Time::default(),
+            behind: Time::default(),
             wall,
             replan: false,
             pass_at: now,
@@ -330,6 +335,7 @@
             Event::Hired(h, r) => self.hired(now, h, r),
             Event::Released(hosts, ok) => self.released(now, hosts, ok),
             Event::Proven(t) => self.proven = self.proven.max(t),
+            Event::Behind => self.behind = now,
             Event::Wake => {
                 self.push_ready(now);
                 self.answer_held(now, false);
--- a/tests/hearing.rs
+++ b/tests/hearing.rs
@@ -115,6 +115,27 @@
     assert!(d.attempt("job-000003", 0).is_some());
 }
 
+/// Under a flood of jobs answers came too late, and most of a fleet counted as deaf,
+/// was answered 503, and lost what it ran with its leases.
+#[test]
+fn answers_that_come_too_late_say_nothing_of_a_machine() {
+    let (mut d, a) = at_work();
+    d.hear = false;
+    d.submit(&job(2, 1));
+    for seq in 4..9 {
+        d.event(Event::Behind);
+        d.wait(3.0);
+        assert!(d.beat(&runs(seq, a)).is_some());
+    }
+    assert!(d.s.machines[&host(1)].deaf_since.is_none());
+    // One that was found so before is answered on meanwhile.
+    let (mut d, a) = at_work();
+    let seq = goes_deaf(&mut d, a);
+    assert!(d.beat(&runs(seq, a)).is_none());
+    d.event(Event::Behind);
+    assert!(d.beat(&runs(seq + 1, a)).is_some());
+}
+
 /// One lost answer is nothing.
 #[test]
 fn an_answer_that_is_lost_now_and_then_puts_nobody_aside() {
