--- a/src/node/asks.rs
+++ b/src/node/asks.rs
@@ -32,9 +32,9 @@
         req
     }
 
-    pub(super) fn ask_from_peer(&mut self, now: Time, origin: Origin, ask: Ask) {
+    pub(super) fn ask_from_peer(&mut self, now: Time, since: Time, origin: Origin, ask: Ask) {
         let full = self.pending.len() >= self.sizes.requests;
-        let req = self.new_req(now, origin, &ask);
+        let req = self.new_req(since, origin, &ask);
         if full {
             return self.answer(now, req, Answer::later("too many requests", 2));
         }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -348,15 +348,16 @@
                 reply.answer(Answer::new(200, body));
             }
             Msg::Peer(FromPeers::Gone(label)) => self.gone(now, &label),
-            Msg::Peer(FromPeers::Msg(PeerMsg::Ask { id, from, ask, .. })) => {
+            Msg::Peer(FromPeers::Msg(since, PeerMsg::Ask { id, from, ask, .. })) => {
                 let from = Label::from(from.as_str());
                 let origin = Origin::Peer { from, id };
-                self.ask_from_peer(now, origin, ask);
+                self.behind |= now - since > BEHIND;
+                self.ask_from_peer(now, since, origin, ask);
             }
-            Msg::Peer(FromPeers::Msg(PeerMsg::Tell { id, answer, .. })) => {
+            Msg::Peer(FromPeers::Msg(_, PeerMsg::Tell { id, answer, .. })) => {
                 self.answer(now, ReqId(id), answer);
             }
-            Msg::Peer(FromPeers::Msg(PeerMsg::Ping { .. })) => {}
+            Msg::Peer(FromPeers::Msg(_, PeerMsg::Ping { .. })) => {}
             Msg::Loaded(l) => self.loaded(now, *l),
             Msg::Flavors(f) => {
                 self.flavors = f.clone();
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -41,7 +41,9 @@
 
 /// What comes of the talk with other controllers.
 pub enum FromPeers {
-    Msg(PeerMsg),
+    /// With the moment at which it arrived, from which answers count: it may wait
+    /// its turn for longer than they are good for.
+    Msg(Time, PeerMsg),
     /// The process of that label has ended, or the link by which it was heard:
     /// what it was asked will not be answered.
     Gone(Label),
@@ -340,7 +342,7 @@
                 PeerMsg::Ping { .. } => continue,
             };
             if to == self.me.label.as_str() {
-                if !inbox(FromPeers::Msg(msg)) {
+                if !inbox(FromPeers::Msg(self.now(), msg)) {
                     break;
                 }
             } else {
