--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -35,10 +35,10 @@
     pub body: String,
     /// Seconds after which asking again makes sense; spread out on the way.
     pub retry_after: Option<u32>,
-    /// Microseconds for which it may be told, counted from when it was asked for;
-    /// none: for ever. What is passed on counts from when it was passed on, or
-    /// earlier, so no clocks are compared. Last, as earlier versions neither send
-    /// nor read it.
+    /// Microseconds for which it may be told, none: for ever. They count from when
+    /// the question reached whoever answers it; where it was passed on, from when it
+    /// reached the one that did, which is earlier. Last, as earlier versions neither
+    /// send nor read it.
     pub valid_us: Option<u64>,
 }
 
