A leader that is too busy to hear the others is not alone; no calls to be certain of machines

A leader short of processor hears no pings and renews late: it sent all workers away at once, where it had answered them for the grace before. It is not taken for alone while requests wait for 0.7 s. Machines that report before they are listed are not called for that any more: the list is there within a second.

--- a/src/sched/catchup.rs
+++ b/src/sched/catchup.rs
@@ -93,7 +93,7 @@
         // Hundreds of calls into a zone that is gone held up all others.
         let silent = self.watch.silent(&m.zone) || self.fences.inherited(&m.zone).is_some();
         let rests = m.direct.is_some() || now < m.no_push_until;
-        let known = m.reported && m.doubt.is_none() && m.certain;
+        let known = m.reported && m.doubt.is_none();
         let Some(addr) = m.addr.clone().filter(|_| !silent && !rests && !known) else {
             return;
         };
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -388,11 +388,13 @@
         self.may_start(now) || now < self.proven + self.cfg.report_grace() && !self.alone(now)
     }
 
-    /// There are other controllers, and none of them can be talked to.
+    /// There are other controllers, and none of them can be talked to; unless it is
+    /// this one that is too busy to hear them.
     fn alone(&self, now: Time) -> bool {
         let away = |l| self.fleet.out_of_reach.get(l);
         let lately = |l| away(l).is_some_and(|t| now - *t < Span::secs(1.0));
-        !self.cfg.controllers.is_empty() && self.cfg.controllers.keys().all(lately)
+        let others = &self.cfg.controllers;
+        !others.is_empty() && self.keeps_up(now) && others.keys().all(lately)
     }
 
     fn next_token(&mut self) -> Token {
--- a/src/sched/report.rs
+++ b/src/sched/report.rs
@@ -40,7 +40,6 @@
         let known = m.in_term;
         m.in_term |= sent_in_term;
         m.certain |= sent_in_term;
-        let uncertain = !m.certain;
         (m.session, m.seq) = (r.session, r.seq);
         m.heard = now;
         m.reported_at = Some(now);
@@ -76,9 +75,6 @@
         if new_session {
             self.new_session(now, &r.host, known);
         }
-        if uncertain {
-            self.wish_for_token(&r.host);
-        }
         let mut strays = std::collections::BTreeMap::new();
         let mut shown = BTreeSet::new();
         for t in &r.tasks {
