--- a/crates/served/src/lib.rs
+++ b/crates/served/src/lib.rs
@@ -220,9 +220,8 @@
     }
 
     /// How many tasks of a job go ahead of others, of which so many wait and none
-    /// has begun for so long. Each time a part only: jobs of thousands of tasks
-    /// would stop everyone else's; and the rest is overtaken no longer than this
-    /// again, so that a job of any size has all begun within ten times that.
+    /// has begun for so long. A part only: jobs of thousands of tasks would stop
+    /// everyone else's.
     pub fn goes_ahead(&self, tasks: u64, waiting: u64, waited: Span) -> u64 {
         match self.overtaken {
             Some(most) if waited >= most => tasks.div_ceil(PORTION).min(waiting),
--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -97,8 +97,6 @@
     /// Of the runtimes; kept, since every pass asks for it.
     pub median: Option<f64>,
     pub backoff_until: Time,
-    /// When the latest of its tasks was placed under this leader.
-    pub started: Time,
     pub errors: u32,
     pub error_hosts: BTreeSet<Host>,
     /// Tasks that failed under earlier leaders, wherever that was.
@@ -223,7 +221,6 @@
             runtimes: vec![],
             median: None,
             backoff_until: Time::default(),
-            started: Time::default(),
             errors: 0,
             error_hosts: BTreeSet::new(),
             failed_before: 0,
--- a/src/sched/place.rs
+++ b/src/sched/place.rs
@@ -292,7 +292,6 @@
             spot: m.spot,
         });
         let ver = j.touch(part, &mut self.dirty, purpose);
-        j.started = now;
         j.live.insert(
             ix,
             Live {
--- a/src/sched/served.rs
+++ b/src/sched/served.rs
@@ -18,6 +18,8 @@
 
 /// Figures are made up so often.
 const LOOK_EVERY: Span = Span(1_000_000);
+/// Share of the fleet that goes ahead at a look to jobs that were overtaken for long.
+const AHEAD: f64 = 0.01;
 /// A class without aims may wait so long.
 const PATIENCE_S: f64 = 120.0;
 
@@ -133,7 +135,7 @@
 /// Since when a job has waited for a start of the tasks that it still has.
 fn waits_since(j: &Job) -> Time {
     let latest = j.live.values().map(|l| l.placed).max();
-    latest.unwrap_or_default().max(j.started).max(j.arrived)
+    latest.map_or(j.arrived, |t| t.max(j.arrived))
 }
 
 impl Sched {
@@ -217,20 +219,43 @@
         self.put_ahead(now);
     }
 
-    /// Jobs that have been overtaken for as long as they may be. Where many large
-    /// ones were late for all their aims, they came last of all and never began.
+    /// Jobs that have been overtaken for as long as they may be without any start.
+    /// Where many large ones were late for all their aims, they came last of all and
+    /// never began. A little at a time, the longest waiting first: under a flood with
+    /// hundreds of them, a part of each at once took all writes there were, and the
+    /// leader could not keep up.
     fn put_ahead(&mut self, now: Time) {
         let floor = self.books.floor;
-        let waits = |j: &&Job| j.pending() > 0 && now >= j.backoff_until && !j.fails_everywhere();
-        let mut first = BTreeSet::new();
-        for j in self.jobs.values().filter(waits) {
+        let waits = |j: &&Job| {
+            let begun = j.history.first_start().is_some() || !j.live.is_empty();
+            j.pending() > 0 && !begun && now >= j.backoff_until && !j.fails_everywhere()
+        };
+        let ahead = |j: &Job| {
             let waiting = j.pending() as u64;
-            let n = floor.goes_ahead(j.spec.tasks as u64, waiting, now - waits_since(j)) as i64;
-            if n > 0 && by_itself(j) {
+            floor.goes_ahead(j.spec.tasks as u64, waiting, now - j.arrived) as i64
+        };
+        let mut late: Vec<(&Job, i64)> = self
+            .jobs
+            .values()
+            .filter(waits)
+            .map(|j| (j, ahead(j)))
+            .filter(|(_, n)| *n > 0)
+            .collect();
+        late.sort_by_key(|(j, _)| (j.arrived, j.seq));
+        let fleet: i64 = self.machines.values().map(|m| m.capacity.cpu).sum();
+        let mut left = (fleet as f64 * AHEAD) as i64;
+        let mut first = BTreeSet::new();
+        for (j, n) in late {
+            if by_itself(j) {
                 first.insert(j.id().clone());
-            } else if n > 0 {
+                left -= j.need.cpu * j.pending() as i64;
+            } else {
                 let lifted = self.books.lifted.entry(j.id().clone()).or_default();
                 *lifted = n.max(*lifted);
+                left -= j.need.cpu * n;
+            }
+            if left <= 0 {
+                break;
             }
         }
         self.books.first = first;
--- a/src/settings/served.rs
+++ b/src/settings/served.rs
@@ -15,9 +15,9 @@
     /// Below the floor is a class or team with overdue jobs of which a smaller
     /// share began within the last five minutes.
     pub below: f64,
-    /// A job of whose waiting tasks none has begun for so many seconds has a tenth
-    /// of them begun ahead of others, as far as its team's limit goes; a gang, a
-    /// service or a job of one zone goes first as a whole. 0: never.
+    /// A job of which nothing has begun for so many seconds has a tenth of its tasks
+    /// begun ahead of others, as far as its team's limit goes; a gang, a service or a
+    /// job of one zone goes first as a whole. 0: never.
     pub overtaken_s: f64,
 }
 
