Making room looks at a bounded number of tasks

The work of making room grows with jobs times tasks; it ends after 40,000 looks now, the urgent first.

--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -13,6 +13,9 @@
 
 /// Tasks stopped in one go; the next pass sees what came of it.
 const MAX_STOPS: usize = 12;
+/// Tasks looked at in one go, for all that claim room: with a thousand jobs short of
+/// room after a take-over, each of them looked at fifteen thousand.
+const MOST_LOOKED: u32 = 40_000;
 /// A task that has run for this share of its estimate is let finish.
 const NEARLY_DONE: f64 = 0.85;
 
@@ -78,6 +81,7 @@
         let little: Vec<usize> = (0..all.len()).filter(|i| little(&all[*i])).collect();
         let any: Vec<usize> = (0..all.len()).collect();
         let mut stops = vec![];
+        let mut looked = 0u32;
         for c in claims {
             // What is being stopped already makes room for the first of them.
             let part = whole.scarcest(&c.job.need);
@@ -89,6 +93,10 @@
                 if need <= 0 || stops.len() >= MAX_STOPS {
                     break;
                 }
+                looked += 1;
+                if looked > MOST_LOOKED {
+                    return stops;
+                }
                 let v = &mut all[*i];
                 if v.taken || !self.gives_way(v, &c, order) {
                     continue;
