--- a/tests/world/links.rs
+++ b/tests/world/links.rs
@@ -9,6 +9,17 @@
 use hookworks::store::Outcome;
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Chances of trouble, each per message.
+#[derive(Clone, Copy, Default)]
+pub struct Chaos {
+    pub lose_answer: f64,
+    pub late: f64,
+    pub lose_txn_answer: f64,
+    pub refuse_txn: f64,
+    /// A report comes again, up to three leases later.
+    pub copy: f64,
+}
+
 /// What becomes of messages from one zone to another.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Link {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -24,11 +24,13 @@
 use hookworks::wire::cloud::Hire;
 use hookworks::wire::peer::{Answer, Ask};
 use hookworks::wire::state::{Item, Txn};
-use hookworks::wire::user::{JobSpec, JobState};
+use hookworks::wire::user::JobSpec;
 use hookworks::wire::worker::{Orders, ReportAnswer};
 use hookworks_life::HoldKind;
+pub use links::Chaos;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use rules::Told;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use worker::Worker;
 
@@ -93,27 +95,6 @@
     lonely: bool,
 }
 
-/// Chances of trouble, each per message.
-#[derive(Clone, Copy, Default)]
-pub struct Chaos {
-    pub lose_answer: f64,
-    pub late: f64,
-    pub lose_txn_answer: f64,
-    pub refuse_txn: f64,
-    /// A report comes again, up to three leases later.
-    pub copy: f64,
-}
-
-#[derive(Default)]
-struct Told {
-    accepted: bool,
-    over: Option<JobState>,
-    cancelled_at: Option<u64>,
-    tasks: u32,
-    /// When a user was last told of it, or began to wait for that.
-    known_at: u64,
-}
-
 pub struct World {
     pub now: u64,
     checked: u64,
--- a/tests/world/rules.rs
+++ b/tests/world/rules.rs
@@ -10,6 +10,16 @@
 use hookworks_life::HoldRequest;
 use std::collections::{BTreeMap, BTreeSet};
 
+#[derive(Default)]
+pub(super) struct Told {
+    pub(super) accepted: bool,
+    pub(super) over: Option<JobState>,
+    pub(super) cancelled_at: Option<u64>,
+    pub(super) tasks: u32,
+    /// When a user was last told of it, or began to wait for that.
+    pub(super) known_at: u64,
+}
+
 impl World {
     /// All troubles are over: every job that was accepted stays known.
     pub fn all_quiet(&mut self) {
