--- a/src/sched/hearing.rs
+++ b/src/sched/hearing.rs
@@ -53,7 +53,6 @@
         shown: &BTreeSet<TaskId>,
         new_session: bool,
     ) {
-        let fresh = self.next_token();
         let keeps_up = self.keeps_up(now);
         let Some(m) = self.machines.get_mut(&r.host) else {
             return;
@@ -79,6 +78,11 @@
         if m.in_vain < IN_VAIN || m.deaf_since.is_some() {
             return;
         }
+        // Only now: a number for each report would use up the term's within hours.
+        let fresh = self.next_token();
+        let Some(m) = self.machines.get_mut(&r.host) else {
+            return;
+        };
         m.deaf_since = Some(now);
         (m.token, m.doubt) = (fresh, Some(fresh));
         tracing::info!(host = %r.host, tasks = m.slots.len(), "does not hear");
--- a/tests/hearing.rs
+++ b/tests/hearing.rs
@@ -136,6 +136,18 @@
     assert!(d.beat(&runs(seq + 1, a)).is_some());
 }
 
+/// Each report took a token, of which a term has sixteen million.
+#[test]
+fn a_report_takes_no_token() {
+    let (mut d, a) = at_work();
+    for seq in 4..60 {
+        d.beat(&runs(seq, a));
+    }
+    d.submit(&job(2, 1));
+    let second = d.attempt("job-000002", 0).unwrap();
+    assert!(second.0 - a.0 < 20, "{} numbers used", second.0 - a.0);
+}
+
 /// One lost answer is nothing.
 #[test]
 fn an_answer_that_is_lost_now_and_then_puts_nobody_aside() {
