A report that was passed on its way is told what is to end, too

Cause: the answer to a direct call may pass a report on its way. That report's answer renews the lease, and carried no commands at all, so a cancellation could wait for the next one. And what a job with an unreadable record had done was cleared from its machine, though it is on no record that we can read.

Change: an answer to a report that is not the newest tells what is to end, and nothing else; 'done' of an unreadable job is not cleared.

--- a/src/sched/beats.rs
+++ b/src/sched/beats.rs
@@ -2,6 +2,7 @@
 
 use super::Sched;
 use super::machine::{Life, Machine, Told};
+use super::report::By;
 use crate::ids::{Host, Label, ReqId};
 use crate::time::{Span, Time};
 use crate::wire::peer::Answer;
@@ -95,11 +96,9 @@
             m.told = Some(Told { seq: m.seq, token });
         }
         self.fences.note_answer(&m.zone, now);
-        let orders = if b.newest {
-            self.orders_for(now, host, true)
-        } else {
-            vec![]
-        };
+        // An older one was passed by the answer to a call; it renews the lease all the
+        // same, so it tells what is to end.
+        let orders = self.orders_for(now, host, By::Answer { newest: b.newest });
         let a = ReportAnswer { token, orders };
         let body = serde_json::to_string(&a).unwrap_or_default();
         self.answer(b.req, Answer::new(200, body));
--- a/src/sched/direct.rs
+++ b/src/sched/direct.rs
@@ -3,6 +3,7 @@
 
 use super::job::Phase;
 use super::machine::{Life, Machine};
+use super::report::By;
 use super::{DirectResult, Effect, Sched};
 use crate::ids::{CallId, Host, JobId, Token};
 use crate::time::{Span, Time};
@@ -36,7 +37,7 @@
         if !self.may_start(now) {
             return;
         }
-        let orders = self.orders_for(now, host, false);
+        let orders = self.orders_for(now, host, By::Call);
         let worth = |o: &Order| !matches!(o, Order::Clear { .. });
         if !orders.iter().any(worth) {
             return;
--- a/src/sched/report.rs
+++ b/src/sched/report.rs
@@ -16,6 +16,16 @@
 /// Commands in one message.
 const MAX_ORDERS: usize = 200;
 
+/// How a worker is told what to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum By {
+    /// A direct call, which renews no lease.
+    Call,
+    /// The answer to a report; one that is not the newest says nothing of what the
+    /// worker has by now.
+    Answer { newest: bool },
+}
+
 impl Sched {
     /// Takes what a report says, unless a newer one was there before.
     pub(super) fn take_report(&mut self, now: Time, r: &Report, beat: bool) -> bool {
@@ -395,7 +405,7 @@
     /// What the worker is to do. In an answer to a report nothing is lost: a
     /// worker that did not get it reports again, and hears the same. What is to
     /// end is told without any limit.
-    pub(super) fn orders_for(&mut self, now: Time, host: &Host, answer: bool) -> Vec<Order> {
+    pub(super) fn orders_for(&mut self, now: Time, host: &Host, by: By) -> Vec<Order> {
         // Without proof of the leadership nothing new is started.
         let up = self.machines.get(host).is_some_and(|m| m.life == Life::Up);
         let may_run = up && self.may_start(now);
@@ -405,7 +415,8 @@
         // While a direct call is on its way the two could overtake each other,
         // which matters for all but ending what is there: while calls to a zone
         // that was cut off waited in line, a cancelled task once ran on.
-        let only_kill = m.direct.is_some();
+        let only_kill = m.direct.is_some() || by == By::Answer { newest: false };
+        let answer = by != By::Call;
         let mut orders = vec![];
         let seq = m.seq;
         for ((task, attempt), ended) in &m.strays {
@@ -459,6 +470,8 @@
     /// An ended attempt may be forgotten once nothing of it waits to be stored.
     fn may_clear(&self, task: &TaskId, _attempt: Attempt) -> bool {
         match self.jobs.get(&task.job) {
+            // What it has done is on no record that we can read.
+            None if self.unreadable.contains_key(&task.job) => false,
             Some(j) if task.ix.0 < j.spec.tasks => j.closing.is_none() && j.part_stored(task.ix),
             _ => true,
         }
--- a/tests/late.rs
+++ b/tests/late.rs
@@ -11,8 +11,9 @@
 use hookworks::store::commit::{Committer, Step};
 use hookworks::time::{Span, Time, Wall};
 use hookworks::wire::peer::Ask;
+use hookworks::wire::user::JobState;
 use hookworks::wire::worker::*;
-use world::desk::{Desk, report};
+use world::desk::{Desk, ended, report, task};
 use world::store::Handle;
 use world::{job, settings};
 
@@ -148,3 +149,56 @@
     let run_or_kill = |o: &Orders| !o.orders.is_empty();
     assert!(!d.direct().iter().any(|(_, _, o)| run_or_kill(o)));
 }
+
+/// The answer to a call passed a report on its way. That report was answered, which
+/// renewed the lease, without a word of what had been cancelled.
+#[test]
+fn the_answer_to_a_report_that_was_passed_tells_what_is_to_end_too() {
+    let mut d = Desk::new(5);
+    d.beat(&report(1, 1, Token(0)));
+    d.submit(&job(1, 1));
+    let a = d.attempt(JOB, 0).unwrap();
+    let (call, host, orders) = d.direct().remove(0);
+    let mut passes = report(1, 3, orders.token);
+    passes.tasks = vec![task(JOB, 0, a, TaskState::Running)];
+    d.event(Event::Direct(
+        call,
+        host,
+        DirectResult::Done(Box::new(passes)),
+    ));
+    d.ask(Ask::Cancel(JOB.into()));
+    d.submit(&job(2, 1));
+    let told = d
+        .beat(&report(1, 2, Token(0)))
+        .expect("its lease is renewed");
+    let kill = |o: &Order| matches!(o, Order::Kill { attempt, .. } if *attempt == a);
+    assert!(told.orders.iter().any(kill), "{:?}", told.orders);
+    // But it says nothing of what is there by now: nothing starts on its word.
+    let others = told.orders.iter().filter(|o| !kill(o)).count();
+    assert_eq!(others, 0, "{:?}", told.orders);
+}
+
+/// A job's record could not be read for a while, and what its tasks had come to was
+/// dropped from their machines: after a release that reads it they would run again.
+#[test]
+fn what_a_job_with_an_unreadable_record_has_done_stays_where_it_is() {
+    let mut d = Desk::new(5);
+    let unreadable = [(JobId::from(JOB), JobState::Queued)];
+    d.s.load(Time(d.now), vec![], unreadable.into_iter().collect());
+    let done = ended(JOB, 0, Attempt(7), Cause::Done);
+    let lost = ended("job-000009", 0, Attempt(8), Cause::Done);
+    let token = Token(Epoch(5).base());
+    let mut r = report(1, 1, token);
+    r.tasks = vec![done, lost];
+    for seq in 1..4 {
+        r.seq = Seq(seq);
+        let a = d.beat(&r).expect("answered");
+        let cleared = |job: &str| {
+            let of =
+                |o: &&Order| matches!(o, Order::Clear { task, .. } if task.job.as_str() == job);
+            a.orders.iter().filter(of).count()
+        };
+        assert_eq!(cleared(JOB), 0, "report {seq}");
+        assert_eq!(cleared("job-000009"), 1, "nobody knows that job");
+    }
+}
