--- a/tests/late.rs
+++ b/tests/late.rs
@@ -6,16 +6,16 @@
 use hookworks::lead::{Candidate, Elect, Elector};
 use hookworks::node::load::load;
 use hookworks::sched::{DirectResult, Event, Purpose};
-use hookworks::store::Outcome;
 use hookworks::store::client::State;
 use hookworks::store::commit::{Committer, Step};
+use hookworks::store::{FENCES, Outcome};
 use hookworks::time::{Span, Time, Wall};
 use hookworks::wire::peer::Ask;
 use hookworks::wire::user::JobState;
 use hookworks::wire::worker::*;
 use world::desk::{Desk, ended, report, task};
 use world::store::Handle;
-use world::{job, settings};
+use world::{Ev, World, job, settings};
 
 const JOB: &str = "job-000001";
 const PART: &str = "hookworks/part/job-000001/000001";
@@ -202,3 +202,84 @@
         assert_eq!(cleared("job-000009"), 1, "nobody knows that job");
     }
 }
+
+/// A small fleet through all kinds of writes: submissions, first starts, progress,
+/// ends, a hold and its release, a cancellation, fences of a zone; under one leader, or
+/// with another one from the middle on.
+fn all_kinds_of_writes(late_one: Option<(u64, f64)>, another: bool) -> World {
+    let mut w = World::new(5, 3);
+    w.late_one = late_one;
+    w.run_s = 4.0;
+    w.run(2.0);
+    let mut at = |in_s: f64, ask: Ask| w.at(in_s, Ev::User(ask));
+    for n in 1..=4 {
+        let j = job(n, if n == 4 { 40 } else { 3 });
+        let body = serde_json::to_vec(&j).unwrap();
+        for k in 0..4 {
+            at(3.0 * n as f64 + 4.0 * k as f64, Ask::Submit(body.clone()));
+        }
+        for k in 0..120 {
+            at(2.0 * k as f64, Ask::Poll(j.id.to_string()));
+        }
+    }
+    let hold = br#"{"By":"ann","Kind":"user","Why":"","Stop":true}"#.to_vec();
+    let release = br#"{"By":"ann","Kind":"user"}"#.to_vec();
+    for k in 0..4 {
+        let again = 2.0 * k as f64;
+        at(10.0 + again, Ask::Hold("job-000002".into(), hold.clone()));
+        at(
+            24.0 + again,
+            Ask::Release("job-000002".into(), release.clone()),
+        );
+        at(16.0 + again, Ask::Cancel("job-000003".into()));
+        at(90.0 + again, Ask::Cancel("job-000004".into()));
+    }
+    for n in 1..=4 {
+        let j = job(n, if n == 4 { 40 } else { 3 });
+        w.specs.insert(j.id.clone(), j);
+    }
+    w.at(30.0, Ev::CutZone("b".into(), true));
+    w.at(60.0, Ev::CutZone("b".into(), false));
+    if another {
+        // It leads no more when some of what it has sent is carried out.
+        w.at(17.0, Ev::Kill(0));
+        w.at(17.5, Ev::Restart(0));
+        w.at(18.0, Ev::LateElection(1, 2.5));
+        w.at(18.0, Ev::LateElection(2, 4.0));
+    }
+    w.run(240.0);
+    w
+}
+
+/// Each write in turn gets no answer and is carried out after newer ones of the same
+/// controller, or after another one leads.
+#[test]
+fn any_write_may_be_carried_out_late() {
+    for another in [false, true] {
+        let well = all_kinds_of_writes(None, another);
+        let all = well.transactions;
+        assert!(all > 25, "hardly any writes: {all}");
+        assert!(well.store.keys().iter().any(|k| k == FENCES), "no fence");
+        for n in 1..=all {
+            for by in [1.3, 2.5, 9.0] {
+                let mut w = all_kinds_of_writes(Some((n, by)), another);
+                let b = &w.broken;
+                assert!(
+                    b.is_empty(),
+                    "write {n}, {by} s, {another}: {:?}",
+                    b.first()
+                );
+                let done = w.state_of(JOB);
+                assert_eq!(done, Some(JobState::Done), "write {n}, {by} s, {another}");
+                let end = w.state_of("job-000003");
+                assert_eq!(
+                    end,
+                    Some(JobState::Cancelled),
+                    "write {n}, {by} s, {another}"
+                );
+                let i = w.leader().expect("a leader");
+                assert!(w.sched(i).jobs.is_empty(), "write {n}, {by} s, {another}");
+            }
+        }
+    }
+}
--- a/tests/world/acts.rs
+++ b/tests/world/acts.rs
@@ -23,6 +23,10 @@
             if self.chaos.late_txn > 0.0 && self.rng.random_bool(self.chaos.late_txn) {
                 d = self.rng.random_range(2.0..12.0);
             }
+            self.transactions += 1;
+            if let Some((_, by)) = self.late_one.filter(|l| l.0 == self.transactions) {
+                d = by;
+            }
             if d > 1.0 {
                 // Given up by the sender, carried out later all the same.
                 self.at(1.0, Ev::TxnDone(i, epoch, id, Outcome::Unclear));
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -150,6 +150,10 @@
     pub floor: f64,
     /// For how long a job may be overtaken.
     pub overtaken: Option<Span>,
+    /// Transactions sent so far, and which one gets no answer and is carried out so
+    /// many seconds later.
+    pub transactions: u64,
+    pub late_one: Option<(u64, f64)>,
     /// Seconds that a cancellation has, and what controllers are told of it: another
     /// number is a fault put in.
     pub cancel_s: f64,
@@ -219,6 +223,8 @@
             wealth: 1.0,
             floor: 0.0,
             overtaken: None,
+            transactions: 0,
+            late_one: None,
             cancel_s: 42.0,
             believed_s: None,
             rentals: vec![],
