Tests: what a deaf machine costs, from 24 draws instead of one

One draw (seed 4) was held against a bound of 6 s: 4.5 s by luck, 11.5 s once the world drew one number more.

--- a/tests/restarts.rs
+++ b/tests/restarts.rs
@@ -192,8 +192,8 @@
 /// not before; the most that a job takes longer for it.
 #[test]
 fn the_tasks_of_a_machine_that_hears_nothing_run_elsewhere() {
-    let took = |deaf: bool| {
-        let mut w = busy(4);
+    let took = |deaf: bool, seed: u64| {
+        let mut w = busy(seed);
         w.run(14.0);
         let busiest = w.workers.values().max_by_key(|w| w.present().len());
         let host = busiest.unwrap().host.clone();
@@ -216,8 +216,11 @@
         w.assert_rules();
         (w.now - from) as f64 / 1e6
     };
-    let (well, deaf) = (took(false), took(true));
-    println!("all done after {well} s, with a machine that hears nothing {deaf} s");
-    // 4.5 s longer; 10 where it goes on being chosen.
-    assert!(deaf <= well + 6.0, "{deaf} s, {well} s without");
+    let longer = (1..=24).map(|seed| took(true, seed) - took(false, seed));
+    let longer: Vec<f64> = longer.collect();
+    let mean = longer.iter().sum::<f64>() / longer.len() as f64;
+    let most = longer.iter().copied().fold(0.0, f64::max);
+    println!("with a machine that hears nothing {mean:.1} s longer, at most {most} s");
+    // 6.4 s and 12.5 s; 35 s and 250 s where it goes on being chosen.
+    assert!(mean <= 7.0 && most <= 13.0, "{longer:?}");
 }
