--- a/tests/late.rs
+++ b/tests/late.rs
@@ -283,3 +283,28 @@
         }
     }
 }
+
+/// Whoever asks again while the cancellation is on its way to the record waits for that
+/// like the first: a leader that ended then had told what nobody knew after it.
+#[test]
+fn a_second_cancellation_waits_for_the_record_as_the_first_does() {
+    let mut d = Desk::new(5);
+    d.beat(&report(1, 1, Token(0)));
+    d.submit(&job(1, 1));
+    d.stores = false;
+    let first = d.ask(Ask::Cancel(JOB.into()));
+    let second = d.ask(Ask::Cancel(JOB.into()));
+    let poll = d.ask(Ask::Poll(JOB.into()));
+    assert_eq!((d.status(first), d.status(second)), (None, None));
+    assert_eq!(
+        d.status(poll),
+        Some(503),
+        "neither the old state nor the new"
+    );
+    d.stores = true;
+    d.event(Event::Wake);
+    for req in [first, second] {
+        let a = d.answer(req).expect("answered");
+        assert!(a.status == 200 && a.body.contains("\"cancelled\""), "{a:?}");
+    }
+}
