--- a/tests/late.rs
+++ b/tests/late.rs
@@ -308,3 +308,25 @@
         assert!(a.status == 200 && a.body.contains("\"cancelled\""), "{a:?}");
     }
 }
+
+/// What was placed while the leadership was proven and stored after that is not told to
+/// start in the answers that go on through the grace: another leader may have been told
+/// of a cancellation meanwhile.
+#[test]
+fn what_is_stored_after_the_proof_has_run_out_is_not_told_to_start() {
+    let mut d = Desk::new(5);
+    d.refuses = true;
+    d.beat(&report(1, 1, Token(0)));
+    d.stores = false;
+    d.submit(&job(1, 1));
+    assert!(d.attempt(JOB, 0).is_some(), "placed");
+    d.proves = false;
+    d.wait(3.0);
+    d.store();
+    let told = |d: &mut Desk, seq| d.beat(&report(1, seq, Token(0))).map(|a| a.orders);
+    assert_eq!(told(&mut d, 2), Some(vec![]), "within the grace");
+    d.proves = true;
+    d.event(Event::Wake);
+    let runs = told(&mut d, 3).expect("answered");
+    assert!(matches!(&runs[..], [Order::Run { .. }]), "{runs:?}");
+}
