One pass over the jobs for a turn of the loop, and a rest after it

Cause: a pass was due again after each message, so a turn of fifty took up to 5.8 s on floods at 1.5 times the fleet, in which reports, proofs and submissions waited.

Change: a pass comes with the turn's end or a tick, not with a message; after it all else has three times as long as it took, 0.4 s at the most.

--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -304,7 +304,7 @@
                 && t.sched.wake_at().is_some_and(|at| now >= at)
             {
                 let epoch = t.epoch;
-                self.event(now, epoch, Event::Wake);
+                self.pass(now, epoch, Event::Wake);
             }
             if now - tick >= TICK {
                 tick = now;
@@ -521,7 +521,7 @@
             if std::mem::take(&mut self.behind) {
                 self.event(now, epoch, Event::Behind);
             }
-            self.event(now, epoch, Event::Tick(wall()));
+            self.pass(now, epoch, Event::Tick(wall()));
         }
         let late: Vec<ReqId> = self
             .pending
--- a/src/node/terms.rs
+++ b/src/node/terms.rs
@@ -3,15 +3,19 @@
 use super::duties::{CloudJob, ToElection};
 use super::load::{self, Loaded};
 use super::{Node, Role, Term};
-use crate::ids::{Label, ReqId};
+use crate::ids::{Epoch, Label, ReqId};
 use crate::lead::Elect;
 use crate::sched::{Config, Event, Sched};
 use crate::store::commit::Committer;
-use crate::time::{Time, wall};
+use crate::time::{Span, Time, wall};
 use crate::wire::peer::Answer;
 use hookworks_listing::Board;
 use std::sync::atomic::Ordering;
 
+/// Passes leave so many times as long as they take to all else, but no more than
+/// this: a process may stand still in the middle of one.
+const REST: (u64, Span) = (3, Span(400_000));
+
 impl Node {
     pub(super) fn elect(&mut self, now: Time, e: Elect) {
         if e != Elect::NoAnswer {
@@ -124,4 +128,15 @@
             let _ = self.election.try_send(ToElection::Hurry);
         }
     }
+
+    /// An event with which a pass over the jobs may come, and the rest after it.
+    pub(super) fn pass(&mut self, now: Time, epoch: Epoch, e: Event) {
+        let before = self.clock.now();
+        self.event(now, epoch, e);
+        let after = self.clock.now();
+        let rest = Span((after - before).0 * REST.0).min(REST.1);
+        if let Some(t) = self.term(epoch) {
+            t.sched.rest(after + rest);
+        }
+    }
 }
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -226,6 +226,8 @@
     replan: bool,
     /// Passes gather what happens meanwhile: no next one before this moment.
     pass_at: Time,
+    /// Nor before this one, however urgent: the rest has its share.
+    rests_until: Time,
     preempt_at: Time,
     sum_up_at: Time,
     /// The job with which the next pass goes on.
@@ -297,6 +299,7 @@
             wall,
             replan: false,
             pass_at: now,
+            rests_until: Time::default(),
             preempt_at: now,
             sum_up_at: now,
             goes_on_at: None,
@@ -316,6 +319,10 @@
     /// The only way in: an event at a time leads to effects.
     pub fn handle(&mut self, now: Time, event: Event) -> Vec<Effect> {
         self.dirty.now = now;
+        // One for a turn of the loop, not one for each of its messages: with a pass
+        // due again after each, a turn took 5.8 s, and reports waited for it.
+        let turn_ends = matches!(event, Event::Wake | Event::Tick(_));
+        let may_pass = turn_ends || self.cfg.pass_every == Span::ZERO;
         match event {
             Event::Ask(req, ask) => self.ask(now, req, ask),
             Event::Relayed(req, by, body) => self.beat(now, req, &body, Some(by)),
@@ -345,7 +352,7 @@
                 self.tick(now);
             }
         }
-        if self.replan && now >= self.pass_at && self.may_start(now) {
+        if may_pass && self.replan && now >= self.pass_due() && self.may_start(now) {
             self.replan = false;
             self.pass_at = now + self.cfg.pass_every;
             self.place(now);
@@ -362,10 +369,20 @@
         std::mem::take(&mut self.out)
     }
 
+    fn pass_due(&self) -> Time {
+        self.pass_at.max(self.rests_until)
+    }
+
+    /// No pass before this moment: the last one has taken so much that the rest is
+    /// to have its turn.
+    pub fn rest(&mut self, until: Time) {
+        self.rests_until = until;
+    }
+
     /// When `Wake` is due, if there is anything for it to do: the next pass,
     /// commands that may leave, answers that have waited.
     pub fn wake_at(&self) -> Option<Time> {
-        let pass = self.replan.then_some(self.pass_at);
+        let pass = self.replan.then_some(self.pass_due());
         let ready = (!self.ready.is_empty()).then_some(Time::default());
         let due = [pass, ready, self.held_until()];
         due.into_iter().flatten().min()
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -273,3 +273,44 @@
     d.submit(&urgent);
     assert!(placed(&d, 3));
 }
+
+/// Fifty messages, and a pass due again after each, made a turn of 5.8 s, in which
+/// reports and proofs waited. Steps are counted here, not time.
+#[test]
+fn messages_wait_for_no_pass_and_a_pass_waits_while_the_rest_has_its_turn() {
+    let mut d = Desk::set_up(5, vec![], |c| {
+        c.teams[0].cpus_max = 1e6;
+        c.pass_every = Span::millis(40);
+    });
+    fleet(&mut d);
+    d.wait(0.25);
+    let judged = d.s.judged();
+    for n in 0..50 {
+        let mut j = job(100 + n, 4);
+        if n % 2 == 0 {
+            // Of a quick class, for which a pass is due at once.
+            (j.class, j.priority) = ("quick".into(), Priority::High);
+        }
+        d.submit(&j);
+        d.now += 5_000;
+    }
+    assert_eq!(d.s.judged(), judged, "a message brought a pass of its own");
+    assert!(d.s.wake_at().is_some_and(|t| t <= Time(d.now)));
+    d.event(Event::Wake);
+    let one = d.s.judged() - judged;
+    assert!(one > 0 && one < 45_000, "{one} machines judged in a turn");
+    // It took a while: the next one waits, whatever comes.
+    let until = Time(d.now + 400_000);
+    d.s.rest(until);
+    let judged = d.s.judged();
+    let mut urgent = job(3, 1);
+    (urgent.class, urgent.priority) = ("quick".into(), Priority::High);
+    d.submit(&urgent);
+    while Time(d.now) < until {
+        assert_eq!(d.s.judged(), judged, "no rest");
+        d.now += 50_000;
+        d.event(Event::Wake);
+    }
+    assert!(d.s.judged() > judged, "passed over");
+    assert!(!d.s.jobs[&urgent.id].live.is_empty());
+}
