Submissions: too large to be stored is said only of a job that is not over

A submission whose description the state service would not take got 400 without a look at what is over already. With value_kb lowered since, a repeated submission of a job that had been accepted and was done got 400, which counts as forgotten. It is refused by the same path as what can never run now: after the read of the final state.

More than 1e9 CPUs, accelerators or GB of memory got 400; that is well formed and fits no machine, so it gets 422. What a task takes is bounded where it becomes a Room, so that all tasks of a job together stay within the range.

The tests' world judges submissions (accepted or refused wrongly, answers that differ) and starts after a confirmed cancellation, each with a fault put in, in tests/checker.rs. It knows cancellations within 0.2 s, at the end of the last task, odd requests, a slow state service, and controllers that end in order.

--- a/src/sched/room.rs
+++ b/src/sched/room.rs
@@ -1,7 +1,7 @@
 //! Amounts of a machine, in thousandths, so that sums stay exact.
 
 use crate::wire::cloud::Flavor;
-use crate::wire::user::JobSpec;
+use crate::wire::user::{JobSpec, MAX_TASKS};
 use std::fmt;
 use std::ops::{AddAssign, SubAssign};
 
@@ -14,6 +14,9 @@
 
 /// Far above any sum of tasks, and far from the end of the range.
 const UNLIMITED: i64 = i64::MAX / 4;
+/// A submission may name any amount. More than that is no more than this, so that all
+/// tasks of a job together stay within what is unlimited.
+const MOST_OF_A_TASK: i64 = UNLIMITED / MAX_TASKS as i64;
 
 fn up(v: f64) -> i64 {
     (v * 1000.0 - 1e-6).ceil() as i64
@@ -27,9 +30,9 @@
     /// What one task of the job takes, rounded up.
     pub fn of_task(s: &JobSpec) -> Room {
         Room {
-            cpu: up(s.cpus),
-            gpu: up(s.gpus),
-            mem: up(s.memory_gb),
+            cpu: up(s.cpus).min(MOST_OF_A_TASK),
+            gpu: up(s.gpus).min(MOST_OF_A_TASK),
+            mem: up(s.memory_gb).min(MOST_OF_A_TASK),
         }
     }
     /// What a machine offers, rounded down.
--- a/src/sched/users.rs
+++ b/src/sched/users.rs
@@ -160,13 +160,9 @@
             self.books.note(now, &spec.class, &spec.team, What::Refused);
             return self.answer(req, Answer::later("too many unfinished jobs", 10));
         }
-        let size = part_size(self.cfg.value_kb);
-        let mut job = Job::new(spec, self.next_seq, now, self.wall, size);
-        let room = (self.cfg.value_kb * 1024.0) as usize;
-        let first = job.encode(0).to_string().len() + LATER;
-        if first + size.min(job.spec.tasks) as usize * 42 > room {
-            let text = "Builds: the job's description is too large to be stored";
-            return self.answer(req, Answer::error(400, text));
+        let mut job = self.new_job(now, spec);
+        if self.too_large(&job) {
+            return self.look_up(now, req, id, Ask::Submit(_body));
         }
         self.next_seq += 1;
         if self.is_quick(&job.spec.class) && job.spec.kind != Kind::Gang {
@@ -188,6 +184,36 @@
         self.replan = true;
     }
 
+    fn new_job(&self, now: Time, spec: JobSpec) -> Job {
+        let size = part_size(self.cfg.value_kb);
+        Job::new(spec, self.next_seq, now, self.wall, size)
+    }
+
+    /// The state service would not take the job's first record.
+    fn too_large(&self, job: &Job) -> bool {
+        let size = part_size(self.cfg.value_kb);
+        let room = (self.cfg.value_kb * 1024.0) as usize;
+        let first = job.encode(0).to_string().len() + LATER;
+        first + size.min(job.spec.tasks) as usize * 42 > room
+    }
+
+    /// What a submission gets that would be refused, now that nothing is known of
+    /// a job of that name.
+    fn refusal(&self, now: Time, body: &[u8]) -> Answer {
+        let spec = match JobSpec::parse(body) {
+            Ok(spec) => spec,
+            Err(e) => return Answer::error(400, &e),
+        };
+        match self.never_runs(&spec) {
+            Ok(Some(text)) => Answer::error(422, &text),
+            Ok(None) if self.too_large(&self.new_job(now, spec)) => {
+                let text = "Builds: the job's description is too large to be stored";
+                Answer::error(400, text)
+            }
+            _ => Answer::later("the machine types have changed", 1),
+        }
+    }
+
     fn tell_live(&mut self, req: ReqId, id: &JobId) {
         if let Some(j) = self.jobs.get(id) {
             // What is not stored is not told: it could go back.
@@ -326,13 +352,7 @@
                 (Ok(None), _) if self.jobs.contains_key(&id) => {
                     Answer::later("the job is being stored", 1)
                 }
-                (Ok(None), Ask::Submit(body)) => {
-                    let why = JobSpec::parse(body).map(|s| self.never_runs(&s));
-                    match why {
-                        Ok(Ok(Some(text))) => Answer::error(422, &text),
-                        _ => Answer::later("the machine types have changed", 1),
-                    }
-                }
+                (Ok(None), Ask::Submit(body)) => self.refusal(now, body),
                 (Ok(None), _) => Answer::error(404, "no such job"),
             };
             self.answer(req, a);
--- a/src/wire/user.rs
+++ b/src/wire/user.rs
@@ -8,6 +8,8 @@
 
 /// Most tasks a job may have.
 pub const MAX_TASKS: u32 = 100_000;
+/// Longest duration in seconds, and largest image in GB, of a job.
+const MAX_AMOUNT: f64 = 1e9;
 /// Most conditions that a job may wait for.
 pub const MAX_AFTER: usize = 16;
 
@@ -262,10 +264,18 @@
         if self.tasks == 0 || self.tasks > MAX_TASKS {
             return Err(format!("Pieces: must be 1 to {MAX_TASKS}"));
         }
-        let amounts = [
+        // However much a task takes: that no machine has it is another answer.
+        let taken = [
             ("Vcpus", self.cpus),
             ("Accelerators", self.gpus),
             ("RamGb", self.memory_gb),
+        ];
+        for (field, v) in taken {
+            if !v.is_finite() || v < 0.0 {
+                return Err(format!("{field}: must be 0 or more"));
+            }
+        }
+        let amounts = [
             ("SizeGb", self.image_gb),
             ("GuessS", self.estimate_s),
             ("BookmarkS", self.checkpoint_s),
@@ -273,8 +283,8 @@
             ("DueS", self.deadline_s.unwrap_or(0.0)),
         ];
         for (field, v) in amounts {
-            if !v.is_finite() || !(0.0..=1e9).contains(&v) {
-                return Err(format!("{field}: must be 0 or more"));
+            if !(0.0..=MAX_AMOUNT).contains(&v) {
+                return Err(format!("{field}: must be 0 to {MAX_AMOUNT}"));
             }
         }
         let names = [
--- a/tests/checker.rs
+++ b/tests/checker.rs
@@ -7,6 +7,7 @@
 use hookworks::wire::peer::{Answer, Ask};
 use hookworks::wire::user::{JobSpec, Kind};
 use hookworks::wire::worker::{Order, Orders};
+use world::submissions::Verdict;
 use world::{Ev, World, job};
 
 const JOB: &str = "job-000001";
@@ -167,3 +168,101 @@
     told(&mut w, Ask::Poll(JOB.into()), 200, "cancelled");
     assert!(noticed(&w, "went_back"), "{:?}", w.broken);
 }
+
+/// Fault put in: a submission that lacks a field, or can never run, is answered as if it
+/// had been accepted; one that may run is refused.
+#[test]
+fn a_submission_that_is_answered_wrongly() {
+    let good = serde_json::to_value(job(1, 2)).unwrap();
+    let with = |field: &str, v: serde_json::Value| {
+        let mut j = good.clone();
+        j[field] = v;
+        j.to_string().into_bytes()
+    };
+    let mut lacks = good.clone();
+    lacks.as_object_mut().unwrap().remove("StowS");
+    let lacks = lacks.to_string().into_bytes();
+    let cases = [
+        (with("Crew", "nobody".into()), Verdict::NeverRuns),
+        (with("Vcpus", 8.5.into()), Verdict::NeverRuns),
+        (with("Builds", serde_json::json!(["x"])), Verdict::NeverRuns),
+        (with("Yard", "elsewhere".into()), Verdict::NeverRuns),
+        (with("Pieces", 1.5.into()), Verdict::Malformed),
+        (with("Vcpus", (-1).into()), Verdict::Malformed),
+        (with("OneZone", serde_json::Value::Null), Verdict::Malformed),
+        (lacks, Verdict::Malformed),
+        (b"[]".to_vec(), Verdict::Malformed),
+        (good.to_string().into_bytes(), Verdict::Accepted),
+    ];
+    for (body, verdict) in cases {
+        let text = String::from_utf8_lossy(&body).into_owned();
+        for status in [201, 400, 422] {
+            let mut w = World::new(3, 1);
+            w.specs.insert(JOB.into(), job(1, 2));
+            assert_eq!(w.verdict(&body), verdict, "{text}");
+            told(&mut w, Ask::Submit(body.clone()), status, "queued");
+            let right = match verdict {
+                Verdict::Accepted => 201,
+                Verdict::Malformed => 400,
+                Verdict::NeverRuns => 422,
+            };
+            let rule = match status {
+                201 => "accepted_wrongly",
+                _ => "refused_wrongly",
+            };
+            assert_eq!(noticed(&w, rule), status != right, "{status} {text}");
+        }
+    }
+}
+
+/// Fault put in: the second answer to the same body is another one.
+#[test]
+fn a_submission_that_is_answered_in_two_ways() {
+    let mut body = job(1, 2);
+    body.team = "nobody".into();
+    let ask = Ask::Submit(serde_json::to_vec(&body).unwrap());
+    let text = |why: &str| Answer::error(422, why);
+    let says = |second: Answer| {
+        let mut w = World::new(3, 1);
+        w.told_by_mistake(ask.clone(), text("Crew: no team nobody"));
+        w.told_by_mistake(ask.clone(), Answer::later("no leader", 1));
+        w.told_by_mistake(ask.clone(), second);
+        noticed(&w, "answers_differ")
+    };
+    assert!(!says(text("Crew: no team nobody")));
+    assert!(says(text("Vcpus: more than the team's limit")));
+    assert!(says(Answer::error(400, "Crew: no team nobody")));
+}
+
+/// Fault put in: an accepted job is refused as its submission is repeated.
+#[test]
+fn a_repeated_submission_that_is_refused() {
+    for status in [400, 422] {
+        let mut w = running(|_| {});
+        let body = serde_json::to_vec(&w.specs[&JobId::from(JOB)]).unwrap();
+        told(&mut w, Ask::Submit(body), status, "queued");
+        assert!(noticed(&w, "forgotten"), "{status}");
+    }
+}
+
+/// Faults put in: a command to run leaves after the cancellation was told, or a machine
+/// starts a task with none under way. One that left before may be carried out late.
+#[test]
+fn a_start_after_a_confirmed_cancellation() {
+    let run = |ix| Order::Run {
+        task: task(ix),
+        attempt: Attempt(7),
+    };
+    let host = Host::from("n-900007");
+    let mut w = running(|j| j.tasks = 9);
+    w.commands_leave(&host, &[run(7)]);
+    told(&mut w, Ask::Cancel(JOB.into()), 200, "cancelled");
+    starts_elsewhere(&mut w, "a", true, 7, 7);
+    assert!(!noticed(&w, "started_cancelled"), "{:?}", w.broken);
+    w.commands_leave(&host, &[run(8)]);
+    assert!(noticed(&w, "started_cancelled"));
+    let mut w = running(|j| j.tasks = 9);
+    told(&mut w, Ask::Cancel(JOB.into()), 200, "cancelled");
+    starts_elsewhere(&mut w, "a", true, 8, 7);
+    assert!(noticed(&w, "started_cancelled"));
+}
--- a/tests/world/acts.rs
+++ b/tests/world/acts.rs
@@ -27,6 +27,9 @@
             if let Some((_, by)) = self.late_one.filter(|l| l.0 == self.transactions) {
                 d = by;
             }
+            if self.submissions.slow_store_s > 0.0 {
+                d += self.rng.random_range(0.0..self.submissions.slow_store_s);
+            }
             if d > 1.0 {
                 // Given up by the sender, carried out later all the same.
                 self.at(1.0, Ev::TxnDone(i, epoch, id, Outcome::Unclear));
@@ -47,6 +50,7 @@
                 {
                     if let Ok(a) = serde_json::from_str::<ReportAnswer>(&a.body) {
                         self.check_held(&a.orders);
+                        self.commands_leave(&host, &a.orders);
                     }
                     self.at(d, Ev::ToWorker(host, sent, a, i));
                 }
@@ -57,6 +61,7 @@
                 call, host, orders, ..
             } => {
                 self.check_held(&orders.orders);
+                self.commands_leave(&host, &orders.orders);
                 if d > 1.0 {
                     let e = Ev::Direct(i, epoch, call, host.clone(), DirectResult::Unclear);
                     self.at(2.5, e);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -12,6 +12,7 @@
 mod rules;
 mod steps;
 pub mod store;
+pub mod submissions;
 mod users;
 pub mod worker;
 
@@ -90,6 +91,12 @@
     StepDown(usize),
     /// From now on these chances.
     Chances(Chaos),
+    /// So many jobs that run are called off within 0.2 s.
+    CancelNow(usize),
+    /// Users send what is odd, until then.
+    OddRequests(u64),
+    /// A controller ends in order: it gives the leadership up first.
+    End(usize),
 }
 
 struct Term {
@@ -174,6 +181,7 @@
     /// Gangs that began to run, all members at once.
     pub gangs_begun: usize,
     pub done_tasks: BTreeSet<TaskId>,
+    pub submissions: submissions::Submissions,
 }
 
 const S: u64 = 1_000_000;
@@ -238,6 +246,7 @@
             gangs: BTreeMap::new(),
             gangs_begun: 0,
             done_tasks: BTreeSet::new(),
+            submissions: submissions::Submissions::default(),
         };
         for i in 0..controllers {
             let c = w.new_ctl(i, 1);
@@ -562,6 +571,12 @@
             }
             Ev::StepDown(i) => self.ctls[i].term = None,
             Ev::Chances(c) => self.chaos = c,
+            Ev::CancelNow(count) => self.cancel_now(count),
+            Ev::OddRequests(until) => self.odd_requests(until),
+            Ev::End(i) => {
+                self.ctls[i].elector.resign();
+                self.take(Ev::Kill(i));
+            }
             Ev::LateElection(i, by_s) => self.store.of(i).delay_next((by_s * 1e6) as u64),
         }
     }
--- a/tests/world/rules.rs
+++ b/tests/world/rules.rs
@@ -50,7 +50,14 @@
     pub(super) fn heard(&mut self, ask: Ask, mut a: Answer) {
         let view = serde_json::from_str::<JobView>(&a.body).ok();
         let id: JobId = match &ask {
-            Ask::Submit(b) => JobSpec::parse(b).unwrap().id,
+            Ask::Submit(b) => {
+                self.judge_submission(b, &a);
+                match JobSpec::parse(b) {
+                    Ok(spec) => spec.id,
+                    // Of no job: it may not even have a name.
+                    Err(_) => return self.answers.push((ask, a)),
+                }
+            }
             Ask::Poll(i) | Ask::Cancel(i) | Ask::Show(i) => i.as_str().into(),
             Ask::Hold(i, _) | Ask::Release(i, _) => i.as_str().into(),
             Ask::Report(_) | Ask::List(_) | Ask::Events(_) => return,
@@ -193,6 +200,7 @@
         let mut on: BTreeMap<TaskId, BTreeSet<Host>> = BTreeMap::new();
         let mut used: BTreeMap<Team, f64> = BTreeMap::new();
         let mut accelerators: BTreeMap<Team, f64> = BTreeMap::new();
+        let mut ended = vec![];
         let now = self.now;
         for w in self.workers.values_mut() {
             w.step(now, LEASE);
@@ -215,10 +223,12 @@
                     }
                 }
             }
-            for t in w.take_done() {
-                self.done_tasks.insert(t);
-            }
+            ended.push((w.host.clone(), w.take_done()));
+        }
+        for (host, tasks) in ended {
+            self.tasks_end(&host, tasks);
         }
+        self.check_starts(&on);
         for (t, hosts) in &on {
             let before = self.on.get(t);
             if before != Some(hosts) {
--- a/tests/world/steps.rs
+++ b/tests/world/steps.rs
@@ -86,7 +86,11 @@
         w.step(now, LEASE);
         w.up = true;
         // What it is about to tell has happened.
-        self.done_tasks.extend(w.take_done());
+        let ended = w.take_done();
+        self.tasks_end(&h, ended);
+        let Some(w) = self.workers.get_mut(&h) else {
+            return;
+        };
         if now < w.next_beat {
             return;
         }
--- a/tests/world/users.rs
+++ b/tests/world/users.rs
@@ -1,6 +1,7 @@
 //! What users ask for, and what they are told.
 
 use super::World;
+use super::submissions::submitted_id;
 use hookworks::ids::*;
 use hookworks::sched::Event;
 use hookworks::wire::peer::{Answer, Ask};
@@ -57,7 +58,7 @@
 
     pub fn answers_to(&self, id: &str) -> Vec<u16> {
         let of = |a: &Ask| match a {
-            Ask::Submit(b) => JobSpec::parse(b).unwrap().id.to_string(),
+            Ask::Submit(b) => submitted_id(b).map_or(String::new(), |id| id.to_string()),
             Ask::Poll(i) | Ask::Cancel(i) | Ask::Show(i) => i.clone(),
             Ask::Hold(i, _) | Ask::Release(i, _) => i.clone(),
             Ask::Report(_) | Ask::List(_) | Ask::Events(_) => String::new(),
