Tests: a job left waiting for 90 s beside a machine with room is noticed

The checker of the tests' world judges once a second, from all_quiet on and from the stand-ins' own record, which jobs wait though one and the same machine has had room for 90 s and their team is under its limit; of a gang, room for all its tasks. Two tests in tests/checker.rs put a job in that no controller knows of, and one whose condition is not met.

--- a/tests/checker.rs
+++ b/tests/checker.rs
@@ -5,7 +5,7 @@
 
 use hookworks::ids::*;
 use hookworks::wire::peer::{Answer, Ask};
-use hookworks::wire::user::{JobSpec, Kind};
+use hookworks::wire::user::{After, JobSpec, Kind, When};
 use hookworks::wire::worker::{Order, Orders};
 use world::{Ev, World, job};
 
@@ -139,6 +139,51 @@
     }
 }
 
+/// A job that is accepted, and of which no controller knows.
+fn hidden(w: &mut World, change: impl Fn(&mut JobSpec)) {
+    let mut j = job(2, 1);
+    change(&mut j);
+    let body = serde_json::to_vec(&j).unwrap();
+    w.specs.insert(j.id.clone(), j);
+    let view = r#"{"Id":"job-000002","Status":"queued","done":0,"running":0}"#;
+    w.told_by_mistake(Ask::Submit(body), Answer::new(201, view.into()));
+}
+
+/// For 90 s, with all troubles over, beside one machine with room for it.
+#[test]
+fn a_job_left_waiting_while_a_machine_has_room() {
+    let neglected = |change: fn(&mut JobSpec), seconds: f64| {
+        let mut w = running(|_| {});
+        hidden(&mut w, change);
+        w.all_quiet();
+        w.run(seconds);
+        noticed(&w, "neglected: job-000002")
+    };
+    assert!(!neglected(|_| {}, 89.0));
+    assert!(neglected(|_| {}, 93.0));
+    assert!(neglected(|j| (j.kind, j.tasks) = (Kind::Gang, 2), 93.0));
+    // Too large for the room there is, as a whole, by itself or beside its team's.
+    assert!(!neglected(|j| (j.kind, j.tasks) = (Kind::Gang, 3), 93.0));
+    assert!(!neglected(|j| j.cpus = 5.0, 93.0));
+    assert!(!neglected(|j| j.gpus = 2.5, 93.0));
+    // On no machine that there is.
+    assert!(!neglected(|j| j.spot = false, 93.0));
+    assert!(!neglected(|j| j.zone = Some("b".into()), 93.0));
+}
+
+/// Its condition is not met as long as the other one runs.
+#[test]
+fn a_job_that_may_not_start_is_not_left_waiting() {
+    let mut w = running(|_| {});
+    hidden(&mut w, |j| {
+        let (job, when, each) = (JOB.into(), When::End, false);
+        j.after = vec![After { job, when, each }];
+    });
+    w.all_quiet();
+    w.run(120.0);
+    assert!(!noticed(&w, "neglected"), "{:?}", w.broken);
+}
+
 #[test]
 fn a_job_that_nobody_submitted() {
     let mut w = World::new(3, 3);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -8,6 +8,7 @@
 mod cloud;
 pub mod desk;
 pub mod given;
+mod idle_room;
 pub mod links;
 mod rules;
 mod steps;
@@ -167,6 +168,7 @@
     on: BTreeMap<TaskId, BTreeSet<Host>>,
     /// All troubles are over since then.
     quiet_since: Option<u64>,
+    idle_room: idle_room::IdleRoom,
     /// A fault put in: of one job in so many no question is answered.
     pub ignores_one_in: Option<u64>,
     /// Gangs that have begun, and until when those that still run will.
@@ -234,6 +236,7 @@
             run_s: 15.0,
             on: BTreeMap::new(),
             quiet_since: None,
+            idle_room: idle_room::IdleRoom::default(),
             ignores_one_in: None,
             gangs: BTreeMap::new(),
             gangs_begun: 0,
@@ -306,6 +309,7 @@
             if touches || t - self.checked >= LOOK_EVERY {
                 self.checked = t;
                 self.check();
+                self.check_idle_room();
             }
         }
         true
--- a/tests/world/worker.rs
+++ b/tests/world/worker.rs
@@ -162,6 +162,27 @@
         }
     }
 
+    /// What takes room here.
+    pub fn unfinished(&self) -> impl Iterator<Item = &TaskId> {
+        let here = self.tasks.iter();
+        let here = here.filter(|(_, t)| t.state != TaskState::Ended);
+        here.map(|((id, _), _)| id)
+    }
+
+    /// How many tasks of a job there is room for beside what is here.
+    pub fn room_for(&self, spec: &JobSpec, specs: &BTreeMap<JobId, JobSpec>) -> u32 {
+        let here: Vec<&JobSpec> = self.unfinished().map(|t| &specs[&t.job]).collect();
+        let times = |whole: f64, part: fn(&JobSpec) -> f64| {
+            let used: f64 = here.iter().map(|s| part(s)).sum();
+            match part(spec) > 0.0 {
+                true => ((whole - used) / part(spec) + 1e-6).max(0.0) as u32,
+                false => u32::MAX,
+            }
+        };
+        let (cpus, gpus) = (times(8.0, |s| s.cpus), times(2.0, |s| s.gpus));
+        cpus.min(gpus).min(times(32.0, |s| s.memory_gb))
+    }
+
     pub fn take_done(&mut self) -> Vec<TaskId> {
         std::mem::take(&mut self.done)
     }
@@ -201,15 +222,7 @@
                         *id == task && t.state != TaskState::Ended
                     };
                     let spec = &specs[&task.job];
-                    let here = self.tasks.iter();
-                    let here = here.filter(|(_, t)| t.state != TaskState::Ended);
-                    let here: Vec<&JobSpec> = here.map(|((id, _), _)| &specs[&id.job]).collect();
-                    let sum = |part: fn(&JobSpec) -> f64| {
-                        here.iter().map(|s| part(s)).sum::<f64>() + part(spec)
-                    };
-                    let full = sum(|s| s.cpus) > 8.0 + 1e-6
-                        || sum(|s| s.gpus) > 2.0 + 1e-6
-                        || sum(|s| s.memory_gb) > 32.0 + 1e-6;
+                    let full = self.room_for(spec, specs) == 0;
                     let cause = if self.tasks.iter().any(busy) {
                         Some(Cause::InUse)
                     } else if full {
