Tests: leaders that change often, machines up at once, lists that lag, slow links

New troubles of the tests' world (tests/world/handover.rs): machines that report before the answer to their rental, lists of the cloud that lag, writes and loads that take seconds, slow links, changes of leader in order, without warning, by a freeze or a refusal.

A leader rents for jobs that it has loaded only once lists show what was rented before its term, and a machine that reports before the answer to its rental is used as soon as that answer comes: until then it waited for its second report or the next list.

--- a/src/sched/fleet.rs
+++ b/src/sched/fleet.rs
@@ -64,6 +64,9 @@
     gone: HashSet<Host>,
     /// When other controllers were last found out of reach.
     pub out_of_reach: HashMap<Label, Time>,
+    /// The sequence number of the first job that came in this term; those before it
+    /// were loaded.
+    pub first_own: u64,
     /// The next machine that does not hear may be given back then.
     deaf_at: Time,
 }
@@ -78,6 +81,7 @@
             refused: HashMap::new(),
             gone: HashSet::new(),
             out_of_reach: HashMap::new(),
+            first_own: 0,
             deaf_at: Time::default(),
         }
     }
--- a/src/sched/fleet/rent.rs
+++ b/src/sched/fleet/rent.rs
@@ -130,8 +130,11 @@
                     n -= c.serve(n, self.per_machine(kind, &j.need));
                 }
             }
+            if n <= 0.0 || self.rented_before(now, j) {
+                continue;
+            }
             let kinds = self.kinds_for(now, &j.need, Some((j, zone)), &zones);
-            let Some((_, kind)) = kinds.into_iter().next().filter(|_| n > 0.0) else {
+            let Some((_, kind)) = kinds.into_iter().next() else {
                 continue;
             };
             let per = self.per_machine(&kind, &j.need).max(1.0);
@@ -176,6 +179,14 @@
         }
     }
 
+    /// An earlier leader may have rented for the job what no list shows yet: rented
+    /// for again by each leader, ten changes in twenty seconds took many times the
+    /// machines. Until lists show all that was rented before this term, only jobs
+    /// that came in this term are rented for.
+    fn rented_before(&self, now: Time, j: &Job) -> bool {
+        j.seq < self.fleet.first_own && now < self.began + self.cfg.oldest_list
+    }
+
     /// What is on its way, by kind: machines that boot or are asked for, and
     /// room that running tasks leave before one rented now would be up.
     fn coming(&self, now: Time) -> BTreeMap<Flavoured, Coming> {
@@ -299,16 +310,18 @@
                         continue;
                     }
                     let flavor = self.flavors.get(&hire.build);
-                    self.machines.entry(h.clone()).or_insert_with(|| {
+                    let m = self.machines.entry(h.clone()).or_insert_with(|| {
                         let (b, z) = (hire.build.clone(), hire.zone.clone());
                         let mut m = Machine::new(h, b, z, hire.spot, now, token);
-                        // Nobody else has ever told it anything.
-                        (m.certain, m.in_term) = (true, true);
                         if let Some(f) = flavor {
                             m.set_flavor(f);
                         }
                         m
                     });
+                    // Nobody else has ever told it anything. It may have reported before
+                    // this answer came; nothing was placed there until now.
+                    self.replan |= m.reported && !m.certain;
+                    (m.certain, m.in_term) = (true, true);
                 }
                 if whole && hire.count == MAX_HIRE {
                     // Likely not all of it: the rest is asked for at once.
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -146,6 +146,8 @@
     pub floor: hookworks_served::Floor,
     /// How far the time of day may be off.
     pub clock_error: Span,
+    /// How old the cloud's list of machines may be at most.
+    pub oldest_list: Span,
     /// The other controllers and their zones.
     pub controllers: BTreeMap<Label, Zone>,
 }
@@ -170,6 +172,7 @@
             act_on_zones: s.tuning.zones.act,
             floor: s.tuning.served.floor(),
             clock_error: Span::secs(s.platform.params.clock_error_ms / 1000.0),
+            oldest_list: Span::secs(s.platform.params.cloud.list_lag_s * 2.0),
             controllers: s.platform.controllers(),
         }
     }
@@ -501,6 +504,7 @@
                 self.stop_all(now, &id);
             }
         }
+        self.fleet.first_own = self.next_seq;
         self.book_loaded(now);
         self.load_waiting(now);
         self.dirty.changed.extend(self.jobs.keys().cloned());
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -10,6 +10,7 @@
 use hookworks::wire::peer::Ask;
 use hookworks::wire::user::Kind;
 use rand::RngExt;
+use world::handover::{Act, Change, Conditions};
 use world::{Chaos, Ev, World, job};
 
 /// Seconds: at once, a renewal, the proof, the key's lease, an election after it, an
@@ -39,9 +40,17 @@
     Copies,
     /// The leader stands still, its clocks running on.
     Freeze,
+    /// Leaders change ten times in two minutes.
+    TenLeaders,
+    /// Machines are up within two seconds of being rented, and writes lag.
+    NewMachines,
+    /// Each message takes 0.2 to 2 s, each way.
+    SlowLinks,
+    /// The leader gives up the key in order, and is back within a second.
+    InOrder,
 }
 
-const TROUBLES: [Trouble; 10] = [
+const TROUBLES: [Trouble; 14] = [
     Trouble::HandOver,
     Trouble::Machine,
     Trouble::Loss,
@@ -52,6 +61,10 @@
     Trouble::Outage,
     Trouble::Copies,
     Trouble::Freeze,
+    Trouble::TenLeaders,
+    Trouble::NewMachines,
+    Trouble::SlowLinks,
+    Trouble::InOrder,
 ];
 
 /// A moment near one of the edges.
@@ -138,6 +151,19 @@
             );
         }
         Trouble::Freeze => w.at(at, Ev::Freeze(leader, long)),
+        Trouble::TenLeaders => w.change_leaders(at, 10, 120.0),
+        Trouble::NewMachines => {
+            w.at(at + 0.5, Ev::Preempt(host));
+            w.conditions(at, long.max(20.0), |c| {
+                (c.boot, c.cloud) = (Some((0.02, 2.0)), Some((0.05, 1.5)));
+                (c.list_lag_s, c.writes) = (3.0, Some((0.3, 4.0)));
+            })
+        }
+        Trouble::SlowLinks => w.conditions(at, long, |c| c.links = Some((0.2, 2.0))),
+        Trouble::InOrder => {
+            let back = w.rng.random_range(0.02..1.0);
+            w.at(at, Ev::HandOver(Act::Change(Change::InOrder, back)));
+        }
     }
 }
 
@@ -215,8 +241,11 @@
             );
         }
     }
-    w.run(second + 95.0);
+    // Ten changes take their time.
+    let many = [pair.0, pair.1].contains(&Trouble::TenLeaders);
+    w.run(second + if many { 130.0 } else { 95.0 });
     w.chaos = Chaos::default();
+    w.set(Conditions::default());
     w.all_quiet();
     // Long enough for all that may yet have to run, one after the other.
     let rest = 120.0 + 4.0 * w.run_s;
@@ -233,16 +262,33 @@
     w
 }
 
-/// The pair that belongs to a seed: each of the hundred in turn.
+/// The pair that belongs to a seed. Of as many seeds in a row as there are troubles
+/// each has every trouble once as the first and once as the second.
 fn pair(seed: u64) -> (Trouble, Trouble) {
     let n = TROUBLES.len() as u64;
+    let (first, shift) = (seed % n, seed / n);
     (
-        TROUBLES[(seed % n) as usize],
-        TROUBLES[(seed / n % n) as usize],
+        TROUBLES[first as usize],
+        TROUBLES[((first + shift) % n) as usize],
     )
 }
 
-/// `MEETINGS` asks for more than each pair once.
+#[test]
+fn each_pair_of_troubles_is_drawn_once_and_evenly() {
+    let n = TROUBLES.len() as u64;
+    let all: Vec<_> = (0..n * n).map(pair).collect();
+    for (k, p) in all.iter().enumerate() {
+        assert!(!all[..k].contains(p), "{p:?} twice");
+    }
+    for t in TROUBLES {
+        for round in all.chunks(n as usize) {
+            assert_eq!(round.iter().filter(|p| p.0 == t).count(), 1);
+            assert_eq!(round.iter().filter(|p| p.1 == t).count(), 1);
+        }
+    }
+}
+
+/// Seven rounds of the troubles; `MEETINGS` asks for more.
 #[test]
 fn rules_hold_wherever_two_troubles_meet() {
     let more = std::env::var("MEETINGS").ok().and_then(|n| n.parse().ok());
@@ -252,7 +298,7 @@
     let from = from.unwrap_or(0);
     let (mut ran, mut gangs, mut cancelled) = (0, 0, 0);
     let mut faults = vec![];
-    for seed in from..from + more.unwrap_or(100) {
+    for seed in from..from + more.unwrap_or(7 * TROUBLES.len() as u64) {
         let pair = pair(seed);
         let w = meeting(seed, pair, |_| {});
         let i = w.leader().expect("a leader after the troubles");
--- a/tests/world/acts.rs
+++ b/tests/world/acts.rs
@@ -27,9 +27,12 @@
             if let Some((_, by)) = self.late_one.filter(|l| l.0 == self.transactions) {
                 d = by;
             }
-            if d > 1.0 {
+            if let Some(lags) = self.slow_write() {
+                d = lags;
+            }
+            if let Some(after) = self.gives_up(d, 1.0) {
                 // Given up by the sender, carried out later all the same.
-                self.at(1.0, Ev::TxnDone(i, epoch, id, Outcome::Unclear));
+                self.at(after, Ev::TxnDone(i, epoch, id, Outcome::Unclear));
             }
             self.at(d, Ev::Txn(i, epoch, id, txn));
         }
@@ -57,14 +60,20 @@
                 call, host, orders, ..
             } => {
                 self.check_held(&orders.orders);
-                if d > 1.0 {
+                if let Some(after) = self.gives_up(d, 2.5) {
                     let e = Ev::Direct(i, epoch, call, host.clone(), DirectResult::Unclear);
-                    self.at(2.5, e);
+                    self.at(after, e);
                 }
                 self.at(d, Ev::Orders(i, epoch, call, host, orders));
             }
-            Effect::Hire(h) => self.at(0.1, Ev::Hire(i, epoch, h)),
-            Effect::Release(h) => self.at(0.1, Ev::Release(i, epoch, h)),
+            Effect::Hire(h) => {
+                let d = self.cloud_delay();
+                self.at(d, Ev::Hire(i, epoch, h));
+            }
+            Effect::Release(h) => {
+                let d = self.cloud_delay();
+                self.at(d, Ev::Release(i, epoch, h));
+            }
         }
     }
 
--- a/tests/world/cloud.rs
+++ b/tests/world/cloud.rs
@@ -5,13 +5,12 @@
 use hookworks::ids::*;
 use hookworks::sched::{Event, HireResult};
 use hookworks::wire::cloud::{Hire, Listed};
-use rand::RngExt;
 
 impl World {
     /// Which machines there are, as a leader is told by the cloud.
     pub(super) fn list_to(&mut self, i: usize) {
         if self.ctls[i].up && self.ctls[i].term.is_some() {
-            let list = self.list();
+            let list = self.shown_list();
             self.event(i, Event::Listed(list));
         }
     }
@@ -43,7 +42,7 @@
                     for _ in 0..n {
                         let host = Host::from(format!("n-{:06}", self.next_host).as_str());
                         self.next_host += 1;
-                        let boot = self.rng.random_range(6.0..14.0);
+                        let boot = self.boots_in();
                         let w = Worker::new(host.clone(), h.zone.clone(), h.spot, self.now);
                         self.workers.insert(host.clone(), w);
                         self.at(boot, Ev::Beat(host.clone()));
@@ -55,7 +54,11 @@
                 }
             }
         };
+        let d = self.cloud_delay();
+        if let HireResult::Ok(hosts) = &r {
+            self.note_rented(hosts, d);
+        }
         let e = Box::new(Event::Hired(h, r));
-        self.at(0.1, Ev::CloudDone(i, epoch, e));
+        self.at(d, Ev::CloudDone(i, epoch, e));
     }
 }
--- a/tests/world/links.rs
+++ b/tests/world/links.rs
@@ -2,6 +2,7 @@
 //! users, cloud and state service in the region. A link may be cut, reset what
 //! passes, or hold it back until it is open again; each direction by itself.
 
+use super::handover::Act;
 use super::worker::Worker;
 use super::{Ev, World};
 use hookworks::ids::*;
@@ -224,6 +225,7 @@
             Ev::ToCtl(i, ..) | Ev::Direct(i, ..) | Ev::TxnDone(i, ..) | Ev::Copy(i, ..) => *i,
             Ev::ReadDone(i, ..) | Ev::Final(i, ..) | Ev::Record(i, ..) => *i,
             Ev::CloudDone(i, ..) | Ev::UserVia(i, ..) => *i,
+            Ev::HandOver(Act::Resign(i, _) | Act::Load(i, ..)) => *i,
             _ => return Some(e),
         };
         let until = self.ctls[i].frozen_until;
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -8,6 +8,7 @@
 mod cloud;
 pub mod desk;
 pub mod given;
+pub mod handover;
 pub mod links;
 mod rules;
 mod steps;
@@ -90,6 +91,7 @@
     StepDown(usize),
     /// From now on these chances.
     Chances(Chaos),
+    HandOver(handover::Act),
 }
 
 struct Term {
@@ -174,6 +176,7 @@
     /// Gangs that began to run, all members at once.
     pub gangs_begun: usize,
     pub done_tasks: BTreeSet<TaskId>,
+    pub handover: handover::HandOver,
 }
 
 const S: u64 = 1_000_000;
@@ -238,6 +241,7 @@
             gangs: BTreeMap::new(),
             gangs_begun: 0,
             done_tasks: BTreeSet::new(),
+            handover: Default::default(),
         };
         for i in 0..controllers {
             let c = w.new_ctl(i, 1);
@@ -313,6 +317,9 @@
 
     /// A network delay; now and then a long one.
     fn delay(&mut self) -> f64 {
+        if let Some(slow) = self.slow_link() {
+            return slow;
+        }
         if self.rng.random_bool(self.chaos.late) {
             self.rng.random_range(1.0..40.0)
         } else {
@@ -562,6 +569,7 @@
             }
             Ev::StepDown(i) => self.ctls[i].term = None,
             Ev::Chances(c) => self.chaos = c,
+            Ev::HandOver(a) => self.act(a),
             Ev::LateElection(i, by_s) => self.store.of(i).delay_next((by_s * 1e6) as u64),
         }
     }
--- a/tests/world/steps.rs
+++ b/tests/world/steps.rs
@@ -8,6 +8,7 @@
 use hookworks::sched::{Config, Event, Sched};
 use hookworks::settings::Settings;
 use hookworks::store::commit::Committer;
+use hookworks::time::Time;
 use rand::RngExt;
 
 impl World {
@@ -20,39 +21,13 @@
     /// One step of its election.
     pub(super) fn stand(&mut self, i: usize) {
         let now = self.time();
-        let wall = self.wall();
         if self.ctls[i].up {
             match self.ctls[i].elector.step(|| now) {
                 Elect::Won {
                     epoch,
                     stamp,
                     proven,
-                } => {
-                    if let Ok(l) = load(&self.store.of(i), epoch, stamp, now, wall) {
-                        let s = settings("x");
-                        let mut commit = Committer::new(stamp, &s.platform.params.state);
-                        for (k, st) in l.stamps {
-                            commit.know(k, st);
-                        }
-                        let cfg = self.config(i, &s);
-                        let mut sched = Sched::new(cfg, epoch, proven, now, wall);
-                        if let Some(f) = l.fences {
-                            sched.take_fences(now, wall, f);
-                        }
-                        sched.load(now, l.jobs, l.unreadable);
-                        self.log.push(format!("{} c{i} leads {epoch}", self.now));
-                        self.ctls[i].term = Some(Term {
-                            epoch,
-                            sched,
-                            commit,
-                        });
-                        let mut f = flavor();
-                        f.zones = self.zones.clone();
-                        self.event(i, Event::Flavors(vec![f]));
-                    } else {
-                        self.ctls[i].elector.resign();
-                    }
-                }
+                } => self.won(i, epoch, stamp, proven),
                 Elect::Proven(t) => self.event(i, Event::Proven(t)),
                 Elect::Seen(_) | Elect::Lost => self.ctls[i].term = None,
                 Elect::NoAnswer => {}
@@ -60,6 +35,35 @@
         }
     }
 
+    /// It reads the records and leads.
+    pub(super) fn begin_term(&mut self, i: usize, epoch: Epoch, stamp: Stamp, proven: Time) {
+        let now = self.time();
+        let wall = self.wall();
+        let Ok(l) = load(&self.store.of(i), epoch, stamp, now, wall) else {
+            return self.load_again(i, epoch, stamp, proven);
+        };
+        let s = settings("x");
+        let mut commit = Committer::new(stamp, &s.platform.params.state);
+        for (k, st) in l.stamps {
+            commit.know(k, st);
+        }
+        let cfg = self.config(i, &s);
+        let mut sched = Sched::new(cfg, epoch, proven, now, wall);
+        if let Some(f) = l.fences {
+            sched.take_fences(now, wall, f);
+        }
+        sched.load(now, l.jobs, l.unreadable);
+        self.log.push(format!("{} c{i} leads {epoch}", self.now));
+        self.ctls[i].term = Some(Term {
+            epoch,
+            sched,
+            commit,
+        });
+        let mut f = flavor();
+        f.zones = self.zones.clone();
+        self.event(i, Event::Flavors(vec![f]));
+    }
+
     /// What controller `i` is told.
     fn config(&self, i: usize, s: &Settings) -> Config {
         let mut cfg = Config::from(s);
@@ -85,6 +89,7 @@
         };
         w.step(now, LEASE);
         w.up = true;
+        self.handover.first_report(&h, now);
         // What it is about to tell has happened.
         self.done_tasks.extend(w.take_done());
         if now < w.next_beat {
