Scheduler: no rule keeps room from a job for longer than 70 s

Rules that keep room from a job for the good of others had no end of their own: the spread check while something can be rented (a rental that is never answered, tasks that overrun their estimates), a machine that has failed the job, room kept for quick classes while those keep coming, plain machines while any gang waits, machines kept for a gang that can't be filled. A job that has waited for 70 s is bound by none of them; of room kept for quick classes it gets one task at a time. A machine put aside as faulty that can't be given back is tried again after a minute, a job that failed everywhere goes on as a whole once one task has run for 20 s, and pauses for 40 s at most. Urgent jobs without room that take a whole pass no longer hold up all others: the next pass begins behind them.

--- a/src/sched/fleet.rs
+++ b/src/sched/fleet.rs
@@ -214,6 +214,7 @@
                     }
                 }
                 Life::Up => {
+                    m.end_quarantine(now);
                     let taken =
                         m.notice_until.is_some_and(|t| now > t) && now - heard > Span::secs(4.5);
                     let silent = now - heard > patience && settled && !ours;
@@ -309,8 +310,9 @@
         let works_elsewhere = j.done_count > 0;
         if j.fails_everywhere() {
             // It fails everywhere: its machines are not to blame.
-            let pause = 5.0 * 2f64.powi((j.errors / 3).min(4) as i32);
-            j.backoff_until = now + Span::secs(pause.min(60.0));
+            // Short enough that it is not left waiting once the cause is mended.
+            let pause = 5.0 * 2f64.powi((j.errors / 3).min(3) as i32);
+            j.backoff_until = now + Span::secs(pause);
             tracing::info!(job = %t.job, pause, "fails everywhere, backs off");
             let id = t.job.clone();
             for m in self.machines.values_mut() {
@@ -330,7 +332,7 @@
         let blamed = m.fail_jobs.len() > 1 || works_elsewhere;
         if m.fails >= FAILS && blamed && !m.quarantined {
             tracing::info!(%host, fails = m.fails, "quarantined");
-            m.quarantined = true;
+            (m.quarantined, m.quarantined_at) = (true, now);
             self.forgive(host);
         }
     }
--- a/src/sched/fleet/rent.rs
+++ b/src/sched/fleet/rent.rs
@@ -204,7 +204,7 @@
                     let mut freed = Room::default();
                     let mut last = 0;
                     for s in m.slots.values() {
-                        match s.remaining(now) < soon {
+                        match s.ends_within(now, soon) {
                             true => freed += s.need,
                             false => last += 1,
                         }
--- a/src/sched/gang.rs
+++ b/src/sched/gang.rs
@@ -92,11 +92,18 @@
         let view = View::of(self, now, j, order, false);
         let mut fit: Vec<(Score, &Machine)> = vec![];
         for m in self.machines.values() {
-            if !m.open(now, fresh) || held.contains(&m.host) {
+            if !m.open(now, fresh) {
                 continue;
             }
+            let kept = held.contains(&m.host);
             let (free, span) = (m.free(), m.remaining(now));
-            if let Some(score) = view.score(&Candidate { m, free, span }) {
+            let c = Candidate {
+                m,
+                free,
+                span,
+                kept,
+            };
+            if let Some(score) = view.score(&c) {
                 fit.push((score, m));
             }
         }
@@ -136,9 +143,10 @@
         let j = self.jobs.get(id)?;
         let n = j.spec.tasks as i64;
         let mut zones: BTreeMap<&Zone, Vec<(Span, i64, &Machine)>> = BTreeMap::new();
-        let fresh = self.heard_within();
+        let (fresh, overdue) = (self.heard_within(), j.overdue(now));
         for m in self.machines.values() {
-            if !allowed(&j.spec, m) || held.contains(&m.host) || self.watch.silent(&m.zone) {
+            let kept = held.contains(&m.host) && !(overdue && m.kept_long(now));
+            if !allowed(&j.spec, m) || kept || self.watch.silent(&m.zone) {
                 continue;
             }
             if m.life == Life::Booting {
@@ -156,7 +164,7 @@
                     .entry(&m.zone)
                     .or_default()
                     .push((Span::ZERO, free, m));
-            } else if until < soon {
+            } else if until < soon && !m.slots.values().any(|s| s.overruns(now)) {
                 let k = m.capacity.times(&j.need);
                 zones.entry(&m.zone).or_default().push((until, k, m));
             }
--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -97,6 +97,8 @@
     /// Of the runtimes; kept, since every pass asks for it.
     pub median: Option<f64>,
     pub backoff_until: Time,
+    /// Since when some of it has waited to start, without a break.
+    pub waiting_since: Option<Time>,
     pub errors: u32,
     pub error_hosts: BTreeSet<Host>,
     /// Tasks that failed under earlier leaders, wherever that was.
@@ -221,6 +223,7 @@
             runtimes: vec![],
             median: None,
             backoff_until: Time::default(),
+            waiting_since: None,
             errors: 0,
             error_hosts: BTreeSet::new(),
             failed_before: 0,
--- a/src/sched/machine.rs
+++ b/src/sched/machine.rs
@@ -85,6 +85,9 @@
     pub fails: u32,
     pub fail_jobs: BTreeSet<JobId>,
     pub quarantined: bool,
+    pub quarantined_at: Time,
+    /// Since when it is kept free for gangs.
+    pub kept_since: Option<Time>,
     pub rest_until: Time,
 }
 
@@ -138,6 +141,8 @@
             fails: 0,
             fail_jobs: BTreeSet::new(),
             quarantined: false,
+            quarantined_at: Time::default(),
+            kept_since: None,
             rest_until: Time::default(),
         }
     }
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -26,6 +26,7 @@
 mod spare;
 mod team;
 mod users;
+mod waiting;
 mod zones;
 
 pub use fences::FenceRecord;
@@ -232,6 +233,8 @@
     sum_up_at: Time,
     /// The job with which the next pass goes on.
     goes_on_at: Option<JobId>,
+    /// The last pass got no further than who is served ahead of that job.
+    stuck: bool,
     /// Machines judged for tasks since the beginning: how much work placing is.
     judged: std::cell::Cell<u64>,
     reports_held: u64,
@@ -303,6 +306,7 @@
             preempt_at: now,
             sum_up_at: now,
             goes_on_at: None,
+            stuck: false,
             judged: Default::default(),
             reports_held: 0,
             reports_refused: 0,
@@ -528,6 +532,7 @@
         self.answer_held(now, false);
         self.answer_at_fence(now);
         self.watch_machines(now);
+        self.note_waiting(now);
         self.probe(now);
         self.tell_progress(now);
         self.plan_fleet(now);
--- a/src/sched/order.rs
+++ b/src/sched/order.rs
@@ -54,8 +54,9 @@
     }
 
     /// Jobs with tasks to start, those first that are served first; ahead of them
-    /// some tasks of those that are below the floor, which stand here twice.
-    pub fn served(&self, s: &Sched, now: Time) -> Vec<Turn> {
+    /// some tasks of those that are below the floor, which stand here twice. Also how
+    /// many turns come before that of the job at which the last pass stopped.
+    pub fn served(&self, s: &Sched, now: Time) -> (Vec<Turn>, usize) {
         let waits = |j: &&Job| j.pending() > 0 && now >= j.backoff_until;
         let lifted = s.books.lifted().filter_map(|id| s.jobs.get(id));
         let lifted = lifted.filter(waits).map(|j| Turn {
@@ -70,7 +71,7 @@
         v.sort_by(|a, b| a.0.partial_cmp(b.0).unwrap_or(std::cmp::Ordering::Equal));
         // What fails everywhere is tried a task at a time: with all of its tasks it
         // took the machines of others, and fetched its image on each, for nothing.
-        let one = |j: &&Job| j.fails_everywhere();
+        let one = |j: &&Job| j.fails_everywhere() && !j.works(now);
         let rest = |j: &Job| 1 - j.live.len().min(1) as i64;
         let most = |id: &JobId| s.jobs.get(id).filter(one).map(rest);
         // Where the last pass stopped, after those that can't wait a turn.
@@ -78,13 +79,21 @@
         let from = from.and_then(|id| v.iter().position(|x| x.1 == id));
         let (before, on) = v.split_at(from.unwrap_or(0));
         let (urgent, others): (Vec<_>, Vec<_>) = before.iter().partition(|x| x.0.tier <= URGENT);
+        let those_ahead = urgent.len();
         let v = urgent.into_iter().chain(on).chain(others);
         let turns = v.map(|(_, id)| Turn {
             job: (*id).clone(),
             most: most(id),
             lifted: false,
         });
-        lifted.chain(turns).collect()
+        let mut all: Vec<Turn> = lifted.collect();
+        let ahead = all.len() + those_ahead;
+        all.extend(turns);
+        if s.stuck {
+            all.rotate_left(ahead);
+            return (all, 0);
+        }
+        (all, ahead)
     }
 }
 
--- a/src/sched/place.rs
+++ b/src/sched/place.rs
@@ -32,6 +32,8 @@
     pub free: Room,
     /// Remaining runtimes on it, the smallest and the largest.
     pub span: Option<(Span, Span)>,
+    /// Kept free for a gang.
+    pub kept: bool,
 }
 
 impl Sched {
@@ -40,7 +42,7 @@
     /// next one goes on where this one stopped, after the urgent.
     pub(super) fn place(&mut self, now: Time) {
         let order = self.order(now);
-        let served: Vec<Turn> = order.served(self, now);
+        let (served, ahead) = order.served(self, now);
         let mut short = vec![];
         let mut held = BTreeSet::new();
         let mut rest = &served[..];
@@ -67,7 +69,15 @@
         let left: BTreeSet<&JobId> = rest.iter().map(|t| &t.job).collect();
         short.extend(self.fleet.short.drain(..).filter(|s| left.contains(&s.job)));
         self.fleet.short = short;
-        self.goes_on_at = rest.first().map(|t| t.job.clone());
+        // Where those ahead take the whole pass, the next one does without them.
+        self.stuck = !rest.is_empty() && ahead > 0 && rest.len() + ahead >= served.len();
+        if !self.stuck {
+            self.goes_on_at = rest.first().map(|t| t.job.clone());
+        }
+        for m in self.machines.values_mut() {
+            let kept = held.contains(&m.host);
+            m.kept_since = kept.then(|| m.kept_since.unwrap_or(now));
+        }
         if now >= self.preempt_at {
             self.preempt_at = now + PREEMPT_EVERY;
             self.preempt(now, &order);
@@ -116,12 +126,20 @@
         let mut spare = self.spare(now);
         let mut open = Room::default();
         for m in self.machines.values().filter(|m| m.open(now, fresh)) {
-            let free = m.free();
-            if free.cpu > 0 && !held.contains(&m.host) {
+            let (free, kept) = (m.free(), held.contains(&m.host));
+            if free.cpu <= 0 || kept && !m.kept_long(now) {
+                continue;
+            }
+            if !kept {
                 open += free;
-                let span = m.remaining(now);
-                room.push(Candidate { m, free, span });
             }
+            let span = m.remaining(now);
+            room.push(Candidate {
+                m,
+                free,
+                span,
+                kept,
+            });
         }
         let can_rent = self.fleet.can_rent(now);
         // With more waiting than there is room for, all of it fills up, and
@@ -155,18 +173,18 @@
             view.by_image |= crowded;
             let mut heap: BinaryHeap<Reverse<(Score, usize)>> = BinaryHeap::new();
             // Room kept for quick classes is for them, and for who is below the floor.
-            let may_take = |spare: &Spare, spot| *lifted || view.may_take(spare, spot);
-            if want > 0 && may_take(&spare, true) {
+            let may_take = |spare: &Spare, spot, got| *lifted || view.may_take(spare, spot, got);
+            if want > 0 && may_take(&spare, true, 0) {
                 let scores = room.iter().enumerate();
                 let scores = scores.filter_map(|(i, c)| Some(Reverse((view.score(c)?, i))));
                 heap = scores.collect::<Vec<_>>().into();
             }
             let mut got = 0;
-            while got < want && may_take(&spare, true) {
+            while got < want && may_take(&spare, true, got) {
                 let Some(Reverse((_, i))) = heap.pop() else {
                     break;
                 };
-                if !may_take(&spare, room[i].m.spot) {
+                if !may_take(&spare, room[i].m.spot, got) {
                     continue;
                 }
                 debug_assert!(
@@ -228,17 +246,24 @@
         let spare = self.spare(now);
         let mut best: Option<(Score, &Machine)> = None;
         for m in self.machines.values() {
-            if !m.open(now, fresh) || held.contains(&m.host) {
+            if !m.open(now, fresh) {
                 continue;
             }
-            if !view.may_take(&spare, m.spot) {
+            if !view.may_take(&spare, m.spot, 0) {
                 continue;
             }
             if (j.spec.one_zone || j.spec.spread) && !self.zone_suits(j, &m.zone) {
                 continue;
             }
             let (free, span) = (m.free(), m.remaining(now));
-            let Some(score) = view.score(&Candidate { m, free, span }) else {
+            let kept = held.contains(&m.host);
+            let c = Candidate {
+                m,
+                free,
+                span,
+                kept,
+            };
+            let Some(score) = view.score(&c) else {
                 continue;
             };
             if best.as_ref().is_none_or(|(b, _)| score < *b) {
@@ -343,6 +368,10 @@
     est: Span,
     delta: Span,
     quick: bool,
+    /// It has waited for as long as any of these rules may make it wait.
+    overdue: bool,
+    /// And nothing of it has started meanwhile.
+    stalled: bool,
     /// A machine that holds the image comes before a better fit.
     by_image: bool,
     judged: &'a Cell<u64>,
@@ -377,10 +406,12 @@
             est,
             delta: estimate::delta(est, t.delta_factor, t.delta_floor_s),
             quick,
+            overdue: j.overdue(now),
+            stalled: j.stalled(now),
             by_image: quick,
             judged: &s.judged,
             // What can't wait for a machine to boot does not rent one.
-            can_rent: can_rent && !quick,
+            can_rent: can_rent && !quick && !j.overdue(now),
             failed_all: j.error_hosts.len() >= s.machines.len(),
             begin_by: s.begin_by(now, j, order.within(j.id())),
             spares_plain,
@@ -389,9 +420,10 @@
         }
     }
 
-    /// Room that is kept for quick classes is not for others.
-    fn may_take(&self, spare: &Spare, spot: bool) -> bool {
-        self.quick || spare.allows(&self.j.need, spot)
+    /// Room that is kept for quick classes is not for others, but for a single task
+    /// of who is stalled; `got`: tasks that this pass has placed.
+    fn may_take(&self, spare: &Spare, spot: bool, got: i64) -> bool {
+        self.quick || self.stalled && got == 0 || spare.allows(&self.j.need, spot)
     }
 
     /// How well the machine suits, if it may be taken at all.
@@ -401,14 +433,18 @@
         if !c.free.fits(&j.need) || !allowed(&j.spec, c.m) {
             return None;
         }
+        if c.kept && !(self.overdue && c.m.kept_long(self.now)) {
+            return None;
+        }
         // A machine that failed this job is not tried again soon.
-        if !self.failed_all && j.error_hosts.contains(&c.m.host) {
+        if !(self.failed_all || self.overdue) && j.error_hosts.contains(&c.m.host) {
             return None;
         }
         let mut class = class_of(c.span, self.est, self.delta);
         // One that services hold open will not empty for a gang, but others do,
         // unless what is lendable fills them up again and again.
-        if self.gang_waits && !c.m.spot && c.span.is_none_or(|(_, high)| high < ENDLESS) {
+        let empties = c.span.is_none_or(|(_, high)| high < ENDLESS);
+        if self.gang_waits && !self.overdue && !c.m.spot && empties {
             return None;
         }
         // An empty plain machine costs several times what a spot one does, be
