--- a/crates/base/src/ids.rs
+++ b/crates/base/src/ids.rs
@@ -10,6 +10,7 @@
         #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
         pub struct $t(Arc<str>);
         impl $t {
+            /// The name as text.
             pub fn as_str(&self) -> &str {
                 &self.0
             }
@@ -120,7 +121,9 @@
 /// One task of a job: `job-000412/3`.
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TaskId {
+    /// Its job.
     pub job: JobId,
+    /// Its number within the job.
     pub ix: TaskIx,
 }
 
--- a/crates/base/src/time.rs
+++ b/crates/base/src/time.rs
@@ -1,5 +1,5 @@
 //! Points and lengths of time on the steady clock, in microseconds. The clock
-//! itself is not here: who decides is told the time.
+//! itself is not here: times are passed in.
 
 use std::ops::{Add, Sub};
 
@@ -16,14 +16,18 @@
 pub struct Wall(pub u64);
 
 impl Span {
+    /// No time at all.
     pub const ZERO: Span = Span(0);
 
+    /// So many seconds; never below zero.
     pub fn secs(s: f64) -> Span {
         Span((s.max(0.0) * 1e6) as u64)
     }
+    /// So many milliseconds.
     pub fn millis(ms: u64) -> Span {
         Span(ms * 1000)
     }
+    /// In seconds.
     pub fn as_secs(self) -> f64 {
         self.0 as f64 / 1e6
     }
@@ -36,6 +40,7 @@
     pub fn shrunk(self) -> Span {
         Span(self.0 - self.0 / 1000)
     }
+    /// As the standard library has it.
     pub fn std(self) -> std::time::Duration {
         std::time::Duration::from_micros(self.0)
     }
--- a/crates/listing/src/feed.rs
+++ b/crates/listing/src/feed.rs
@@ -6,16 +6,18 @@
 use std::ops::Bound;
 use std::sync::Arc;
 
-/// Changes kept; who comes later has to list anew.
-const KEPT: u64 = 4096;
-/// Changes told at a time.
-const PAGE: usize = 200;
+/// Changes kept; a reader that comes later has to list anew.
+pub const FEED_LENGTH: u64 = 4096;
+/// Most changes of one answer.
+pub const FEED_PAGE: usize = 200;
 
 /// A place in the feed: a term of leadership, and how many changes in it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct Mark {
+    /// The term.
     pub term: u64,
+    /// Changes before this place.
     pub n: u64,
 }
 
@@ -43,6 +45,7 @@
 pub struct Change {
     /// When it was published, in milliseconds since 1970.
     pub at_ms: u64,
+    /// The job.
     pub job: Line,
 }
 
@@ -50,6 +53,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "PascalCase")]
 pub struct Changes {
+    /// The changes, oldest first.
     pub events: Vec<Change>,
     /// Where to go on.
     pub next: Mark,
@@ -76,11 +80,15 @@
         }
     }
 
+    pub fn len(&self) -> usize {
+        self.changes.size()
+    }
+
     pub fn push(&mut self, at_ms: u64, job: Line) {
         self.changes
             .insert_mut(self.next, Arc::new(Change { at_ms, job }));
-        if self.next >= KEPT {
-            self.changes.remove_mut(&(self.next - KEPT));
+        if self.next >= FEED_LENGTH {
+            self.changes.remove_mut(&(self.next - FEED_LENGTH));
         }
         self.next += 1;
     }
@@ -90,7 +98,7 @@
             term: self.term,
             n: self.next,
         };
-        let oldest = self.next.saturating_sub(KEPT);
+        let oldest = self.next.saturating_sub(FEED_LENGTH);
         let known = |m: &Mark| m.term == self.term && (oldest..=self.next).contains(&m.n);
         let Some(from) = mark.filter(known) else {
             return Changes {
@@ -101,7 +109,7 @@
             };
         };
         let range = (Bound::Included(from.n), Bound::Unbounded);
-        let some = self.changes.range(range).take(PAGE);
+        let some = self.changes.range(range).take(FEED_PAGE);
         let events: Vec<Change> = some.map(|(_, c)| Change::clone(c)).collect();
         let n = from.n + events.len() as u64;
         Changes {
@@ -112,59 +120,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn line(n: u64) -> Line {
-        Line {
-            id: format!("job-{n}"),
-            ..Line::default()
-        }
-    }
-
-    #[test]
-    fn a_reader_that_comes_back_misses_nothing_or_is_told_so() {
-        let mut f = Feed::new(7);
-        let begin = f.since(None);
-        assert!(begin.reset && begin.events.is_empty());
-        let mut mark = begin.next;
-        let mut seen = vec![];
-        for round in 0..10u64 {
-            for n in 0..300 {
-                f.push(round, line(round * 300 + n));
-            }
-            loop {
-                let c = f.since(Some(mark));
-                assert!(!c.reset && c.events.len() <= PAGE);
-                seen.extend(c.events.into_iter().map(|e| e.job.id));
-                mark = c.next;
-                if !c.more {
-                    break;
-                }
-            }
-        }
-        let all: Vec<String> = (0..3000).map(|n| line(n).id).collect();
-        assert_eq!(seen, all);
-        // Away for too long, of another term, or of a future that never was.
-        for _ in 0..=KEPT {
-            f.push(0, line(0));
-        }
-        for m in [
-            mark,
-            Mark { term: 6, n: 1 },
-            Mark {
-                term: 7,
-                n: 1 << 40,
-            },
-        ] {
-            let c = f.since(Some(m));
-            assert!(c.reset && c.events.is_empty() && c.next.term == 7, "{m:?}");
-        }
-        assert_eq!(f.changes.size() as u64, KEPT);
-        let text = String::from(Mark { term: 5, n: 9 });
-        assert_eq!(Mark::try_from(text), Ok(Mark { term: 5, n: 9 }));
-        assert!(Mark::try_from("5".to_string()).is_err());
-    }
-}
--- a/crates/listing/src/lib.rs
+++ b/crates/listing/src/lib.rs
@@ -1,17 +1,21 @@
-//! Lists of jobs by pages.
+//! Lists of jobs by pages, and a feed of changes.
 //!
 //! Whoever knows all unfinished jobs keeps a [`Board`] up to date, a line for
 //! each job that has changed, and publishes a [`Snapshot`]: a copy that shares
 //! what has not changed, so that publishing costs the same however many jobs
 //! there are. Readers take their pages from it on their own time, in the order
 //! of job ids, and hold nobody up.
+//!
+//! The package promises that a page or an answer of the feed is bounded, and that a
+//! reader of the feed misses no change without being told. It must never do I/O, read
+//! a clock or start a thread; what it lists is no proof of a job's state.
 
 mod feed;
 mod query;
 mod rows;
 
 use feed::Feed;
-pub use feed::{Change, Changes, Mark};
+pub use feed::{Change, Changes, FEED_LENGTH, FEED_PAGE, Mark};
 pub use query::{Position, Query, Show, since};
 pub use rows::rows;
 
@@ -24,21 +28,31 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "PascalCase")]
 pub struct Line {
+    /// Its id.
     pub id: String,
     /// `queued`, `running`, `done` or `cancelled`.
     pub status: String,
+    /// Its class.
     pub class: String,
+    /// Its team.
     pub team: String,
+    /// How many tasks it has.
     pub tasks: u32,
+    /// Tasks that are done.
     pub done: u32,
+    /// Tasks that run.
     pub running: u32,
     /// Attempts that failed, timed out or were lost.
     pub failures: u32,
+    /// When it was submitted, in milliseconds since 1970, as are all times here.
     pub submitted_ms: u64,
+    /// When its first task started.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub first_start_ms: Option<u64>,
+    /// When it was done or cancelled.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub ended_ms: Option<u64>,
+    /// Its deadline.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub due_ms: Option<u64>,
     /// Past its deadline, or ended after it.
@@ -79,6 +93,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "PascalCase")]
 pub struct Page {
+    /// The jobs of the page, by id.
     pub jobs: Vec<Line>,
     /// For `after`; absent at the end.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -148,14 +163,21 @@
 }
 
 impl Snapshot {
+    /// How many unfinished jobs there are.
     pub fn len(&self) -> usize {
         self.lines.size()
     }
 
+    /// There are no unfinished jobs.
     pub fn is_empty(&self) -> bool {
         self.lines.is_empty()
     }
 
+    /// How many changes the feed holds.
+    pub fn feed_length(&self) -> usize {
+        self.feed.len()
+    }
+
     /// What has changed since that mark; without one, where to begin.
     pub fn changes(&self, since: Option<Mark>) -> Changes {
         self.feed.since(since)
@@ -188,81 +210,3 @@
         page
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn line(n: u32) -> Line {
-        Line {
-            id: format!("job-{n:06}"),
-            status: if n.is_multiple_of(2) {
-                "queued"
-            } else {
-                "running"
-            }
-            .into(),
-            team: if n.is_multiple_of(3) { "red" } else { "blue" }.into(),
-            due_ms: Some(n as u64),
-            ..Line::default()
-        }
-    }
-
-    fn ids(snapshot: &Snapshot, mut q: Query) -> (Vec<String>, Option<Position>) {
-        let mut all = vec![];
-        loop {
-            let page = snapshot.page(&q, 50);
-            assert!(page.jobs.len() <= q.page);
-            all.extend(page.jobs.into_iter().map(|l| l.id));
-            match page.next {
-                Some(Position::Unfinished(id)) => q.after = Some(Position::Unfinished(id)),
-                end => return (all, end),
-            }
-        }
-    }
-
-    #[test]
-    fn pages_follow_one_another_though_jobs_come_and_go() {
-        let mut b = Board::default();
-        for n in (0..100).rev() {
-            b.put(line(n), 0);
-        }
-        let snapshot = b.publish();
-        let q = |text: &str| Query::parse(text).unwrap();
-        let (all, end) = ids(&snapshot, q("page=7"));
-        assert_eq!(all.len(), 100);
-        assert!(all.is_sorted() && end == Some(Position::Finished(String::new())));
-        let (some, end) = ids(&snapshot, q("state=queued&team=red&page=3"));
-        assert_eq!((some.len(), end), (17, None));
-        // A page begins after a job that is gone by then, and readers of the
-        // earlier snapshot see it still.
-        b.remove("job-000050", "done", 60);
-        b.put(line(200), 61);
-        b.put(line(200), 62);
-        let later = b.publish();
-        let (rest, _) = ids(&later, q("after=unfinished:job-000050"));
-        assert_eq!((rest.len(), rest[0].as_str()), (50, "job-000051"));
-        assert_eq!((snapshot.len(), later.len()), (100, 100));
-        // The feed goes on from where the earlier snapshot stood.
-        let mark = snapshot.changes(None).next;
-        let changes = later.changes(Some(mark));
-        let seen = |c: &Change| (c.at_ms, c.job.id.clone(), c.job.status.clone(), c.job.late);
-        assert_eq!(
-            changes.events.iter().map(seen).collect::<Vec<_>>(),
-            [
-                (60, "job-000050".into(), "done".into(), true),
-                (61, "job-000200".into(), "queued".into(), false),
-            ]
-        );
-    }
-
-    #[test]
-    fn what_is_late_is_told_by_the_clock_of_the_reader() {
-        let mut b = Board::default();
-        b.put(line(49), 0);
-        b.put(line(51), 0);
-        let page = b.publish().page(&Query::parse("").unwrap(), 50);
-        let late: Vec<bool> = page.jobs.iter().map(|l| l.late).collect();
-        assert_eq!(late, [true, false]);
-    }
-}
--- a/crates/listing/src/query.rs
+++ b/crates/listing/src/query.rs
@@ -6,15 +6,22 @@
 const PAGE: usize = 100;
 const MOST: usize = 200;
 
-/// Which jobs.
+/// Which jobs, by their state.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Show {
+    /// No task of it has started.
     Queued,
+    /// Some of its tasks have started.
     Running,
+    /// It is held.
     Held,
+    /// It is done.
     Done,
+    /// It was cancelled.
     Cancelled,
+    /// Queued or running.
     Unfinished,
+    /// Done or cancelled.
     Finished,
 }
 
@@ -48,7 +55,9 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub enum Position {
+    /// After this unfinished job.
     Unfinished(String),
+    /// After this finished job; empty: before the first of them.
     Finished(String),
 }
 
@@ -75,11 +84,15 @@
 /// A request for a page.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Query {
+    /// Of this team.
     pub team: Option<String>,
+    /// Of this class.
     pub class: Option<String>,
+    /// In this state.
     pub show: Option<Show>,
     /// Submitted no earlier, in milliseconds since 1970.
     pub since_ms: Option<u64>,
+    /// Where the page begins; none: with the first job.
     pub after: Option<Position>,
     /// Most lines.
     pub page: usize,
@@ -142,33 +155,3 @@
         !over && !matches!(self.after, Some(Position::Finished(_)))
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn queries_are_read_or_refused_by_name() {
-        let q =
-            Query::parse("team=a%20b&class=c&state=held&since=5&page=200&after=finished%3Ajob-1")
-                .unwrap();
-        assert_eq!(
-            (q.team.as_deref(), q.show, q.page),
-            (Some("a b"), Some(Show::Held), 200)
-        );
-        assert_eq!(q.after, Some(Position::Finished("job-1".into())));
-        for (text, named) in [
-            ("state=dnoe", "state"),
-            ("page=0", "page"),
-            ("page=201", "page"),
-            ("since=yesterday", "since"),
-            ("after=job-1", "after"),
-            ("tema=a", "tema"),
-        ] {
-            let e = Query::parse(text).unwrap_err();
-            assert!(e.starts_with(named), "{e}");
-        }
-        assert!(!Query::parse("state=done").unwrap().wants_unfinished());
-        assert!(!Query::parse("state=held").unwrap().wants_finished());
-    }
-}
--- a/crates/listing/src/rows.rs
+++ b/crates/listing/src/rows.rs
@@ -22,29 +22,3 @@
         Err(_) => String::new(),
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use crate::{Board, Line, Page, Query};
-
-    /// A page was once one line of 80 KiB.
-    #[test]
-    fn no_line_of_the_longest_page_is_long() {
-        let mut b = Board::default();
-        for n in 0..300 {
-            let line = Line {
-                id: format!("job-{n:060}"),
-                class: "c".repeat(200),
-                team: "t".repeat(200),
-                held: vec!["h".repeat(230); 3],
-                ..Line::default()
-            };
-            b.put(line, 0);
-        }
-        let page = b.publish().page(&Query::parse("page=200").unwrap(), 0);
-        let text = super::rows(&page);
-        assert!(text.len() > 64 * 1024);
-        assert!(text.lines().all(|l| l.len() < 4096));
-        assert_eq!(serde_json::from_str::<Page>(&text).unwrap(), page);
-    }
-}
--- a/crates/zones/src/plan.rs
+++ b/crates/zones/src/plan.rs
@@ -17,6 +17,7 @@
     Broken,
     /// Urgent work.
     Urgent,
+    /// Any other work.
     Other,
 }
 
@@ -45,6 +46,7 @@
 /// An attempt that may be running in a lost zone.
 #[derive(Clone, Copy, Debug)]
 pub struct Stake {
+    /// What its job loses by waiting.
     pub standing: Standing,
     /// Work that would be done again: of a gang, that of all its members.
     pub unsaved: Span,
@@ -62,7 +64,9 @@
 /// A machine in a lost zone with what is on it.
 #[derive(Clone, Debug)]
 pub struct Case<M> {
+    /// The machine.
     pub machine: M,
+    /// The attempts on it.
     pub stakes: Vec<Stake>,
     /// Until its lease has run out for certain, if nobody renews it.
     pub lease_left: Span,
--- a/crates/zones/src/state.rs
+++ b/crates/zones/src/state.rs
@@ -10,6 +10,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum State {
+    /// Heard.
     Well,
     /// Silent, for too short a time to act on: it gets nothing new.
     Doubt,
@@ -20,6 +21,7 @@
 }
 
 impl State {
+    /// Its name in the log and the overview.
     pub fn as_str(self) -> &'static str {
         match self {
             State::Well => "well",
@@ -50,8 +52,9 @@
     pub back: u32,
     /// When anything there was heard last, in this term.
     pub newest: Option<Time>,
-    /// Controllers there, besides the leader, and those out of its reach.
+    /// Controllers there, besides the leader.
     pub controllers: u32,
+    /// Of these, those that the leader can't reach.
     pub away: u32,
     /// Direct calls to machines there that failed since the last look.
     pub unanswered: u32,
@@ -62,19 +65,26 @@
 /// A zone has another state.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Change {
+    /// The zone.
     pub zone: Zone,
+    /// Its state before.
     pub from: State,
+    /// Its state now.
     pub to: State,
     /// How long the state before had lasted.
     pub lasted: Span,
+    /// The evidence that led to it.
     pub evidence: Evidence,
 }
 
 /// A zone as operators see it.
 #[derive(Clone, Debug, Serialize)]
 pub struct View {
+    /// The zone.
     pub zone: Zone,
+    /// Its state.
     pub state: State,
+    /// For how long it has had that state, in seconds.
     pub since_s: f64,
     /// Not heard for so long; none while it is heard.
     pub silent_s: Option<f64>,
@@ -82,11 +92,17 @@
     pub open: f64,
     /// Troubles that are remembered.
     pub troubles: usize,
+    /// Machines that were up when last heard.
     pub machines: u32,
+    /// Of these, those that have missed a report.
     pub overdue: u32,
+    /// Controllers there, besides the leader.
     pub controllers: u32,
+    /// Of these, those that the leader can't reach.
     pub controllers_away: u32,
+    /// Direct calls to machines there that failed lately.
     pub calls_unanswered: u32,
+    /// Rentals there that should have come up long ago.
     pub rentals_overdue: u32,
 }
 
@@ -132,6 +148,7 @@
         }
     }
 
+    /// The limits in force.
     pub fn limits(&self) -> &Limits {
         &self.limits
     }
@@ -185,6 +202,7 @@
         changes
     }
 
+    /// The state of a zone; one without evidence is well.
     pub fn state(&self, z: &Zone) -> State {
         self.all.get(z).map_or(State::Well, |o| o.state)
     }
@@ -217,6 +235,7 @@
         self.all.values().any(|o| o.state != State::Well)
     }
 
+    /// All zones as operators see them.
     pub fn views(&self, now: Time) -> Vec<View> {
         let one = |(z, o): (&Zone, &One)| View {
             zone: z.clone(),
