--- a/crates/http-server/src/connection.rs
+++ b/crates/http-server/src/connection.rs
@@ -1,10 +1,13 @@
-//! One connection's routine: requests in, answers out, one after the other.
+//! The loop of one connection's thread: requests in, answers out, one after the
+//! other.
 
+use crate::connection_table::{ConnectionId, RequestDecision};
 use crate::head::{self, Framing, Head, MAX_BODY, MAX_HEAD};
-use crate::lanes::{ConnId, Lane, Phase, Verdict, Why};
-use crate::leaving::send_away;
-use crate::seats::Guest;
-use crate::server::{Booking, Shared};
+use crate::lingering::close_after_answer;
+use crate::phase::{CloseReason, Phase};
+use crate::request_class::RequestClass;
+use crate::shared::{BodyReservation, Shared};
+use crate::thread_pool::Connection;
 use crate::{Answer, Reply, Route, Service};
 use chunked_transfer::Decoder;
 use crossbeam_channel::bounded;
@@ -13,66 +16,66 @@
 use std::net::{Shutdown, TcpStream};
 use std::time::{Duration, Instant};
 
-/// Read at a time of a head.
-const CHUNK: usize = 1024;
-/// Read at a time of a body that is longer.
-const LARGE: usize = 16 * 1024;
-/// Bodies up to this length need no leave.
-const SMALL: usize = 8 * 1024;
-/// The service has limits of its own below this.
-const SERVICE: Duration = Duration::from_secs(10);
+/// Bytes read at a time of a head.
+const HEAD_CHUNK: usize = 1024;
+/// Bytes read at a time of a body.
+const BODY_CHUNK: usize = 16 * 1024;
+/// Bodies up to so many bytes need no reservation.
+const SMALL_BODY: usize = 8 * 1024;
+/// The service has timeouts of its own below this.
+const SERVICE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// How a connection ends.
-enum End {
-    /// Nothing is to be said any more.
-    Close,
-    /// A last answer, which the other side has to be able to read.
-    Last(Answer),
-    /// The last answer was given already.
-    Said,
+enum Ending {
+    /// Without an answer.
+    Silent,
+    /// With this last answer.
+    Answer(Answer),
+    /// Its last answer has been written.
+    Answered,
 }
 
-struct Conn<'a, S> {
+struct Handler<'a, S> {
     shared: &'a Shared<S>,
-    id: ConnId,
+    id: ConnectionId,
     stream: &'a TcpStream,
     /// What was read and not used yet.
-    buf: Vec<u8>,
-    /// Nothing was ever asked on this connection.
+    buffer: Vec<u8>,
+    /// No request has come on this connection yet.
     fresh: bool,
 }
 
 /// Serves a connection until its end.
-pub(crate) fn serve<S: Service>(shared: &Shared<S>, guest: Guest) {
-    let mut conn = Conn {
+pub(crate) fn serve<S: Service>(shared: &Shared<S>, connection: Connection) {
+    let mut handler = Handler {
         shared,
-        id: guest.id,
-        stream: &guest.stream,
-        buf: vec![],
+        id: connection.id,
+        stream: &connection.stream,
+        buffer: vec![],
         fresh: true,
     };
-    let end = match conn.enter(Phase::Silent) {
-        Some(why) => conn.told(why),
+    let ending = match handler.enter_phase(Phase::FirstHead) {
+        Some(reason) => handler.closed_for(reason),
         // It came while the server was closing: its answer is due all the same.
-        // One whose thread began a moment too late once got none.
-        None if shared.stopping() => conn.told(Why::Room),
+        // A connection whose thread started a moment too late once got none.
+        None if shared.stopping() => handler.closed_for(CloseReason::Reclaimed),
         None => loop {
-            if let Err(end) = conn.one() {
-                break end;
+            if let Err(ending) = handler.serve_request() {
+                break ending;
             }
         },
     };
-    let last = match end {
-        End::Close => false,
-        End::Said => true,
-        End::Last(mut a) => {
-            a.retry_after = a.retry_after.map(|s| shared.come_back(s));
-            conn.say(&a, true, false).is_ok()
+    let answered = match ending {
+        Ending::Silent => false,
+        Ending::Answered => true,
+        Ending::Answer(mut a) => {
+            a.retry_after = a.retry_after.map(|s| shared.retry_after(s));
+            handler.write_answer(&a, true, false).is_ok()
         }
     };
-    shared.lanes().left(guest.id);
-    if last {
-        send_away(&shared.door, guest.stream);
+    shared.connections().remove(connection.id);
+    if answered {
+        close_after_answer(&shared.lingering, connection.stream);
     }
 }
 
@@ -86,206 +89,215 @@
     }
 }
 
-impl<'a, S: Service> Conn<'a, S> {
+impl<'a, S: Service> Handler<'a, S> {
     /// One request and its answer.
-    fn one(&mut self) -> Result<(), End> {
+    fn serve_request(&mut self) -> Result<(), Ending> {
         let (head, taken) = self.head()?;
-        self.buf.drain(..taken);
-        let (lane, request) = match self
-            .shared
-            .service
-            .route(&head.method, &head.path, &head.query)
-        {
-            Route::Now(lane, a) => (lane, Err(a)),
-            Route::Take(lane, r) => (lane, Ok(r)),
-        };
-        self.admit(lane)?;
+        self.buffer.drain(..taken);
+        let (class, request) =
+            match self
+                .shared
+                .service
+                .route(&head.method, &head.path, &head.query)
+            {
+                Route::Respond(class, a) => (class, Err(a)),
+                Route::Handle(class, r) => (class, Ok(r)),
+            };
+        self.admit(class)?;
         self.fresh = false;
-        let (body, booked) = self.body(&head)?;
+        let (body, reserved) = self.body(&head)?;
         let asked = Instant::now();
         let answer = match request {
             Err(a) => a,
             Ok(r) => {
-                if let Some(why) = self.enter(Phase::Service) {
-                    return Err(self.told(why));
+                if let Some(reason) = self.enter_phase(Phase::Handling) {
+                    return Err(self.closed_for(reason));
                 }
                 let (to, answer) = bounded(1);
-                self.shared.service.take(r, body, Reply { to, asked });
+                self.shared.service.handle(r, body, Reply { to, asked });
                 let none = |_| Answer::later("no answer in time", 1);
-                answer.recv_timeout(SERVICE).unwrap_or_else(none)
+                answer.recv_timeout(SERVICE_TIMEOUT).unwrap_or_else(none)
             }
         };
-        drop(booked);
-        self.answer(lane, &head, answer, asked)
+        drop(reserved);
+        self.answer(class, &head, answer, asked)
     }
 
     fn answer(
         &mut self,
-        lane: Lane,
+        class: RequestClass,
         head: &Head,
         mut a: Answer,
         asked: Instant,
-    ) -> Result<(), End> {
-        let mut lanes = self.shared.lanes();
-        let told = lanes.enter(self.id, Phase::Write, Instant::now());
-        let close = !head.keep_alive || told.is_some() || lanes.crowded(lane);
-        drop(lanes);
+    ) -> Result<(), Ending> {
+        let mut connections = self.shared.connections();
+        let closing = connections.enter_phase(self.id, Phase::Write, Instant::now());
+        let close = !head.keep_alive || closing.is_some() || connections.is_nearly_full(class);
+        drop(connections);
         let close = close || self.shared.stopping();
-        // Looked at last: this process may have stood still since the answer was
+        // Checked last: this process may have been suspended since the answer was
         // made, while another one told its user something newer.
         if a.is_stale(asked) {
             a = Answer::later("no longer certain", 1);
         }
-        if lane == Lane::Users {
-            a.retry_after = a.retry_after.map(|s| self.shared.come_back(s));
+        if class == RequestClass::Users {
+            a.retry_after = a.retry_after.map(|s| self.shared.retry_after(s));
         }
-        let bare = head.method == Method::HEAD;
-        if self.say(&a, close, bare).is_err() {
-            return Err(End::Close);
+        let omit_body = head.method == Method::HEAD;
+        if self.write_answer(&a, close, omit_body).is_err() {
+            return Err(Ending::Silent);
         }
         if close {
-            return Err(End::Said);
+            return Err(Ending::Answered);
         }
-        if self.buf.is_empty() {
-            self.buf = vec![];
+        if self.buffer.is_empty() {
+            self.buffer = vec![];
         }
-        match self.enter(Phase::Idle) {
-            None if self.shared.stopping() => Err(End::Close),
+        match self.enter_phase(Phase::Idle) {
+            None if self.shared.stopping() => Err(Ending::Silent),
             None => Ok(()),
-            Some(_) => Err(End::Close),
+            Some(_) => Err(Ending::Silent),
         }
     }
 
-    fn say(&self, a: &Answer, close: bool, bare: bool) -> std::io::Result<()> {
+    fn write_answer(&self, a: &Answer, close: bool, omit_body: bool) -> std::io::Result<()> {
         let mut to = self.stream;
-        to.write_all(&head::encode(a, close, bare))
+        to.write_all(&head::encode(a, close, omit_body))
     }
 
-    fn enter(&self, phase: Phase) -> Option<Why> {
-        self.shared.lanes().enter(self.id, phase, Instant::now())
+    fn enter_phase(&self, phase: Phase) -> Option<CloseReason> {
+        self.shared
+            .connections()
+            .enter_phase(self.id, phase, Instant::now())
     }
 
     /// Reads the head of the next request, as far as it is not here yet.
-    fn head(&mut self) -> Result<(Head, usize), End> {
+    fn head(&mut self) -> Result<(Head, usize), Ending> {
         let mut seen = 0;
-        let mut began = false;
+        let mut started = false;
         loop {
-            let whole = head::may_be_whole(&self.buf, seen) || self.buf.len() >= MAX_HEAD;
-            if whole && let Some(found) = head::parse(&self.buf).map_err(End::Last)? {
+            let whole = head::may_be_complete(&self.buffer, seen) || self.buffer.len() >= MAX_HEAD;
+            if whole && let Some(found) = head::parse(&self.buffer).map_err(Ending::Answer)? {
                 return Ok(found);
             }
-            if !self.buf.is_empty() && !std::mem::replace(&mut began, true) {
-                let mut lanes = self.shared.lanes();
-                if !lanes.began(self.id, Instant::now()) {
-                    let why = lanes.told(self.id).unwrap_or(Why::Room);
-                    drop(lanes);
-                    return Err(self.told(why));
+            if !self.buffer.is_empty() && !std::mem::replace(&mut started, true) {
+                let mut connections = self.shared.connections();
+                if !connections.head_started(self.id, Instant::now()) {
+                    let reason = connections
+                        .close_reason(self.id)
+                        .unwrap_or(CloseReason::Reclaimed);
+                    drop(connections);
+                    return Err(self.closed_for(reason));
                 }
             }
-            seen = self.buf.len();
+            seen = self.buffer.len();
             if !self.fill() {
-                let why = self.shared.lanes().told(self.id);
-                return Err(match why {
+                let reason = self.shared.connections().close_reason(self.id);
+                return Err(match reason {
                     // Between two requests there is nothing to answer.
-                    Some(why) if self.fresh || !self.buf.is_empty() => self.told(why),
-                    _ => End::Close,
+                    Some(reason) if self.fresh || !self.buffer.is_empty() => {
+                        self.closed_for(reason)
+                    }
+                    _ => Ending::Silent,
                 });
             }
         }
     }
 
-    /// Reads some more. False: there is no more. By way of the stack, so that
-    /// a connection that waits holds no memory for what may come.
+    /// Reads some more; false at the end. By way of the stack, so that a connection
+    /// that waits holds no memory for what may come.
     fn fill(&mut self) -> bool {
-        let mut chunk = [0; CHUNK];
+        let mut chunk = [0; HEAD_CHUNK];
         let got = read(self.stream, &mut chunk);
-        self.buf.extend_from_slice(&chunk[..got]);
+        self.buffer.extend_from_slice(&chunk[..got]);
         got > 0
     }
 
-    /// Reads up to so many bytes of a body that is known to come.
+    /// Reads up to so many bytes of a body that is known to come; false at the end.
     fn fill_large(&mut self, most: usize) -> bool {
-        let at = self.buf.len();
-        self.buf.resize(at + most, 0);
-        let got = read(self.stream, &mut self.buf[at..]);
-        self.buf.truncate(at + got);
+        let at = self.buffer.len();
+        self.buffer.resize(at + most, 0);
+        let got = read(self.stream, &mut self.buffer[at..]);
+        self.buffer.truncate(at + got);
         got > 0
     }
 
-    fn told(&self, why: Why) -> End {
-        End::Last(match why {
-            Why::Room => Answer::later("too many connections", 1),
-            Why::Slow(_) => Answer::error(408, "too slow"),
+    fn closed_for(&self, reason: CloseReason) -> Ending {
+        Ending::Answer(match reason {
+            CloseReason::Reclaimed => Answer::later("too many connections", 1),
+            CloseReason::TimedOut(_) => Answer::error(408, "too slow"),
         })
     }
 
-    /// The request's lane has room for this connection, or makes some.
-    fn admit(&mut self, lane: Lane) -> Result<(), End> {
-        let routed = |make_room| {
-            let mut lanes = self.shared.lanes();
-            lanes.routed(self.id, lane, make_room, Instant::now())
+    /// Finds a connection slot in the request's class, or reclaims one.
+    fn admit(&mut self, class: RequestClass) -> Result<(), Ending> {
+        let classify = |reclaim| {
+            let mut connections = self.shared.connections();
+            connections.classify(self.id, class, reclaim, Instant::now())
         };
-        // A worker that another controller has room for makes nobody leave.
-        let mut verdict = routed(lane != Lane::Workers);
+        // For a worker that another controller has a slot for, none is reclaimed.
+        let mut verdict = classify(class != RequestClass::Workers);
         let mut elsewhere = false;
-        if matches!(verdict, Verdict::Full) && lane == Lane::Workers {
-            elsewhere = self.shared.service.elsewhere();
+        if matches!(verdict, RequestDecision::Full) && class == RequestClass::Workers {
+            elsewhere = self.shared.service.reserve_elsewhere();
             if !elsewhere {
-                verdict = routed(true);
+                verdict = classify(true);
             }
         }
         match verdict {
-            Verdict::Go => Ok(()),
-            Verdict::GoInstead(other) => {
+            RequestDecision::Proceed => Ok(()),
+            RequestDecision::ProceedReplacing(other) => {
                 let _ = other.shutdown(Shutdown::Read);
                 Ok(())
             }
-            Verdict::Full => {
-                self.shared.lanes().refused(lane);
-                Err(End::Last(self.shared.service.full(lane, elsewhere)))
+            RequestDecision::Full => {
+                self.shared.connections().record_refusal(class);
+                Err(Ending::Answer(
+                    self.shared.service.no_capacity(class, elsewhere),
+                ))
             }
-            Verdict::Gone(why) => Err(self.told(why)),
+            RequestDecision::Closing(reason) => Err(self.closed_for(reason)),
         }
     }
 
-    /// The body, and what was booked for it.
-    fn body(&mut self, head: &Head) -> Result<(Vec<u8>, Option<Booking<'a>>), End> {
+    /// The body, and the memory reserved for it.
+    fn body(&mut self, head: &Head) -> Result<(Vec<u8>, Option<BodyReservation<'a>>), Ending> {
         let length = match head.framing {
             Framing::None => return Ok((vec![], None)),
             Framing::Length(n) => n,
             Framing::Chunked => MAX_BODY,
         };
-        let mut booked = None;
-        if length > SMALL {
-            let full = || End::Last(Answer::later("too many large bodies", 1));
-            booked = Some(self.shared.book(length).ok_or_else(full)?);
+        let mut reserved = None;
+        if length > SMALL_BODY {
+            let full = || Ending::Answer(Answer::later("too many large bodies", 1));
+            reserved = Some(self.shared.reserve_body(length).ok_or_else(full)?);
         }
-        Ok((self.read_body(head, length)?, booked))
+        Ok((self.read_body(head, length)?, reserved))
     }
 
-    fn read_body(&mut self, head: &Head, length: usize) -> Result<Vec<u8>, End> {
-        if head.expects && self.buf.is_empty() {
+    fn read_body(&mut self, head: &Head, length: usize) -> Result<Vec<u8>, Ending> {
+        if head.expects_continue && self.buffer.is_empty() {
             let mut to = self.stream;
             if to.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").is_err() {
-                return Err(End::Close);
+                return Err(Ending::Silent);
             }
         }
         if head.framing == Framing::Chunked {
             return self.chunked();
         }
-        while self.buf.len() < length {
-            let missing = length - self.buf.len();
-            if !self.fill_large(missing.min(LARGE)) {
-                return Err(self.broken_off());
+        while self.buffer.len() < length {
+            let missing = length - self.buffer.len();
+            if !self.fill_large(missing.min(BODY_CHUNK)) {
+                return Err(self.incomplete_body());
             }
         }
-        let rest = self.buf.split_off(length);
-        Ok(std::mem::replace(&mut self.buf, rest))
+        let rest = self.buffer.split_off(length);
+        Ok(std::mem::replace(&mut self.buffer, rest))
     }
 
-    fn chunked(&mut self) -> Result<Vec<u8>, End> {
+    fn chunked(&mut self) -> Result<Vec<u8>, Ending> {
         let mut body = vec![];
-        let mut source = std::mem::take(&mut self.buf);
+        let mut source = std::mem::take(&mut self.buffer);
         let all = (&source[..]).chain(self.stream);
         // The framing itself may take as much again, and no more.
         let mut all = all.take(2 * MAX_BODY as u64);
@@ -293,19 +305,19 @@
             .take(MAX_BODY as u64 + 1)
             .read_to_end(&mut body);
         let unread = all.get_ref().get_ref().0.len();
-        self.buf = source.split_off(source.len() - unread);
+        self.buffer = source.split_off(source.len() - unread);
         match read {
-            Ok(_) if body.len() > MAX_BODY => Err(End::Last(head::too_large())),
+            Ok(_) if body.len() > MAX_BODY => Err(Ending::Answer(head::too_large())),
             Ok(_) => Ok(body),
-            Err(_) => Err(self.broken_off()),
+            Err(_) => Err(self.incomplete_body()),
         }
     }
 
     /// The body ended too early, or was cut off.
-    fn broken_off(&self) -> End {
-        match self.shared.lanes().told(self.id) {
-            Some(why) => self.told(why),
-            None => End::Last(Answer::error(400, "body: incomplete")),
+    fn incomplete_body(&self) -> Ending {
+        match self.shared.connections().close_reason(self.id) {
+            Some(reason) => self.closed_for(reason),
+            None => Ending::Answer(Answer::error(400, "body: incomplete")),
         }
     }
 }
--- a/crates/http-server/src/connection_table.rs
+++ b/crates/http-server/src/connection_table.rs
@@ -1,324 +1,266 @@
-//! Who may hold a connection: the decisions, with no I/O, clock or threads.
+//! Which connections may be open: admission by request class, without any I/O,
+//! clock or threads.
 //!
-//! Connections belong to lanes. Each lane has a share that no other can take;
-//! what lanes leave unused of theirs may be borrowed. A connection that has
-//! not sent a request yet is in the smallest lane, whatever it turns out to
-//! be. When there is no room, the longest idle connection makes some: among
-//! those without a request the oldest; then users and watchers, whose clients
-//! open another one by themselves; a worker's last, and one within its lane's
-//! share never for another lane.
+//! Every connection belongs to a class. Each class has a guaranteed share that no
+//! other can take; what a class leaves unused may be borrowed. A connection that
+//! has not sent a request yet is in the smallest class, whatever it turns out to
+//! be. When there is no free slot, the slot of the longest idle connection is
+//! reclaimed: first of those without a request; then of users and health checks,
+//! whose clients reconnect by themselves; a worker's last. A connection within
+//! its class's share never loses its slot to another class.
 
 use crate::bounds::Bounds;
-use serde::Serialize;
+use crate::phase::{CloseReason, Phase, Timeouts};
+use crate::request_class::{ClassCounts, RequestClass};
 use std::collections::{BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
-/// What a connection is for, as told by its latest request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
-#[serde(rename_all = "lowercase")]
-pub enum Lane {
-    /// No request yet.
-    Fresh,
-    Users,
-    /// Health checks and operators.
-    Watch,
-    Workers,
-}
-
-impl Lane {
-    pub const COUNT: usize = 4;
-    pub const ALL: [Lane; Lane::COUNT] = [Lane::Fresh, Lane::Users, Lane::Watch, Lane::Workers];
-    /// Those that a connection can belong to once it has sent a request.
-    const ROUTED: [Lane; 3] = [Lane::Users, Lane::Watch, Lane::Workers];
-}
-
-/// How long a connection may stay in a phase, in all.
-#[derive(Clone, Copy, Debug)]
-pub struct Limits {
-    /// From the opening of the connection to the end of its first head.
-    pub first_head: Duration,
-    /// From the first to the last byte of a later head.
-    pub head: Duration,
-    /// From the end of the head to the end of the body.
-    pub body: Duration,
-    /// For the client to take the answer.
-    pub write: Duration,
-    /// Between two requests.
-    pub idle: Duration,
-}
-
-impl Default for Limits {
-    fn default() -> Self {
-        Limits {
-            first_head: Duration::from_secs(8),
-            head: Duration::from_secs(8),
-            body: Duration::from_secs(10),
-            write: Duration::from_secs(10),
-            idle: Duration::from_secs(60),
-        }
-    }
-}
-
-/// A new connection has so long to say something before another may take its
-/// place: long enough for its thread to find what is there already.
-const SAY_SOMETHING: Duration = Duration::from_millis(20);
+/// A new connection has so long to begin its first request before its slot may be
+/// reclaimed: long enough for its thread to find what is there already.
+const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(20);
 
 /// A connection, numbered in the order of opening; never used again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct ConnId(pub u64);
-
-/// What a connection is at.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Phase {
-    /// Open, but its thread does not read yet.
-    Seating,
-    /// Open, with nothing or part of a first head.
-    Silent,
-    Idle,
-    Head,
-    Body,
-    /// The service works on the answer.
-    Service,
-    Write,
-}
-
-/// Why a connection has to go.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Why {
-    /// For another one.
-    Room,
-    /// It took too long over this.
-    Slow(Phase),
-}
+pub struct ConnectionId(pub u64);
 
 /// What becomes of a new connection.
 #[derive(Debug, PartialEq)]
-pub enum Arrival<H> {
-    Admitted(ConnId),
-    /// Once this other one has been told to go.
-    Instead(ConnId, H),
-    /// None has been silent for long enough to make room.
+pub enum Admission<H> {
+    /// It has a slot.
+    Admitted(ConnectionId),
+    /// It has the slot of this other one, which the caller has to shut down.
+    AdmittedReplacing(ConnectionId, H),
+    /// No slot is free, and none can be reclaimed.
     Refused,
 }
 
-/// What becomes of a request, given the lane that it is for.
+/// What becomes of a request, given its class.
 #[derive(Debug, PartialEq)]
-pub enum Verdict<H> {
-    Go,
-    /// Once this other connection has been told to go.
-    GoInstead(H),
-    /// The lane has no room.
+pub enum RequestDecision<H> {
+    /// It is served.
+    Proceed,
+    /// It is served in the slot of this other connection, which the caller has to
+    /// shut down.
+    ProceedReplacing(H),
+    /// Its class has no free slot.
     Full,
-    /// The connection itself has been told to go.
-    Gone(Why),
+    /// The connection itself is being closed.
+    Closing(CloseReason),
 }
 
-struct Conn<H> {
-    lane: Lane,
+struct Entry<H> {
+    class: RequestClass,
     phase: Phase,
-    since: Instant,
+    phase_since: Instant,
     opened: Instant,
-    told: Option<Why>,
+    closing: Option<CloseReason>,
     handle: H,
 }
 
-/// Counts of one lane, since the start.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
-pub struct Counts {
-    pub requests: u64,
-    /// Requests that found no room.
-    pub refused: u64,
-    /// Connections that had to make room.
-    pub made_room: u64,
-    /// Connections that took too long over something.
-    pub too_slow: u64,
-}
-
-/// All connections of a controller. `H` is what reaches one from outside.
-pub struct Lanes<H> {
+/// All open connections. `H` is the handle by which the caller shuts one down.
+pub struct ConnectionTable<H> {
     bounds: Bounds,
-    limits: Limits,
-    conns: HashMap<ConnId, Conn<H>>,
-    next: u64,
-    used: [usize; Lane::COUNT],
-    /// Those that can make room, the longest waiting first.
-    idle: [BTreeSet<(Instant, ConnId)>; Lane::COUNT],
-    /// When a phase will have taken too long.
-    due: BTreeSet<(Instant, ConnId)>,
-    counts: [Counts; Lane::COUNT],
+    timeouts: Timeouts,
+    entries: HashMap<ConnectionId, Entry<H>>,
+    next_id: u64,
+    /// Slots taken in each class.
+    used: [usize; RequestClass::COUNT],
+    /// Connections whose slots can be reclaimed, the longest idle first.
+    idle: [BTreeSet<(Instant, ConnectionId)>; RequestClass::COUNT],
+    /// When each connection runs into the timeout of its phase.
+    deadlines: BTreeSet<(Instant, ConnectionId)>,
+    counts: [ClassCounts; RequestClass::COUNT],
     /// Steps taken by the searches here, for tests: must not grow with connections.
     steps: u64,
 }
 
-impl<H: Clone> Lanes<H> {
-    pub fn new(bounds: Bounds, limits: Limits) -> Lanes<H> {
-        Lanes {
+impl<H: Clone> ConnectionTable<H> {
+    /// An empty table.
+    pub fn new(bounds: Bounds, timeouts: Timeouts) -> ConnectionTable<H> {
+        ConnectionTable {
             bounds,
-            limits,
-            conns: HashMap::new(),
-            next: 1,
-            used: [0; Lane::COUNT],
+            timeouts,
+            entries: HashMap::new(),
+            next_id: 1,
+            used: [0; RequestClass::COUNT],
             idle: Default::default(),
-            due: BTreeSet::new(),
+            deadlines: BTreeSet::new(),
             counts: Default::default(),
             steps: 0,
         }
     }
 
-    /// A connection is opened.
-    pub fn arrive(&mut self, now: Instant, handle: H) -> Arrival<H> {
-        let fresh = Lane::Fresh as usize;
+    /// A connection has been accepted.
+    pub fn admit(&mut self, now: Instant, handle: H) -> Admission<H> {
+        let fresh = RequestClass::Fresh as usize;
         let mut victim = None;
         if self.used[fresh] >= self.bounds.guaranteed[fresh] {
-            victim = self.make_room(&[Lane::Fresh], now - SAY_SOMETHING);
+            victim = self.reclaim_idle(&[RequestClass::Fresh], now - FIRST_REQUEST_GRACE);
             if victim.is_none() {
-                return Arrival::Refused;
+                return Admission::Refused;
             }
         }
-        let id = ConnId(self.next);
-        self.next += 1;
-        let conn = Conn {
-            lane: Lane::Fresh,
-            phase: Phase::Seating,
-            since: now,
+        let id = ConnectionId(self.next_id);
+        self.next_id += 1;
+        let entry = Entry {
+            class: RequestClass::Fresh,
+            phase: Phase::Starting,
+            phase_since: now,
             opened: now,
-            told: None,
+            closing: None,
             handle,
         };
-        self.conns.insert(id, conn);
+        self.entries.insert(id, entry);
         self.used[fresh] += 1;
         self.schedule(id);
         match victim {
-            None => Arrival::Admitted(id),
-            Some(v) => Arrival::Instead(id, v),
+            None => Admission::Admitted(id),
+            Some(replaced) => Admission::AdmittedReplacing(id, replaced),
         }
     }
 
-    /// Part of a head has come. False: the connection has been told to go.
-    pub fn began(&mut self, id: ConnId, now: Instant) -> bool {
-        match self.conns.get(&id) {
+    /// Part of a request head has come. False: the connection is being closed.
+    pub fn head_started(&mut self, id: ConnectionId, now: Instant) -> bool {
+        match self.entries.get(&id) {
             // The first head counts from the opening of the connection.
-            Some(c) if c.phase == Phase::Silent => c.told.is_none(),
-            _ => self.enter(id, Phase::Head, now).is_none(),
+            Some(entry) if entry.phase == Phase::FirstHead => entry.closing.is_none(),
+            _ => self.enter_phase(id, Phase::Head, now).is_none(),
         }
     }
 
-    /// A head is complete, and its request is for this lane. Without room
-    /// there, others make some only if `make_room` says so.
-    pub fn routed(&mut self, id: ConnId, lane: Lane, make_room: bool, now: Instant) -> Verdict<H> {
-        if let Some(why) = self.enter(id, Phase::Body, now) {
-            return Verdict::Gone(why);
+    /// A head is complete, and its request is of this class. Without a free slot
+    /// there, one is reclaimed only if `reclaim` says so.
+    pub fn classify(
+        &mut self,
+        id: ConnectionId,
+        class: RequestClass,
+        reclaim: bool,
+        now: Instant,
+    ) -> RequestDecision<H> {
+        if let Some(reason) = self.enter_phase(id, Phase::Body, now) {
+            return RequestDecision::Closing(reason);
         }
-        let Some(from) = self.conns.get(&id).map(|c| c.lane) else {
-            return Verdict::Gone(Why::Room);
+        let Some(from) = self.entries.get(&id).map(|entry| entry.class) else {
+            return RequestDecision::Closing(CloseReason::Reclaimed);
         };
-        let mut verdict = Verdict::Go;
-        if from != lane {
+        let mut verdict = RequestDecision::Proceed;
+        if from != class {
             self.used[from as usize] -= 1;
-            if !self.has_room(lane) {
-                let victim = make_room.then(|| self.make_room_for(lane, now)).flatten();
-                let Some(v) = victim else {
+            if !self.has_capacity(class) {
+                let victim = reclaim.then(|| self.reclaim_for(class, now)).flatten();
+                let Some(replaced) = victim else {
                     self.used[from as usize] += 1;
-                    return Verdict::Full;
+                    return RequestDecision::Full;
                 };
-                verdict = Verdict::GoInstead(v);
+                verdict = RequestDecision::ProceedReplacing(replaced);
             }
-            self.used[lane as usize] += 1;
-            if let Some(c) = self.conns.get_mut(&id) {
-                c.lane = lane;
+            self.used[class as usize] += 1;
+            if let Some(entry) = self.entries.get_mut(&id) {
+                entry.class = class;
             }
         }
-        self.counts[lane as usize].requests += 1;
+        self.counts[class as usize].requests += 1;
         verdict
     }
 
-    /// A request was refused for want of room.
-    pub fn refused(&mut self, lane: Lane) {
-        self.counts[lane as usize].refused += 1;
+    /// A request was refused for want of a slot.
+    pub fn record_refusal(&mut self, class: RequestClass) {
+        self.counts[class as usize].refused += 1;
     }
 
-    /// The connection's next phase.
-    pub fn enter(&mut self, id: ConnId, phase: Phase, now: Instant) -> Option<Why> {
+    /// The connection's next phase; why not, if it is being closed.
+    pub fn enter_phase(
+        &mut self,
+        id: ConnectionId,
+        phase: Phase,
+        now: Instant,
+    ) -> Option<CloseReason> {
         self.unschedule(id);
-        let c = self.conns.get_mut(&id)?;
-        if c.told.is_some() {
-            return c.told;
+        let entry = self.entries.get_mut(&id)?;
+        if entry.closing.is_some() {
+            return entry.closing;
         }
-        (c.phase, c.since) = (phase, now);
+        (entry.phase, entry.phase_since) = (phase, now);
         self.schedule(id);
         None
     }
 
     /// The connection is closed, for whatever reason.
-    pub fn left(&mut self, id: ConnId) {
+    pub fn remove(&mut self, id: ConnectionId) {
         self.unschedule(id);
-        if let Some(c) = self.conns.remove(&id)
-            && c.told.is_none()
+        if let Some(entry) = self.entries.remove(&id)
+            && entry.closing.is_none()
         {
-            self.used[c.lane as usize] -= 1;
+            self.used[entry.class as usize] -= 1;
         }
     }
 
-    /// Those that took too long, each once, with what they were at.
-    pub fn overdue(&mut self, now: Instant) -> Vec<(H, Phase)> {
-        let mut late = vec![];
-        while let Some(&(at, id)) = self.due.first()
+    /// Connections that ran into a timeout, each once, with the phase it was in.
+    pub fn expire(&mut self, now: Instant) -> Vec<(H, Phase)> {
+        let mut timed_out = vec![];
+        while let Some(&(at, id)) = self.deadlines.first()
             && at <= now
         {
             self.steps += 1;
-            let Some(phase) = self.conns.get(&id).map(|c| c.phase) else {
-                self.due.pop_first();
+            let Some(phase) = self.entries.get(&id).map(|entry| entry.phase) else {
+                self.deadlines.pop_first();
                 continue;
             };
-            if let Some((lane, h)) = self.tell(id, Why::Slow(phase)) {
-                // Silence between two requests is no fault of anyone's.
-                self.counts[lane as usize].too_slow += (phase != Phase::Idle) as u64;
-                late.push((h, phase));
+            if let Some((class, handle)) = self.mark_closing(id, CloseReason::TimedOut(phase)) {
+                // A connection that stays idle between two requests is no failure.
+                self.counts[class as usize].too_slow += (phase != Phase::Idle) as u64;
+                timed_out.push((handle, phase));
             }
         }
-        late
+        timed_out
     }
 
-    /// The one that can best be spared, when the machine itself runs out.
-    pub fn spare_one(&mut self, now: Instant) -> Option<H> {
-        self.make_room(&[Lane::Fresh], now)
-            .or_else(|| self.make_room(&[Lane::Users, Lane::Watch], now))
-            .or_else(|| self.make_room(&[Lane::Workers], now))
+    /// Reclaims the least important idle slot, when the process itself runs out of
+    /// descriptors, or closes.
+    pub fn reclaim_any(&mut self, now: Instant) -> Option<H> {
+        self.reclaim_idle(&[RequestClass::Fresh], now)
+            .or_else(|| self.reclaim_idle(&[RequestClass::Users, RequestClass::Watch], now))
+            .or_else(|| self.reclaim_idle(&[RequestClass::Workers], now))
     }
 
-    /// Everybody who waits for a request is told to go.
-    pub fn close(&mut self, now: Instant) -> Vec<H> {
-        std::iter::from_fn(|| self.spare_one(now)).collect()
+    /// Reclaims the slots of all idle connections, in good order for a shutdown.
+    pub fn reclaim_all(&mut self, now: Instant) -> Vec<H> {
+        std::iter::from_fn(|| self.reclaim_any(now)).collect()
     }
 
-    /// Why this connection was told to go, if it was.
-    pub fn told(&self, id: ConnId) -> Option<Why> {
-        self.conns.get(&id).and_then(|c| c.told)
+    /// Why this connection is being closed, if it is.
+    pub fn close_reason(&self, id: ConnectionId) -> Option<CloseReason> {
+        self.entries.get(&id).and_then(|entry| entry.closing)
     }
 
-    /// Nearly nothing left for this lane: whoever got an answer had better
-    /// come back with a new connection, so that others get a turn.
-    pub fn crowded(&self, lane: Lane) -> bool {
-        let most = self.room_for(lane);
-        self.used[lane as usize] * 20 >= most * 19
+    /// Nearly no slot is left for this class: the connections that are served had
+    /// better end with their answer, so that others get a turn.
+    pub fn is_nearly_full(&self, class: RequestClass) -> bool {
+        let most = self.capacity_for(class);
+        self.used[class as usize] * 20 >= most * 19
     }
 
+    /// Connections that are open, those being closed included.
     pub fn open(&self) -> usize {
-        self.conns.len()
+        self.entries.len()
     }
 
-    pub fn used(&self, lane: Lane) -> usize {
-        self.used[lane as usize]
+    /// Slots taken in a class.
+    pub fn used(&self, class: RequestClass) -> usize {
+        self.used[class as usize]
     }
 
-    pub fn idle(&self, lane: Lane) -> usize {
-        self.idle[lane as usize].len()
+    /// Idle connections of a class.
+    pub fn idle(&self, class: RequestClass) -> usize {
+        self.idle[class as usize].len()
     }
 
-    pub fn counts(&self, lane: Lane) -> Counts {
-        self.counts[lane as usize]
+    /// Counts of a class, since the start.
+    pub fn counts(&self, class: RequestClass) -> ClassCounts {
+        self.counts[class as usize]
     }
 
+    /// The bounds in force.
     pub fn bounds(&self) -> &Bounds {
         &self.bounds
     }
@@ -328,88 +270,102 @@
         self.steps
     }
 
-    /// What the lane may have at present, given what others have and keep.
-    fn room_for(&self, lane: Lane) -> usize {
-        let kept = |l: Lane| self.used[l as usize].max(self.bounds.guaranteed[l as usize]);
-        let others: usize = Lane::ROUTED
+    /// Slots that the class may have at present, given what the others use and are
+    /// guaranteed.
+    fn capacity_for(&self, class: RequestClass) -> usize {
+        let kept = |other: RequestClass| {
+            self.used[other as usize].max(self.bounds.guaranteed[other as usize])
+        };
+        let others: usize = RequestClass::OF_REQUESTS
             .iter()
-            .filter(|l| **l != lane)
-            .map(|l| kept(*l))
+            .filter(|other| **other != class)
+            .map(|other| kept(*other))
             .sum();
-        let all = self.bounds.connections - self.bounds.guaranteed[Lane::Fresh as usize];
+        let all = self.bounds.connections - self.bounds.guaranteed[RequestClass::Fresh as usize];
         all.saturating_sub(others)
     }
 
-    fn has_room(&self, lane: Lane) -> bool {
-        self.used[lane as usize] < self.room_for(lane)
+    fn has_capacity(&self, class: RequestClass) -> bool {
+        self.used[class as usize] < self.capacity_for(class)
     }
 
-    /// The longest idle of those that may be asked to make room for this lane.
-    fn make_room_for(&mut self, lane: Lane, now: Instant) -> Option<H> {
-        let may = |l: &&Lane| {
-            **l == lane || self.used[**l as usize] > self.bounds.guaranteed[**l as usize]
+    /// Reclaims the slot of the longest idle connection that may lose it to this class.
+    fn reclaim_for(&mut self, class: RequestClass, now: Instant) -> Option<H> {
+        let may_lose = |other: &&RequestClass| {
+            let used = self.used[**other as usize];
+            **other == class || used > self.bounds.guaranteed[**other as usize]
         };
-        let first: Vec<Lane> = [Lane::Users, Lane::Watch]
+        let preferred: Vec<RequestClass> = [RequestClass::Users, RequestClass::Watch]
             .iter()
-            .filter(may)
+            .filter(may_lose)
             .copied()
             .collect();
-        let last = [Lane::Workers].iter().any(|l| may(&l));
-        self.make_room(&first, now).or_else(|| {
-            last.then(|| self.make_room(&[Lane::Workers], now))
+        let workers_too = [RequestClass::Workers]
+            .iter()
+            .any(|workers| may_lose(&workers));
+        self.reclaim_idle(&preferred, now).or_else(|| {
+            workers_too
+                .then(|| self.reclaim_idle(&[RequestClass::Workers], now))
                 .flatten()
         })
     }
 
-    /// Of those idle at that time and since, the first.
-    fn make_room(&mut self, lanes: &[Lane], by: Instant) -> Option<H> {
-        self.steps += lanes.len() as u64;
-        let longest = lanes.iter().filter_map(|l| self.idle[*l as usize].first());
+    /// Reclaims the slot of the longest idle connection of these classes, if it has
+    /// been idle since `by` or earlier.
+    fn reclaim_idle(&mut self, classes: &[RequestClass], by: Instant) -> Option<H> {
+        self.steps += classes.len() as u64;
+        let longest = classes
+            .iter()
+            .filter_map(|class| self.idle[*class as usize].first());
         let (_, id) = *longest.min().filter(|(since, _)| *since <= by)?;
-        let (lane, h) = self.tell(id, Why::Room)?;
-        self.counts[lane as usize].made_room += 1;
-        Some(h)
+        let (class, handle) = self.mark_closing(id, CloseReason::Reclaimed)?;
+        self.counts[class as usize].made_room += 1;
+        Some(handle)
     }
 
-    /// It leaves its lane at once; its thread and socket follow in a moment.
-    fn tell(&mut self, id: ConnId, why: Why) -> Option<(Lane, H)> {
+    /// Frees the slot at once; the thread and the socket follow a moment later.
+    fn mark_closing(&mut self, id: ConnectionId, reason: CloseReason) -> Option<(RequestClass, H)> {
         self.unschedule(id);
-        let c = self.conns.get_mut(&id)?;
-        if c.told.replace(why).is_some() {
+        let entry = self.entries.get_mut(&id)?;
+        if entry.closing.replace(reason).is_some() {
             return None;
         }
-        self.used[c.lane as usize] -= 1;
-        Some((c.lane, c.handle.clone()))
+        self.used[entry.class as usize] -= 1;
+        Some((entry.class, entry.handle.clone()))
     }
 
-    /// When the present phase will have taken too long.
-    fn due_at(&self, c: &Conn<H>) -> Option<Instant> {
-        match c.phase {
-            Phase::Seating | Phase::Silent => Some(c.opened + self.limits.first_head),
-            Phase::Idle => Some(c.since + self.limits.idle),
-            Phase::Head => Some(c.since + self.limits.head),
-            Phase::Body => Some(c.since + self.limits.body),
-            Phase::Write => Some(c.since + self.limits.write),
-            // The service has limits of its own.
-            Phase::Service => None,
+    /// When the present phase runs into its timeout.
+    fn deadline(&self, entry: &Entry<H>) -> Option<Instant> {
+        match entry.phase {
+            Phase::Starting | Phase::FirstHead => Some(entry.opened + self.timeouts.first_head),
+            Phase::Idle => Some(entry.phase_since + self.timeouts.idle),
+            Phase::Head => Some(entry.phase_since + self.timeouts.head),
+            Phase::Body => Some(entry.phase_since + self.timeouts.body),
+            Phase::Write => Some(entry.phase_since + self.timeouts.write),
+            // The service has timeouts of its own.
+            Phase::Handling => None,
         }
     }
 
-    fn schedule(&mut self, id: ConnId) {
-        let Some(c) = self.conns.get(&id) else { return };
-        if matches!(c.phase, Phase::Silent | Phase::Idle) {
-            self.idle[c.lane as usize].insert((c.since, id));
+    fn schedule(&mut self, id: ConnectionId) {
+        let Some(entry) = self.entries.get(&id) else {
+            return;
+        };
+        if matches!(entry.phase, Phase::FirstHead | Phase::Idle) {
+            self.idle[entry.class as usize].insert((entry.phase_since, id));
         }
-        if let Some(at) = self.due_at(c) {
-            self.due.insert((at, id));
+        if let Some(at) = self.deadline(entry) {
+            self.deadlines.insert((at, id));
         }
     }
 
-    fn unschedule(&mut self, id: ConnId) {
-        let Some(c) = self.conns.get(&id) else { return };
-        self.idle[c.lane as usize].remove(&(c.since, id));
-        if let Some(at) = self.due_at(c) {
-            self.due.remove(&(at, id));
+    fn unschedule(&mut self, id: ConnectionId) {
+        let Some(entry) = self.entries.get(&id) else {
+            return;
+        };
+        self.idle[entry.class as usize].remove(&(entry.phase_since, id));
+        if let Some(at) = self.deadline(entry) {
+            self.deadlines.remove(&(at, id));
         }
     }
 }
--- a/crates/http-server/src/lib.rs
+++ b/crates/http-server/src/lib.rs
@@ -1,25 +1,44 @@
-//! A bounded HTTP/1.1 server: one routine per connection, and a bound on each
-//! of sockets, threads and memory that no caller can pass.
+//! A bounded HTTP/1.1 server, with one thread per connection.
 //!
-//! [`Bounds::plan`] works the bounds out at start. [`Lanes`] decides, without
-//! any I/O, who may hold a connection; [`Spread`] decides when those that were
-//! turned away come back. [`Server`] carries both out. What a request means is
-//! the [`Service`]'s affair.
+//! It promises that sockets, threads and memory stay within bounds that no caller
+//! can pass; that each class of requests keeps its guaranteed share of the
+//! connections; that a slow client runs into a timeout; and that refused clients
+//! are told when to retry, each at another time.
+//!
+//! It must never interpret a request beyond its head's framing, block a thread on
+//! the service for ever, or end because accepting failed.
+//!
+//! - [`Bounds::plan`] works out the bounds at start.
+//! - [`ConnectionTable`] decides, without any I/O, which connections may be open.
+//! - [`RetryJitter`] decides when refused clients retry.
+//! - [`Server`] carries all of it out; what a request means is up to the
+//!   [`Service`].
 
+mod acceptor;
 mod bounds;
-mod conn;
+mod connection;
+mod connection_table;
 mod head;
-mod lanes;
-mod leaving;
-mod seats;
+mod lingering;
+mod metrics;
+mod phase;
+mod request_class;
+mod retry_jitter;
 mod server;
-mod spread;
-
-pub use bounds::{Bounds, BoundsError, Limit, Machine, PER_CONNECTION, Wishes, descriptors};
-pub use head::{Framing, Head, MAX_BODY, MAX_HEAD, encode, may_be_whole, parse};
-pub use lanes::{Arrival, ConnId, Counts, Lane, Lanes, Limits, Phase, Verdict, Why};
-pub use server::{Figures, LaneFigures, Server};
-pub use spread::Spread;
+mod shared;
+mod thread_pool;
+
+pub use bounds::{
+    BYTES_PER_CONNECTION, Bounds, BoundsError, BoundsSettings, LimitedBy, MachineResources,
+    descriptors,
+};
+pub use connection_table::{Admission, ConnectionId, ConnectionTable, RequestDecision};
+pub use head::{Framing, Head, MAX_BODY, MAX_HEAD, encode, may_be_complete, parse};
+pub use metrics::{ClassMetrics, ServerMetrics};
+pub use phase::{CloseReason, Phase, Timeouts};
+pub use request_class::{ClassCounts, RequestClass};
+pub use retry_jitter::RetryJitter;
+pub use server::Server;
 
 use bincode::de::Decoder;
 use bincode::error::DecodeError;
@@ -31,14 +50,16 @@
 /// An answer, with a JSON body; controllers pass it on among themselves.
 #[derive(Clone, Debug, PartialEq, Encode)]
 pub struct Answer {
+    /// The HTTP status.
     pub status: u16,
+    /// The body, in JSON.
     pub body: String,
-    /// Seconds after which asking again makes sense; spread out on the way.
+    /// Seconds after which a retry makes sense; jitter is added on the way.
     pub retry_after: Option<u32>,
-    /// Microseconds for which it may be told, none: for ever. They count from when
-    /// the question reached whoever answers it; where it was passed on, from when it
-    /// reached the one that did, which is earlier. Last, as earlier versions neither
-    /// send nor read it.
+    /// Microseconds for which the answer is valid, none: for ever. They count from
+    /// when the request reached whoever answers it; where it was passed on, from when
+    /// it reached the controller that did, which is earlier. The last field, as
+    /// earlier versions neither send nor read it.
     pub valid_us: Option<u64>,
 }
 
@@ -59,6 +80,7 @@
 bincode::impl_borrow_decode!(Answer);
 
 impl Answer {
+    /// An answer that is valid for ever.
     pub fn new(status: u16, body: String) -> Answer {
         Answer {
             status,
@@ -68,14 +90,15 @@
         }
     }
 
+    /// An answer that names an error.
     pub fn error(status: u16, text: &str) -> Answer {
         Answer::new(status, serde_json::json!({ "error": text }).to_string())
     }
 
-    /// It may not be told any more, if it was asked for then.
+    /// Its validity is over, if its request was complete at `asked`.
     pub fn is_stale(&self, asked: Instant) -> bool {
         let valid = self.valid_us.map(Duration::from_micros);
-        valid.is_some_and(|v| asked.elapsed() >= v)
+        valid.is_some_and(|valid| asked.elapsed() >= valid)
     }
 
     /// 503 with `Retry-After`.
@@ -87,7 +110,7 @@
     }
 }
 
-/// The way back to whoever asked. Dropped unused, it answers 503.
+/// Carries the answer back to the client. Dropped unused, it answers 503.
 #[derive(Debug)]
 pub struct Reply {
     pub(crate) to: Sender<Answer>,
@@ -95,47 +118,48 @@
 }
 
 impl Reply {
-    /// When the whole request was here; the answer's validity counts from then.
+    /// When the request was complete; the answer's validity counts from then.
     pub fn asked(&self) -> Instant {
         self.asked
     }
 
-    /// Hands the answer to the connection's routine; never blocks.
-    pub fn answer(self, a: Answer) {
-        let _ = self.to.try_send(a);
+    /// Hands the answer to the connection's thread; never blocks.
+    pub fn answer(self, answer: Answer) {
+        let _ = self.to.try_send(answer);
     }
 }
 
-/// What a request is, as told by its head.
+/// What to do with a request, decided by its head.
 pub enum Route<R> {
     /// Answered from the head alone; a body is read and dropped.
-    Now(Lane, Answer),
-    /// For [`Service::take`], with its body.
-    Take(Lane, R),
+    Respond(RequestClass, Answer),
+    /// For [`Service::handle`], with its body.
+    Handle(RequestClass, R),
 }
 
 /// What the server serves. Called on the connections' own threads, so it must
 /// not block.
 pub trait Service: Send + Sync + 'static {
+    /// What a request asks for, as found in its head.
     type Request: Send;
 
-    /// What the request is. The lane must be none but `Users`, `Watch` and
+    /// Decides by the head what to do. The class must be none but `Users`, `Watch` and
     /// `Workers`.
     fn route(&self, method: &Method, path: &str, query: &str) -> Route<Self::Request>;
 
-    /// Takes a request, to be answered later from wherever.
-    fn take(&self, request: Self::Request, body: Vec<u8>, reply: Reply);
+    /// Handles a request, which may be answered later from any thread.
+    fn handle(&self, request: Self::Request, body: Vec<u8>, reply: Reply);
 
-    /// A worker that finds no room here could go to another controller. True
-    /// books a place there.
-    fn elsewhere(&self) -> bool {
+    /// For a worker that finds no slot here: true reserves one at another
+    /// controller.
+    fn reserve_elsewhere(&self) -> bool {
         false
     }
 
-    /// The answer for a request whose lane has no room; `elsewhere` as just
-    /// answered.
-    fn full(&self, lane: Lane, elsewhere: bool) -> Answer {
-        let _ = (lane, elsewhere);
+    /// The answer to a request whose class has no free slot; `elsewhere` is what
+    /// [`Service::reserve_elsewhere`] has just returned.
+    fn no_capacity(&self, class: RequestClass, elsewhere: bool) -> Answer {
+        let _ = (class, elsewhere);
         Answer::later("too many connections", 1)
     }
 }
--- a/crates/job-lifecycle/src/lib.rs
+++ b/crates/job-lifecycle/src/lib.rs
@@ -1,31 +1,34 @@
-//! A job's life, beyond what is placed where: who holds it and why, how often
-//! its tasks may fail, what has happened to it, and what it has used.
+//! The lifecycle of a job beyond placement: holds ([`Holds`]), the retry policy and
+//! the failures that count against it ([`RetryPolicy`], [`FailureCounts`]), history
+//! and usage ([`History`]).
 //!
-//! All of it is plain data that is changed by plain calls: no I/O, clock or
-//! threads. It is stored with the job's own records, so it is as safe as they
-//! are, and what it takes there is bounded.
+//! It is plain data changed by plain calls, stored with the job's own records. The
+//! package promises that what it stores is bounded, and that records stay readable
+//! by the release before and the release after.
+//!
+//! It must never do I/O, read a clock or start a thread; times are passed in.
 
+mod history;
 mod hold;
-mod ledger;
 mod retry;
 
-pub use hold::{Hold, HoldKind, HoldRequest, Holds, ReleaseRequest};
-pub use ledger::{Entry, History, Usage, What};
-pub use retry::{Attempts, Causes, Failure, Outcome, RetryRule};
+pub use history::{History, HistoryEntry, JobEvent, MAX_ENTRIES, Usage};
+pub use hold::{Hold, HoldKind, HoldRequest, Holds, MAX_REASON_BYTES, ReleaseRequest};
+pub use retry::{CountedFailures, Failure, FailureCounts, MAX_BLAMED, RetryDecision, RetryPolicy};
 
 use serde::{Deserialize, Serialize};
 
-/// A time of day, in milliseconds since 1970; good for the bound on clocks
-/// that the platform states.
+/// A time of day, in milliseconds since 1970, as exact as the platform says that
+/// clocks are.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 #[serde(transparent)]
-pub struct At(pub u64);
+pub struct WallMillis(pub u64);
 
-impl From<hookworks_base::time::Wall> for At {
-    fn from(w: hookworks_base::time::Wall) -> At {
-        At(w.0)
+impl From<hookworks_base::time::Wall> for WallMillis {
+    fn from(w: hookworks_base::time::Wall) -> WallMillis {
+        WallMillis(w.0)
     }
 }
 
