--- a/src/api.rs
+++ b/src/api.rs
@@ -1,5 +1,5 @@
 //! The HTTP side: what users, workers and operators may ask for. Connections
-//! and their bounds are the affair of `hookworks-gate`.
+//! and their bounds are the affair of `hookworks-http-server`.
 
 use crate::ids::Label;
 use crate::settings::Settings;
@@ -7,8 +7,9 @@
 use crate::wire::peer::{Answer, Ask};
 use crate::wire::worker::Redirect;
 use arc_swap::ArcSwapOption;
-use hookworks_gate::{
-    Bounds, BoundsError, Lane, Limits, Machine, Reply, Route, Server, Service, descriptors,
+use hookworks_http_server::{
+    Bounds, BoundsError, MachineResources, Reply, RequestClass, Route, Server, Service, Timeouts,
+    descriptors,
 };
 use hookworks_listing::{Mark, Query, Snapshot, rows, since};
 use http::Method;
@@ -117,13 +118,13 @@
 /// When next to nothing could be served.
 pub fn bounds(s: &Settings) -> Result<Bounds, BoundsError> {
     let limits = &s.platform.params.machine_limits;
-    let machine = Machine {
+    let machine = MachineResources {
         sockets: limits.max_connections,
         descriptors: descriptors(limits.max_connections),
         memory: (limits.ram_mb * 1e6) as u64,
-        aside: sockets_set_aside(s),
+        reserved_sockets: sockets_set_aside(s),
     };
-    Bounds::plan(&machine, &s.tuning.connections.wishes())
+    Bounds::plan(&machine, &s.tuning.connections.bounds_settings())
 }
 
 /// Starts the server. What reaches `inbox` is answered by way of its `Reply`.
@@ -137,21 +138,21 @@
 {
     let bounds = bounds(settings).map_err(std::io::Error::other)?;
     let t = &settings.tuning.connections;
-    let limits = Limits {
+    let timeouts = Timeouts {
         first_head: Duration::from_secs_f64(t.head_s),
         head: Duration::from_secs_f64(t.head_s),
         body: Duration::from_secs_f64(t.body_s),
         idle: Duration::from_secs_f64(t.idle_s),
-        ..Limits::default()
+        ..Timeouts::default()
     };
     let api = Api { notice, inbox };
-    let server = Server::start(settings.platform.listen, bounds, limits, api)?;
+    let server = Server::start(settings.platform.listen, bounds, timeouts, api)?;
     tracing::info!(connections = bounds.connections, limited_by = %bounds.limited_by,
         guaranteed = ?bounds.guaranteed, set_aside = bounds.set_aside, "accepting");
     Ok(server)
 }
 
-fn route(method: &Method, path: &str, query: &str) -> Result<(Lane, Wanted), Answer> {
+fn route(method: &Method, path: &str, query: &str) -> Result<(RequestClass, Wanted), Answer> {
     let only = |m: Method| {
         if *method == m {
             Ok(())
@@ -161,19 +162,21 @@
     };
     let none = || Answer::error(404, "no such path");
     match path {
-        "/v2/runs" => only(Method::POST).map(|()| (Lane::Users, Wanted::Submit)),
-        "/v2/jobs" => only(Method::GET).map(|()| (Lane::Users, Wanted::List(query.into()))),
-        "/v2/events" => only(Method::GET).map(|()| (Lane::Users, Wanted::Events(query.into()))),
-        "/agent/beat" => only(Method::POST).map(|()| (Lane::Workers, Wanted::Report)),
-        "/v2/overview" => only(Method::GET).map(|()| (Lane::Watch, Wanted::Overview)),
+        "/v2/runs" => only(Method::POST).map(|()| (RequestClass::Users, Wanted::Submit)),
+        "/v2/jobs" => only(Method::GET).map(|()| (RequestClass::Users, Wanted::List(query.into()))),
+        "/v2/events" => {
+            only(Method::GET).map(|()| (RequestClass::Users, Wanted::Events(query.into())))
+        }
+        "/agent/beat" => only(Method::POST).map(|()| (RequestClass::Workers, Wanted::Report)),
+        "/v2/overview" => only(Method::GET).map(|()| (RequestClass::Watch, Wanted::Overview)),
         _ => {
             if let Some(id) = path.strip_prefix("/v2/jobs/") {
-                let show = || (Lane::Users, Wanted::Show(id.into()));
+                let show = || (RequestClass::Users, Wanted::Show(id.into()));
                 return only(Method::GET).map(|()| show());
             }
             let id = path.strip_prefix("/v2/runs/").ok_or_else(none)?;
             match id.split_once('/') {
-                None => only(Method::GET).map(|()| (Lane::Users, Wanted::Poll(id.into()))),
+                None => only(Method::GET).map(|()| (RequestClass::Users, Wanted::Poll(id.into()))),
                 Some((id, what)) => {
                     let id = id.to_string();
                     let wanted = match what {
@@ -182,7 +185,7 @@
                         "release" => Wanted::Release(id),
                         _ => return Err(none()),
                     };
-                    only(Method::POST).map(|()| (Lane::Users, wanted))
+                    only(Method::POST).map(|()| (RequestClass::Users, wanted))
                 }
             }
         }
@@ -204,15 +207,15 @@
                 }
                 true => Answer::error(503, "no leader in reach"),
             };
-            return Route::Now(Lane::Watch, a);
+            return Route::Respond(RequestClass::Watch, a);
         }
         match route(method, path, query) {
-            Ok((lane, wanted)) => Route::Take(lane, wanted),
-            Err(a) => Route::Now(Lane::Users, a),
+            Ok((class, wanted)) => Route::Handle(class, wanted),
+            Err(a) => Route::Respond(RequestClass::Users, a),
         }
     }
 
-    fn take(&self, wanted: Wanted, body: Vec<u8>, reply: Reply) {
+    fn handle(&self, wanted: Wanted, body: Vec<u8>, reply: Reply) {
         let ask = match wanted {
             Wanted::Submit => Ask::Submit(body),
             Wanted::Report => Ask::Report(body),
@@ -245,7 +248,7 @@
         (self.inbox)(Incoming::Ask(reply, ask));
     }
 
-    fn elsewhere(&self) -> bool {
+    fn reserve_elsewhere(&self) -> bool {
         self.notice
             .elsewhere
             .load()
@@ -253,8 +256,8 @@
             .is_some_and(|e| e.book())
     }
 
-    fn full(&self, lane: Lane, elsewhere: bool) -> Answer {
-        if lane != Lane::Workers {
+    fn no_capacity(&self, class: RequestClass, elsewhere: bool) -> Answer {
+        if class != RequestClass::Workers {
             return Answer::later("too many connections", 1);
         }
         let there = self.notice.elsewhere.load();
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,7 +1,7 @@
 use clap::{Parser, Subcommand};
 use hookworks::settings::Settings;
 use hookworks::{api, client, node};
-use hookworks_gate::Lane;
+use hookworks_http_server::RequestClass;
 use std::process::ExitCode;
 
 /// A cluster scheduler that balances machines in time.
@@ -140,20 +140,20 @@
             println!("{:#?}", s.platform);
             println!("{:#?}", s.tuning);
             let b = api::bounds(&s).map_err(|_| ExitCode::from(2))?;
-            let one = |l: Lane| b.guaranteed[l as usize];
+            let one = |l: RequestClass| b.guaranteed[l as usize];
             println!("connections: {} at a time, {}", b.connections, b.limited_by);
-            for (who, lane) in [
-                ("workers", Lane::Workers),
-                ("users", Lane::Users),
-                ("health checks and operators", Lane::Watch),
-                ("without a request yet (also the most)", Lane::Fresh),
+            for (who, class) in [
+                ("workers", RequestClass::Workers),
+                ("users", RequestClass::Users),
+                ("health checks and operators", RequestClass::Watch),
+                ("without a request yet (also the most)", RequestClass::Fresh),
             ] {
                 println!(
                     "  {who}: {} guaranteed, {} at the most",
-                    one(lane),
-                    match lane {
-                        Lane::Fresh => one(lane),
-                        _ => b.most(lane),
+                    one(class),
+                    match class {
+                        RequestClass::Fresh => one(class),
+                        _ => b.max_for(class),
                     }
                 );
             }
--- a/src/node/health.rs
+++ b/src/node/health.rs
@@ -66,7 +66,7 @@
             "most": { "requests": self.sizes.requests, "messages": self.sizes.inbox,
                 "jobs": self.sizes.jobs, "final_states": self.sizes.finals,
                 "machines_alone": self.sizes.machines },
-            "connections": self.server.figures(),
+            "connections": self.server.metrics(),
             "workers_reporting_here": self.balance.len(),
             "calls_waiting": {
                 "state": self.store.len(), "cloud": self.cloud.len(), "workers": self.agents.len(),
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -24,7 +24,7 @@
 use crate::wire::state::{Item, Txn};
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded, select_biased};
 use hdrhistogram::Histogram;
-use hookworks_gate::{Lane, Reply, Server};
+use hookworks_http_server::{Reply, RequestClass, Server};
 use hookworks_listing::Board;
 use load::Loaded;
 use std::collections::HashMap;
@@ -181,7 +181,7 @@
     let server = api::start(&settings, notice.clone(), to_inbox)?;
     let tx = inbox.clone();
     let to_inbox = move |m| tx.send(Msg::Peer(m)).is_ok();
-    let most = server.figures().bounds.most(Lane::Workers) as u32;
+    let most = server.metrics().bounds.max_for(RequestClass::Workers) as u32;
     let instance = Instance(rand::random::<u32>() as u64);
     let own = Own {
         label: p.label.clone(),
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -1,16 +1,17 @@
 //! Controllers among themselves: each keeps a connection to every other, says
 //! twice a second whom it hears and who leads, and at once when that changes, and
 //! passes requests on; through the third controller where the direct way is cut.
-//! What follows from all that is [`hookworks_members`]'s; here are the sockets.
+//! What follows from all that is [`hookworks_membership`]'s; here are the sockets.
 
 use crate::ids::{Epoch, Instance, Label};
 use crate::settings::Seed;
 use crate::time::{Clock, Span, Time};
 use crate::wire::peer::{PeerMsg, PingMore, PingSelf, SPEAKS};
+use crate::wire::peer_frame::{self, MAX_FRAME_BYTES};
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
-use hookworks_members::{LinkId, Members, News, Told};
+use hookworks_membership::{LinkId, Membership, PeerStatus, PingOutcome};
 use std::collections::HashMap;
-use std::io::{BufReader, Read, Write};
+use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU32, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -26,7 +27,6 @@
 const AGAIN_SOON: (Duration, u32) = (Duration::from_millis(100), 20);
 /// A connection over which we are not heard by then is made anew.
 const UNHEARD: Duration = Duration::from_millis(2500);
-const MAX_FRAME: usize = 128 * 1024;
 /// Connections of each other controller; an old one may linger beside the new.
 const INBOUND_EACH: usize = 6;
 const QUEUE: usize = 1024;
@@ -78,7 +78,7 @@
     me: Own,
     clock: Clock,
     links: HashMap<Label, Link>,
-    members: Mutex<Members>,
+    members: Mutex<Membership>,
     next_link: AtomicU64,
     workers: AtomicU32,
 }
@@ -106,7 +106,7 @@
             queues.push((s.label.clone(), s.peer_addr, rx));
         }
         let others = seeds.iter().map(|s| s.label.clone()).collect();
-        let members = Members::new(me.label.clone(), others, DOWN_AFTER);
+        let members = Membership::new(me.label.clone(), others, DOWN_AFTER);
         let peers = Arc::new(Peers {
             me,
             clock,
@@ -124,7 +124,7 @@
         Ok(peers)
     }
 
-    fn members(&self) -> MutexGuard<'_, Members> {
+    fn members(&self) -> MutexGuard<'_, Membership> {
         self.members.lock().unwrap_or_else(|e| e.into_inner())
     }
 
@@ -137,8 +137,8 @@
         let m = self.members();
         PeerMsg::Ping {
             from: self.me.label.to_string(),
-            leader: m.own_leader().map(|(l, e)| (l.to_string(), e.0)),
-            hears: m.hears(now).map(Label::to_string).collect(),
+            leader: m.announced_leader().map(|(l, e)| (l.to_string(), e.0)),
+            hears: m.live_peers(now).map(Label::to_string).collect(),
             workers: self.workers.load(Ordering::Relaxed),
         }
     }
@@ -174,7 +174,7 @@
         let now = self.now();
         let m = self.members();
         let load = |l: &Label| {
-            m.told(now, l).map(|t| Load {
+            m.status(now, l).map(|t| Load {
                 label: l.clone(),
                 workers: t.workers,
                 most: t.workers_most,
@@ -192,22 +192,22 @@
 
     /// The latest leader that any controller in touch speaks of.
     pub fn best_leader(&self) -> Option<(Label, Epoch)> {
-        self.members().best_leader(self.now())
+        self.members().latest_leader(self.now())
     }
 
     /// Any other controller can be talked to.
     pub fn any(&self) -> bool {
-        self.members().any(self.now())
+        self.members().any_reachable(self.now())
     }
 
     /// Controllers that can't be talked to directly.
     pub fn out_of_reach(&self) -> Vec<Label> {
-        self.members().out_of_reach(self.now())
+        self.members().unreachable(self.now())
     }
 
     /// Whether that controller understands what needs this.
     pub fn speaks(&self, to: &Label, needs: u32) -> bool {
-        self.members().speaks(to, needs)
+        self.members().supports(to, needs)
     }
 
     pub fn reachable(&self, to: &Label) -> bool {
@@ -245,7 +245,7 @@
             // unanswered for long; only its own word says that we are heard.
             let heard = || {
                 let still = link.process.load(Ordering::SeqCst) == process;
-                still && (since.elapsed() < UNHEARD || self.members().both_ways(self.now(), to))
+                still && (since.elapsed() < UNHEARD || self.members().reachable(self.now(), to))
             };
             while ok && heard() {
                 match queue.recv_timeout(PING.saturating_sub(sent.elapsed())) {
@@ -275,8 +275,8 @@
         let mut out = vec![];
         let more = queue.try_iter().take(BATCH);
         for m in std::iter::once(msgs).chain(more).flatten() {
-            frame(&m, self.more(), &mut out)?;
-            if out.len() > MAX_FRAME {
+            peer_frame::encode(&m, self.more(), &mut out)?;
+            if out.len() > MAX_FRAME_BYTES {
                 s.write_all(&out)?;
                 out.clear();
             }
@@ -314,7 +314,7 @@
         let _ = s.set_read_timeout(Some(Duration::from_secs(10)));
         let mut s = BufReader::with_capacity(32 * 1024, s);
         let id = LinkId(self.next_link.fetch_add(1, Ordering::Relaxed));
-        while let Ok((msg, (more, own))) = read(&mut s) {
+        while let Ok((msg, (more, own))) = peer_frame::read(&mut s) {
             let msg = match msg {
                 PeerMsg::Ping {
                     from,
@@ -322,13 +322,13 @@
                     hears,
                     workers,
                 } => {
-                    let told = Told {
+                    let told = PeerStatus {
                         instance: own.map(|o| Instance(o.instance)),
-                        hears: hears.iter().map(|l| l.as_str().into()).collect(),
+                        live_peers: hears.iter().map(|l| l.as_str().into()).collect(),
                         leader: leader.map(|(l, e)| (l.as_str().into(), Epoch(e))),
                         workers,
                         workers_most: more.workers_most,
-                        speaks: more.speaks,
+                        version: more.speaks,
                     };
                     if !self.hear(from.as_str().into(), id, told, inbox) {
                         break;
@@ -348,14 +348,14 @@
             } else {
                 // Passed on once, straight to where it belongs.
                 let to = Label::from(to);
-                if self.members().both_ways(self.now(), &to)
+                if self.members().reachable(self.now(), &to)
                     && let Some(l) = self.links.get(&to)
                 {
                     let _ = l.queue.try_send(vec![msg]);
                 }
             }
         }
-        let gone = self.members().link_ended(id);
+        let gone = self.members().link_closed(id);
         if let Some(label) = gone {
             tracing::debug!(%label, "its link has ended");
             self.tell_all();
@@ -368,21 +368,21 @@
         &self,
         from: Label,
         by: LinkId,
-        told: Told,
+        told: PeerStatus,
         inbox: &impl Fn(FromPeers) -> bool,
     ) -> bool {
         let Some(link) = self.links.get(&from) else {
             return true;
         };
-        let news = self.members().hear(self.now(), &from, by, told);
+        let news = self.members().record_ping(self.now(), &from, by, told);
         match news {
-            News::Same | News::Late => true,
-            News::Came => {
+            PingOutcome::Unchanged | PingOutcome::Stale => true,
+            PingOutcome::Joined => {
                 // It waits for our word that it is heard.
                 self.tell_all();
                 true
             }
-            News::Restarted => {
+            PingOutcome::Restarted => {
                 tracing::info!(label = %from, "another process has taken up that label");
                 link.process.fetch_add(1, Ordering::SeqCst);
                 self.tell_all();
@@ -391,103 +391,3 @@
         }
     }
 }
-
-fn frame(m: &PeerMsg, more: (PingMore, PingSelf), out: &mut Vec<u8>) -> std::io::Result<()> {
-    let start = out.len();
-    out.extend_from_slice(&[0; 4]);
-    let config = bincode::config::standard();
-    let failed = |e: bincode::error::EncodeError| std::io::Error::other(e.to_string());
-    let mut len = bincode::encode_into_std_write(m, out, config).map_err(failed)?;
-    if matches!(m, PeerMsg::Ping { .. }) {
-        len += bincode::encode_into_std_write(more, out, config).map_err(failed)?;
-    }
-    out[start..start + 4].copy_from_slice(&(len as u32).to_be_bytes());
-    Ok(())
-}
-
-/// What follows a ping; the latter is not told by earlier versions.
-type More = (PingMore, Option<PingSelf>);
-
-fn read(s: &mut impl Read) -> std::io::Result<(PeerMsg, More)> {
-    let mut len = [0; 4];
-    s.read_exact(&mut len)?;
-    let len = u32::from_be_bytes(len) as usize;
-    if len > MAX_FRAME {
-        return Err(std::io::Error::other("frame too long"));
-    }
-    let mut body = vec![0; len];
-    s.read_exact(&mut body)?;
-    let config = bincode::config::standard().with_limit::<MAX_FRAME>();
-    let (m, taken) = bincode::decode_from_slice(&body, config)
-        .map_err(|e| std::io::Error::other(e.to_string()))?;
-    // Of an earlier version nothing more comes.
-    let Ok((more, n)) = bincode::decode_from_slice(&body[taken..], config) else {
-        return Ok((m, Default::default()));
-    };
-    let own = bincode::decode_from_slice(&body[taken + n..], config).map(|o| o.0);
-    Ok((m, (more, own.ok())))
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn ping() -> PeerMsg {
-        PeerMsg::Ping {
-            from: "a".into(),
-            leader: None,
-            hears: vec![],
-            workers: 3,
-        }
-    }
-
-    /// The release before sends no limit with an answer, and reads none.
-    #[test]
-    fn answers_are_understood_between_versions() {
-        let config = bincode::config::standard();
-        let mut answer = crate::wire::peer::Answer::later("x", 3);
-        answer.valid_us = Some(1_500_000);
-        let (id, to) = (5, "b".to_string());
-        let new = PeerMsg::Tell { id, to, answer };
-        let bytes = bincode::encode_to_vec(&new, config).unwrap();
-        let (read, _): (PeerMsg, _) = bincode::decode_from_slice(&bytes, config).unwrap();
-        assert_eq!(read, new);
-        // The third kind of message; its fields, as they were.
-        let before = (2u32, 5u64, "b", 503u16, r#"{"error":"x"}"#, Some(3u32));
-        let before = bincode::encode_to_vec(before, config).unwrap();
-        assert_eq!(bytes[..before.len()], before);
-        let (read, n): (PeerMsg, _) = bincode::decode_from_slice(&before, config).unwrap();
-        let PeerMsg::Tell { answer, .. } = read else {
-            panic!("{read:?}")
-        };
-        assert_eq!(
-            (n, answer.retry_after, answer.valid_us),
-            (before.len(), Some(3), None)
-        );
-    }
-
-    /// Controllers are restarted one after the other, so two versions talk.
-    #[test]
-    fn pings_are_understood_between_versions() {
-        let more = PingMore {
-            workers_most: Some(7),
-            speaks: 1,
-        };
-        let own = PingSelf { instance: 9 };
-        let mut new = vec![];
-        frame(&ping(), (more, own), &mut new).unwrap();
-        assert_eq!(read(&mut &new[..]).unwrap(), (ping(), (more, Some(own))));
-        // The release before says no more than what it can hold and understand.
-        let before = bincode::encode_to_vec((ping(), more), bincode::config::standard()).unwrap();
-        let mut framed = (before.len() as u32).to_be_bytes().to_vec();
-        framed.extend_from_slice(&before);
-        assert_eq!(read(&mut &framed[..]).unwrap(), (ping(), (more, None)));
-        assert_eq!(new[4..4 + before.len()], before);
-        // An earlier version sends no more than the message, and reads no more.
-        let old = bincode::encode_to_vec(ping(), bincode::config::standard()).unwrap();
-        let mut framed = (old.len() as u32).to_be_bytes().to_vec();
-        framed.extend_from_slice(&old);
-        assert_eq!(read(&mut &framed[..]).unwrap(), (ping(), More::default()));
-        assert_eq!(new[4..4 + old.len()], old);
-    }
-}
--- a/src/sched/after.rs
+++ b/src/sched/after.rs
@@ -8,7 +8,7 @@
 use crate::time::{Span, Time};
 use crate::wire::peer::{Answer, Ask};
 use crate::wire::user::{After, JobSpec, JobState, Kind, When};
-use hookworks_life::{Hold, HoldKind};
+use hookworks_job_lifecycle::{Hold, HoldKind};
 use serde_json::Value;
 use std::collections::{BTreeSet, HashMap};
 
--- a/src/sched/fleet.rs
+++ b/src/sched/fleet.rs
@@ -10,7 +10,7 @@
 use crate::time::{Span, Time};
 use crate::wire::cloud::{Hire, Listed};
 use crate::wire::user::Kind;
-use hookworks_life::Failure;
+use hookworks_job_lifecycle::Failure;
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 type Flavoured = (Build, Zone, bool);
--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -6,7 +6,9 @@
 use crate::ids::{Attempt, Host, JobId, ReqId, Seq, TaskIx};
 use crate::time::{Time, Wall};
 use crate::wire::user::{JobSpec, JobState, Kind};
-use hookworks_life::{At, Attempts, History, Holds, What};
+use hookworks_job_lifecycle::{
+    FailureCounts as Attempts, History, Holds, JobEvent as What, WallMillis as At,
+};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -475,7 +477,7 @@
         // from ever being stored again.
         let most = (HEADER + PER_TASK * self.part_size as f64) as usize;
         if part == 0 && !self.holds.is_empty() && value.to_string().len() > most {
-            value["holds"] = serde_json::to_value(self.holds.brief()).unwrap_or_default();
+            value["holds"] = serde_json::to_value(self.holds.abbreviated()).unwrap_or_default();
         }
         value
     }
--- a/src/sched/life.rs
+++ b/src/sched/life.rs
@@ -10,8 +10,9 @@
 use crate::time::{Span, Time};
 use crate::wire::peer::{Answer, Ask};
 use crate::wire::user::{HoldView, JobDetail, JobState, JobView, Kind, TaskSeconds};
-use hookworks_life::{
-    At, Failure, History, Hold, HoldKind, HoldRequest, Holds, Outcome, ReleaseRequest, What,
+use hookworks_job_lifecycle::{
+    Failure, History, Hold, HoldKind, HoldRequest, Holds, JobEvent as What, ReleaseRequest,
+    RetryDecision, WallMillis as At,
 };
 use hookworks_listing::Line;
 use serde::{Deserialize, Serialize};
@@ -211,12 +212,12 @@
         let rule = self.rules.get(&j.spec.class).copied().unwrap_or_default();
         let of = (t.ix.0, j.spec.tasks);
         match j.attempts.failed(of, l.host.as_str(), why, &rule) {
-            Outcome::Free => {}
-            Outcome::Again(pause) => {
+            RetryDecision::NotCounted => {}
+            RetryDecision::RetryAfter(pause) => {
                 let pause = Span(pause.as_micros() as u64);
                 j.backoff_until = j.backoff_until.max(now + pause);
             }
-            Outcome::Exhausted(n) => {
+            RetryDecision::Exhausted(n) => {
                 let hold = Hold {
                     kind: HoldKind::System,
                     by: LIMIT.into(),
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -44,7 +44,7 @@
 use crate::wire::peer::{Answer, Ask};
 use crate::wire::user::JobState;
 use crate::wire::worker::{Orders, Report};
-use hookworks_life::RetryRule;
+use hookworks_job_lifecycle::RetryPolicy as RetryRule;
 use job::{Final, Job};
 use machine::{Life, Machine, Slot};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -143,7 +143,7 @@
     /// Final states kept at hand; older ones are read from the store.
     pub finals: usize,
     /// Room for classes and teams that are hardly served.
-    pub floor: hookworks_served::Floor,
+    pub floor: hookworks_fairness::FairnessPolicy,
     /// How far the time of day may be off.
     pub clock_error: Span,
     /// The other controllers and their zones.
--- a/src/sched/records.rs
+++ b/src/sched/records.rs
@@ -7,7 +7,7 @@
 use crate::time::{Span, Time};
 use crate::wire::peer::Answer;
 use crate::wire::user::{JobState, Kind};
-use hookworks_served::What;
+use hookworks_fairness::JobEvent as What;
 use std::collections::{HashSet, VecDeque};
 
 /// A record of the store.
--- a/src/sched/report.rs
+++ b/src/sched/report.rs
@@ -9,8 +9,8 @@
 use crate::time::{Span, Time};
 use crate::wire::user::Kind;
 use crate::wire::worker::{Cause, Order, Report, TaskReport, TaskState};
-use hookworks_life::{Failure, What};
-use hookworks_served::What::Begun;
+use hookworks_fairness::JobEvent::Begun;
+use hookworks_job_lifecycle::{Failure, JobEvent as What};
 use std::collections::BTreeSet;
 
 /// Commands in one message.
--- a/src/sched/served.rs
+++ b/src/sched/served.rs
@@ -1,6 +1,6 @@
 //! Who is served, by class and by team, and room for who hardly is.
 //!
-//! The figures are [`hookworks_served`]'s; here is what happens to jobs, what
+//! The figures are [`hookworks_fairness`]'s; here is what happens to jobs, what
 //! waits, and what follows for placing. A class or team below the floor gets the
 //! room set aside for it ahead of all but production work, and keeps it from being
 //! stopped, until it has that much; the rest of its jobs keep their place in the
@@ -12,7 +12,10 @@
 use super::{Room, Sched};
 use crate::ids::{Class, JobId, TaskId, TaskIx, Team};
 use crate::time::{Span, Time};
-use hookworks_served::{Figures, Floor, Largest, LargestFigures, Served, Waits, What};
+use hookworks_fairness::{
+    FairnessPolicy as Floor, GroupMetrics as Figures, JobEvent as What, LargestJobs as Largest,
+    LargestJobsMetrics as LargestFigures, ShareTracker as Served, WaitingJobs as Waits,
+};
 use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/src/sched/users.rs
+++ b/src/sched/users.rs
@@ -9,7 +9,7 @@
 use crate::wire::cloud::Flavor;
 use crate::wire::peer::{Answer, Ask};
 use crate::wire::user::{JobSpec, JobState, JobView, Kind};
-use hookworks_served::What;
+use hookworks_fairness::JobEvent as What;
 
 /// A submission waits no longer than that for the next pass.
 const SOON: Span = Span(10_000);
--- a/src/settings/classes.rs
+++ b/src/settings/classes.rs
@@ -2,7 +2,7 @@
 
 use super::{SettingsError, bad};
 use crate::ids::Class;
-use hookworks_life::{Causes, Failure, RetryRule};
+use hookworks_job_lifecycle::{CountedFailures, Failure, RetryPolicy};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -47,11 +47,11 @@
 }
 
 impl ClassRule {
-    fn causes(&self) -> Result<Causes, String> {
+    fn causes(&self) -> Result<CountedFailures, String> {
         let Some(text) = &self.counts else {
-            return Ok(Causes::default());
+            return Ok(CountedFailures::default());
         };
-        let mut c = Causes {
+        let mut c = CountedFailures {
             error: false,
             timed_out: false,
             lost: false,
@@ -71,8 +71,8 @@
 }
 
 impl Classes {
-    pub(super) fn rules(&self) -> BTreeMap<Class, RetryRule> {
-        let rule = |c: &ClassRule| RetryRule {
+    pub(super) fn rules(&self) -> BTreeMap<Class, RetryPolicy> {
+        let rule = |c: &ClassRule| RetryPolicy {
             most: c.attempts,
             counts: c.causes().unwrap_or_default(),
             backoff: Duration::from_secs_f64(c.backoff_s),
@@ -110,41 +110,3 @@
         Ok(())
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use crate::settings::Tuning;
-
-    #[test]
-    fn classes_have_rules_of_their_own_and_mistakes_are_named() {
-        let parse = |inner: &str| {
-            let text = format!("<hookworks><classes>{inner}</classes></hookworks>");
-            Tuning::parse("t.xml", &text)
-        };
-        let t = parse(
-            "<class name='a'><attempts>3</attempts><counts>error lost</counts></class><class name='b'><backoff-s>2</backoff-s></class>",
-        );
-        let rules = t.unwrap().rules();
-        let a = &rules[&"a".into()];
-        assert_eq!(
-            (a.most, a.counts.lost, a.counts.timed_out),
-            (3, true, false)
-        );
-        assert_eq!(rules[&"b".into()].most, 0);
-        for (inner, field) in [
-            (
-                "<class name='a'><attempts>16</attempts></class>",
-                "classes/a/attempts",
-            ),
-            ("<class name='a'><counts>eror</counts></class>", "eror"),
-            ("<class name='a'/><class name='a'/>", "twice"),
-            (
-                "<class name='a'><backoff-s>-1</backoff-s></class>",
-                "backoff-s",
-            ),
-        ] {
-            let e = parse(inner).unwrap_err().to_string();
-            assert!(e.contains(field), "{e}");
-        }
-    }
-}
--- a/src/settings/connections.rs
+++ b/src/settings/connections.rs
@@ -1,7 +1,7 @@
 //! How many connections may be held, for whom and how long.
 
 use super::{SettingsError, within};
-use hookworks_gate::Wishes;
+use hookworks_http_server::BoundsSettings;
 use serde::{Deserialize, Serialize};
 
 /// `<connections><threads>1850</threads>…</connections>`; all optional.
@@ -32,15 +32,15 @@
 
 impl Default for Connections {
     fn default() -> Self {
-        let w = Wishes::default();
+        let defaults = BoundsSettings::default();
         Connections {
-            threads: w.threads,
-            memory_share: w.memory_share,
-            body_share: w.body_share,
-            workers_share: w.workers,
-            users_share: w.users,
-            watch_share: w.watch,
-            fresh_share: w.fresh,
+            threads: defaults.threads,
+            memory_share: defaults.memory_share,
+            body_share: defaults.body_share,
+            workers_share: defaults.workers,
+            users_share: defaults.users,
+            watch_share: defaults.watch,
+            fresh_share: defaults.fresh,
             head_s: 8.0,
             body_s: 10.0,
             idle_s: 60.0,
@@ -50,8 +50,8 @@
 
 impl Connections {
     /// What the connection layer is asked for.
-    pub fn wishes(&self) -> Wishes {
-        Wishes {
+    pub fn bounds_settings(&self) -> BoundsSettings {
+        BoundsSettings {
             threads: self.threads,
             memory_share: self.memory_share,
             body_share: self.body_share,
@@ -77,24 +77,3 @@
         within(file, "connections/", all)
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use crate::settings::Tuning;
-
-    #[test]
-    fn operators_set_what_they_name_and_mistakes_name_the_field() {
-        let xml = |inner: &str| {
-            let text = format!("<hookworks><connections>{inner}</connections></hookworks>");
-            Tuning::parse("t.xml", &text)
-        };
-        let t = xml("<threads>300</threads><users-share>0.2</users-share>").unwrap();
-        assert_eq!(
-            (t.connections.threads, t.connections.users_share),
-            (300, 0.2)
-        );
-        assert_eq!(t.connections.workers_share, 0.7);
-        let e = xml("<head-s>0</head-s>").unwrap_err().to_string();
-        assert!(e.contains("connections/head-s"), "{e}");
-    }
-}
--- a/src/settings/served.rs
+++ b/src/settings/served.rs
@@ -2,7 +2,7 @@
 
 use super::{SettingsError, within};
 use crate::time::Span;
-use hookworks_served::Floor;
+use hookworks_fairness::FairnessPolicy;
 use serde::{Deserialize, Serialize};
 
 /// `<served><room>0.1</room><below>0.7</below></served>`; all optional.
@@ -32,11 +32,11 @@
 }
 
 impl ServedLimits {
-    pub fn floor(&self) -> Floor {
-        Floor {
-            room: self.room,
-            below: self.below,
-            overtaken: (self.overtaken_s > 0.0).then(|| Span::secs(self.overtaken_s)),
+    pub fn floor(&self) -> FairnessPolicy {
+        FairnessPolicy {
+            reserved_share: self.room,
+            min_share: self.below,
+            max_overtaken: (self.overtaken_s > 0.0).then(|| Span::secs(self.overtaken_s)),
         }
     }
 
--- a/src/settings/tuning.rs
+++ b/src/settings/tuning.rs
@@ -2,7 +2,7 @@
 
 use super::{Classes, Connections, ServedLimits, SettingsError, ZoneLimits, within};
 use crate::ids::Class;
-use hookworks_life::RetryRule;
+use hookworks_job_lifecycle::RetryPolicy;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -64,7 +64,7 @@
 
 impl Tuning {
     /// How often tasks may fail, by class.
-    pub fn rules(&self) -> BTreeMap<Class, RetryRule> {
+    pub fn rules(&self) -> BTreeMap<Class, RetryPolicy> {
         self.classes.rules()
     }
 
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod cloud;
 pub mod peer;
+pub mod peer_frame;
 pub mod state;
 pub mod user;
 pub mod worker;
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -2,7 +2,7 @@
 
 use bincode::{Decode, Encode};
 /// A finished answer, ready to be written to the asker.
-pub use hookworks_gate::Answer;
+pub use hookworks_http_server::Answer;
 
 /// What a controller passes on to the leader.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
--- /dev/null
+++ b/src/wire/peer_frame.rs
@@ -0,0 +1,52 @@
+//! Frames between controllers: four bytes of length, a message, and behind a ping what
+//! earlier versions neither send nor read.
+
+use super::peer::{PeerMsg, PingMore, PingSelf};
+use std::io::{Error, Read, Result};
+
+/// Bytes of a message at the most; a longer one is refused.
+pub const MAX_FRAME_BYTES: usize = 128 * 1024;
+
+/// What follows a ping; the latter is not sent by earlier versions.
+pub type PingTail = (PingMore, Option<PingSelf>);
+
+/// Appends the frame of a message to `out`.
+///
+/// # Errors
+/// When the message can't be encoded.
+pub fn encode(message: &PeerMsg, tail: (PingMore, PingSelf), out: &mut Vec<u8>) -> Result<()> {
+    let start = out.len();
+    out.extend_from_slice(&[0; 4]);
+    let config = bincode::config::standard();
+    let failed = |e: bincode::error::EncodeError| Error::other(e.to_string());
+    let mut length = bincode::encode_into_std_write(message, out, config).map_err(failed)?;
+    if matches!(message, PeerMsg::Ping { .. }) {
+        length += bincode::encode_into_std_write(tail, out, config).map_err(failed)?;
+    }
+    out[start..start + 4].copy_from_slice(&(length as u32).to_be_bytes());
+    Ok(())
+}
+
+/// Reads the next message.
+///
+/// # Errors
+/// When the connection has ended, or the frame is too long or no message.
+pub fn read(from: &mut impl Read) -> Result<(PeerMsg, PingTail)> {
+    let mut length = [0; 4];
+    from.read_exact(&mut length)?;
+    let length = u32::from_be_bytes(length) as usize;
+    if length > MAX_FRAME_BYTES {
+        return Err(Error::other("frame too long"));
+    }
+    let mut body = vec![0; length];
+    from.read_exact(&mut body)?;
+    let config = bincode::config::standard().with_limit::<MAX_FRAME_BYTES>();
+    let (message, taken) =
+        bincode::decode_from_slice(&body, config).map_err(|e| Error::other(e.to_string()))?;
+    // Earlier versions send nothing more.
+    let Ok((more, n)) = bincode::decode_from_slice(&body[taken..], config) else {
+        return Ok((message, Default::default()));
+    };
+    let own = bincode::decode_from_slice(&body[taken + n..], config).map(|o| o.0);
+    Ok((message, (more, own.ok())))
+}
--- a/src/wire/user.rs
+++ b/src/wire/user.rs
@@ -1,7 +1,7 @@
 //! Talk with users.
 
 use crate::ids::{Build, Class, Image, JobId, Team, Zone};
-use hookworks_life::{Entry, Hold, What};
+use hookworks_job_lifecycle::{HistoryEntry, Hold, JobEvent};
 use hookworks_listing::Line;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -204,20 +204,20 @@
     #[serde(rename = "Holds", default, skip_serializing_if = "Vec::is_empty")]
     pub held: Vec<Hold>,
     #[serde(rename = "Counts", default)]
-    pub counts: BTreeMap<What, u32>,
+    pub counts: BTreeMap<JobEvent, u32>,
     #[serde(rename = "Useful", default)]
     pub useful: TaskSeconds,
     #[serde(rename = "Lost", default)]
     pub lost: TaskSeconds,
     #[serde(rename = "History", default)]
-    pub history: Vec<Entry>,
+    pub history: Vec<HistoryEntry>,
 }
 
 impl JobDetail {
     /// The line of a list. Whether an unfinished job is late depends on when
     /// it is read.
     pub fn line(self) -> Line {
-        let count = |w: What| self.counts.get(&w).copied().unwrap_or(0);
+        let count = |w: JobEvent| self.counts.get(&w).copied().unwrap_or(0);
         let hold = |h: &Hold| match h.why.as_str() {
             "" => h.by.clone(),
             why => format!("{}: {why}", h.by),
@@ -230,7 +230,7 @@
             tasks: self.tasks,
             done: self.job.done,
             running: self.job.running,
-            failures: count(What::Failed) + count(What::TimedOut) + count(What::Lost),
+            failures: count(JobEvent::Failed) + count(JobEvent::TimedOut) + count(JobEvent::Lost),
             submitted_ms: self.submitted_ms,
             first_start_ms: self.first_start_ms,
             ended_ms: self.ended_ms,
--- a/tests/after.rs
+++ b/tests/after.rs
@@ -347,7 +347,7 @@
     r.tasks = vec![ended(id(1).as_str(), 0, a, Cause::Stopped)];
     d.beat(&r);
     let h = &d.s.jobs[&id(1)].history;
-    assert_eq!(h.count(hookworks_life::What::TimedOut), 1);
+    assert_eq!(h.count(hookworks_job_lifecycle::JobEvent::TimedOut), 1);
     assert_eq!(
         h.usage().useful_ms % 10_000,
         0,
--- a/tests/life.rs
+++ b/tests/life.rs
@@ -10,7 +10,7 @@
 use hookworks::wire::peer::Ask;
 use hookworks::wire::user::{JobDetail, JobState, Kind};
 use hookworks::wire::worker::*;
-use hookworks_life::{Hold, HoldKind, What};
+use hookworks_job_lifecycle::{Hold, HoldKind, JobEvent as What};
 use serde_json::{Value, json};
 use world::desk::{Desk, ended, report, task};
 use world::job;
@@ -339,8 +339,12 @@
     let j = d.s.jobs.get_mut(&JobId::from(JOB)).unwrap();
     let rule = d.s.cfg.tuning.rules()[&Class::from("work")];
     for _ in 0..2 {
-        j.attempts
-            .failed((0, 1), host.as_str(), hookworks_life::Failure::Error, &rule);
+        j.attempts.failed(
+            (0, 1),
+            host.as_str(),
+            hookworks_job_lifecycle::Failure::Error,
+            &rule,
+        );
     }
     fail_once(&mut d, 10);
     assert!(held(&d), "three failures are the limit");
@@ -461,13 +465,13 @@
             j.attempts.failed(
                 (t, 100_000),
                 "n-000001",
-                hookworks_life::Failure::Error,
+                hookworks_job_lifecycle::Failure::Error,
                 &rule,
             );
         }
         j.history.note(
             What::ALL[t as usize % 8],
-            hookworks_life::At(now.0 + t as u64 * 1000),
+            hookworks_job_lifecycle::WallMillis(now.0 + t as u64 * 1000),
         );
     }
     j.spec.class = "c".repeat(150).as_str().into();
@@ -476,7 +480,7 @@
             kind,
             by: "b".repeat(64),
             why: "w".repeat(160),
-            at: hookworks_life::At(now.0),
+            at: hookworks_job_lifecycle::WallMillis(now.0),
         });
     }
     for part in [0, 1] {
--- /dev/null
+++ b/tests/peer_frames.rs
@@ -0,0 +1,66 @@
+//! Messages between controllers of different releases.
+
+use hookworks::wire::peer::{Answer, PeerMsg, PingMore, PingSelf};
+use hookworks::wire::peer_frame::{PingTail, encode, read};
+
+fn ping() -> PeerMsg {
+    PeerMsg::Ping {
+        from: "a".into(),
+        leader: None,
+        hears: vec![],
+        workers: 3,
+    }
+}
+
+/// The release before sends no limit with an answer, and reads none.
+#[test]
+fn answers_are_readable_across_versions() {
+    let config = bincode::config::standard();
+    let mut answer = Answer::later("x", 3);
+    answer.valid_us = Some(1_500_000);
+    let (id, to) = (5, "b".to_string());
+    let new = PeerMsg::Tell { id, to, answer };
+    let bytes = bincode::encode_to_vec(&new, config).unwrap();
+    let (read, _): (PeerMsg, _) = bincode::decode_from_slice(&bytes, config).unwrap();
+    assert_eq!(read, new);
+    // The third kind of message; its fields, as they were.
+    let before = (2u32, 5u64, "b", 503u16, r#"{"error":"x"}"#, Some(3u32));
+    let before = bincode::encode_to_vec(before, config).unwrap();
+    assert_eq!(bytes[..before.len()], before);
+    let (read, n): (PeerMsg, _) = bincode::decode_from_slice(&before, config).unwrap();
+    let PeerMsg::Tell { answer, .. } = read else {
+        panic!("{read:?}")
+    };
+    assert_eq!(
+        (n, answer.retry_after, answer.valid_us),
+        (before.len(), Some(3), None)
+    );
+}
+
+/// Controllers are restarted one after the other, so two versions talk.
+#[test]
+fn pings_are_readable_across_versions() {
+    let more = PingMore {
+        workers_most: Some(7),
+        speaks: 1,
+    };
+    let own = PingSelf { instance: 9 };
+    let mut new = vec![];
+    encode(&ping(), (more, own), &mut new).unwrap();
+    assert_eq!(read(&mut &new[..]).unwrap(), (ping(), (more, Some(own))));
+    // The release before says no more than what it can hold and understand.
+    let before = bincode::encode_to_vec((ping(), more), bincode::config::standard()).unwrap();
+    let mut framed = (before.len() as u32).to_be_bytes().to_vec();
+    framed.extend_from_slice(&before);
+    assert_eq!(read(&mut &framed[..]).unwrap(), (ping(), (more, None)));
+    assert_eq!(new[4..4 + before.len()], before);
+    // An earlier version sends no more than the message, and reads no more.
+    let old = bincode::encode_to_vec(ping(), bincode::config::standard()).unwrap();
+    let mut framed = (old.len() as u32).to_be_bytes().to_vec();
+    framed.extend_from_slice(&old);
+    assert_eq!(
+        read(&mut &framed[..]).unwrap(),
+        (ping(), PingTail::default())
+    );
+    assert_eq!(new[4..4 + old.len()], old);
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -27,7 +27,7 @@
 use hookworks::wire::state::{Item, Txn};
 use hookworks::wire::user::JobSpec;
 use hookworks::wire::worker::{Orders, ReportAnswer};
-use hookworks_life::HoldKind;
+use hookworks_job_lifecycle::HoldKind;
 pub use links::Chaos;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
--- a/tests/world/rules.rs
+++ b/tests/world/rules.rs
@@ -7,7 +7,7 @@
 use hookworks::wire::peer::{Answer, Ask};
 use hookworks::wire::user::{JobSpec, JobState, JobView, When};
 use hookworks::wire::worker::{Order, TaskState};
-use hookworks_life::HoldRequest;
+use hookworks_job_lifecycle::HoldRequest;
 use std::collections::{BTreeMap, BTreeSet};
 
 #[derive(Default)]
--- a/tests/world/steps.rs
+++ b/tests/world/steps.rs
@@ -63,8 +63,8 @@
     /// What controller `i` is told.
     fn config(&self, i: usize, s: &Settings) -> Config {
         let mut cfg = Config::from(s);
-        cfg.floor.room = self.floor;
-        cfg.floor.overtaken = self.overtaken;
+        cfg.floor.reserved_share = self.floor;
+        cfg.floor.max_overtaken = self.overtaken;
         cfg.workers.cancel_s = self.believed_s.unwrap_or(self.cancel_s);
         for t in &mut cfg.teams {
             for limit in [&mut t.cpus, &mut t.cpus_max, &mut t.gpus_max] {
--- a/tests/world/users.rs
+++ b/tests/world/users.rs
@@ -5,7 +5,7 @@
 use hookworks::sched::Event;
 use hookworks::wire::peer::{Answer, Ask};
 use hookworks::wire::user::{JobSpec, JobState, JobView};
-use hookworks_life::{HoldRequest, ReleaseRequest};
+use hookworks_job_lifecycle::{HoldRequest, ReleaseRequest};
 
 impl World {
     pub fn submit(&mut self, spec: JobSpec) {
