Tests: machines that hang and go on, that only calls reach, copies for the next leader

The tests' world lets a machine hang for a time chosen freely: its tasks get no further and stay where they are, what reaches it waits until it goes on, in order and before its next report, and the lease is judged first, as commands for the session before are not carried out.

The checker sees a cancelled task that goes on after its machine hung, as it hangs and as it goes on: a fault put in past the controllers (a worker that forgets its lease) is noticed, a worker that ends all with its lease is not blamed.

--- a/tests/checker.rs
+++ b/tests/checker.rs
@@ -120,6 +120,32 @@
     assert!(noticed(&w, "ran_cancelled"));
 }
 
+/// Its machines hang through the cancellation and the lease, and go on with it long
+/// after; and a healthy worker, which ends all with its lease, is not blamed.
+#[test]
+fn a_cancelled_task_that_goes_on_after_its_machine_hung() {
+    for (hangs_s, forgets, broken) in [
+        (15.0, false, false),
+        (60.0, false, false),
+        (60.0, true, true),
+        (43.5, true, true),
+    ] {
+        let mut w = running(|_| {});
+        w.refuses_releases = true;
+        for h in w.hosts_of(&JOB.into()) {
+            w.workers.get_mut(&h).unwrap().forgets_lease = forgets;
+            w.at(0.0, Ev::Hang(h.clone(), true));
+            w.at(hangs_s, Ev::Hang(h, false));
+        }
+        w.run(0.1);
+        w.user(Ask::Cancel(JOB.into()));
+        w.run(41.9);
+        assert!(!noticed(&w, "ran_cancelled"));
+        w.run(30.0);
+        assert_eq!(noticed(&w, "ran_cancelled"), broken, "{hangs_s} {forgets}");
+    }
+}
+
 #[test]
 fn an_accepted_job_that_is_not_known() {
     for status in [400, 404, 422] {
--- a/tests/world/cloud.rs
+++ b/tests/world/cloud.rs
@@ -29,6 +29,19 @@
         self.workers.values().map(one).collect()
     }
 
+    /// Machines are given back, unless the cloud refuses that.
+    pub(super) fn release(&mut self, i: usize, epoch: Epoch, hosts: Vec<Host>) {
+        let carried_out = !self.refuses_releases;
+        if carried_out {
+            for h in &hosts {
+                self.workers.remove(h);
+                self.releases_of.push((self.now, h.clone()));
+            }
+        }
+        let e = Event::Released(hosts, carried_out);
+        self.at(0.1, Ev::CloudDone(i, epoch, Box::new(e)));
+    }
+
     pub(super) fn hire(&mut self, i: usize, epoch: Epoch, h: Hire) {
         let r = match self.hires.get(&h.name) {
             Some(hosts) => HireResult::Ok(hosts.clone()),
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -9,6 +9,7 @@
 pub mod desk;
 pub mod given;
 pub mod links;
+mod machines;
 mod rules;
 mod steps;
 pub mod store;
@@ -90,6 +91,13 @@
     StepDown(usize),
     /// From now on these chances.
     Chances(Chaos),
+    /// It reaches no controller, while direct commands reach it.
+    Mute(Host, bool),
+    /// Of this share of reports a copy is kept, and reaches every controller each time
+    /// one begins to lead.
+    KeepReports(f64),
+    /// Users call off so many jobs that run; machines of theirs hang for so long.
+    CancelNow(usize, Option<f64>),
 }
 
 struct Term {
@@ -146,6 +154,9 @@
     /// Zones; controllers are in one after the other.
     pub zones: Vec<Zone>,
     links: links::Links,
+    kept: machines::Kept,
+    /// The cloud takes no machine back.
+    pub refuses_releases: bool,
     /// Limits of teams, in times of the usual.
     pub wealth: f64,
     /// Share of the fleet that is set aside for who is hardly served.
@@ -222,6 +233,8 @@
             capacity: 4,
             zones: vec!["a".into(), "b".into()],
             links: links::Links::default(),
+            kept: machines::Kept::default(),
+            refuses_releases: false,
             wealth: 1.0,
             floor: 0.0,
             overtaken: None,
@@ -354,7 +367,8 @@
     }
 
     fn take(&mut self, e: Ev) {
-        let Some(e) = self.awake(e).and_then(|e| self.passes(e)) else {
+        let arrives = self.awake(e).and_then(|e| self.passes(e));
+        let Some(e) = arrives.and_then(|e| self.machine_takes(e)) else {
             return;
         };
         match e {
@@ -403,10 +417,7 @@
                     return;
                 };
                 // Dropped once the worker has given up on that report.
-                if a.status == 200
-                    && w.sent_at == sent
-                    && now - sent < 4 * S
-                    && !(w.cut || w.hangs || w.deaf)
+                if a.status == 200 && w.sent_at == sent && now - sent < 4 * S && !(w.cut || w.deaf)
                 {
                     let a: ReportAnswer = serde_json::from_str(&a.body).unwrap();
                     if w.answered(now, sent, a, &self.specs, self.run_s) {
@@ -427,10 +438,6 @@
                     let r = DirectResult::Unclear;
                     return self.at(1.0, Ev::Direct(i, epoch, call, h, r));
                 }
-                if w.cut || w.hangs {
-                    // Held back until the cut is over.
-                    return self.at(1.0, Ev::Orders(i, epoch, call, h, orders));
-                }
                 let r = match w.direct(now, orders, &self.specs, self.run_s) {
                     Ok(r) => DirectResult::Done(r),
                     Err(r) => DirectResult::Conflict(r),
@@ -482,14 +489,7 @@
                 self.in_term(i, epoch, Event::RecordRead(req, id, r));
             }
             Ev::Hire(i, epoch, h) => self.hire(i, epoch, h),
-            Ev::Release(i, epoch, hosts) => {
-                for h in &hosts {
-                    self.workers.remove(h);
-                    self.releases_of.push((self.now, h.clone()));
-                }
-                let e = Event::Released(hosts, true);
-                self.at(0.1, Ev::CloudDone(i, epoch, Box::new(e)));
-            }
+            Ev::Release(i, epoch, hosts) => self.release(i, epoch, hosts),
             Ev::CloudDone(i, epoch, e) => self.in_term(i, epoch, *e),
             Ev::User(ask) => self.user(ask),
             Ev::Kill(i) => {
@@ -504,20 +504,21 @@
                 self.at(0.1, Ev::ListOnce(i));
             }
             Ev::Cut(h, cut) => {
-                if let Some(w) = self.workers.get_mut(&h) {
-                    w.cut = cut;
-                }
+                self.cut(&h, cut);
             }
             Ev::CutZone(z, cut) => {
-                for w in self.workers.values_mut().filter(|w| w.zone == z) {
-                    w.cut = cut;
+                for h in self.machines_in(z.as_str()) {
+                    self.cut(&h, cut);
                 }
             }
-            Ev::Hang(h, hangs) => {
+            Ev::Hang(h, hangs) => self.hang(h, hangs),
+            Ev::Mute(h, on) => {
                 if let Some(w) = self.workers.get_mut(&h) {
-                    w.hangs = hangs;
+                    w.mute = on;
                 }
             }
+            Ev::KeepReports(share) => self.keep_reports(share),
+            Ev::CancelNow(jobs, hang_s) => self.cancel_now(jobs, hang_s),
             Ev::Sick(h, sick) => {
                 if let Some(w) = self.workers.get_mut(&h) {
                     w.sick = sick;
@@ -539,14 +540,7 @@
                     self.at(0.05, Ev::Beat(h));
                 }
             }
-            Ev::Copy(i, body) => {
-                // Nobody waits for an answer to it.
-                let req = ReqId(self.next_req);
-                self.next_req += 1;
-                if self.ctls[i].up {
-                    self.event(i, Event::Ask(req, Ask::Report(body)));
-                }
-            }
+            Ev::Copy(i, body) => self.copy_arrives(i, body),
             Ev::Freeze(i, s) => self.ctls[i].frozen_until = self.now + (s * 1e6) as u64,
             Ev::Lonely(i, lonely) => self.ctls[i].lonely = lonely,
             Ev::Refuse(i, refused) => self.store.refuse(i, refused),
--- a/tests/world/steps.rs
+++ b/tests/world/steps.rs
@@ -49,6 +49,7 @@
                         let mut f = flavor();
                         f.zones = self.zones.clone();
                         self.event(i, Event::Flavors(vec![f]));
+                        self.hand_over_copies();
                     } else {
                         self.ctls[i].elector.resign();
                     }
@@ -87,15 +88,21 @@
         w.up = true;
         // What it is about to tell has happened.
         self.done_tasks.extend(w.take_done());
+        if w.hangs {
+            // It reports once it goes on.
+            let again = self.rng.random_range(2.3..3.6);
+            return self.at(again, Ev::Beat(h));
+        }
         if now < w.next_beat {
             return;
         }
         w.next_beat = now + S / 2;
-        let (cut, home) = (w.cut || w.hangs, w.home);
+        let (cut, home) = (w.cut || w.mute, w.home);
         let body = serde_json::to_vec(&w.report()).unwrap();
         w.sent_at = now;
         let again = self.rng.random_range(2.3..3.6);
         if !cut {
+            self.keep_copy(&h, &body);
             let d = self.delay();
             for i in 0..self.ctls.len() {
                 // Whoever leads, or believes to, gets it: forwarding done.
--- a/tests/world/worker.rs
+++ b/tests/world/worker.rs
@@ -43,8 +43,14 @@
     pub sent_at: u64,
     pub next_beat: u64,
     pub cut: bool,
-    /// Neither tells nor does anything until it goes on.
+    /// Neither tells nor does anything until it goes on; since when, and in which
+    /// session.
     pub hangs: bool,
+    hung: Option<(u64, u64)>,
+    /// A fault put in: it goes on with its tasks however long it hung.
+    pub forgets_lease: bool,
+    /// It reaches no controller, while direct commands reach it.
+    pub mute: bool,
     /// Neither answers nor commands reach it.
     pub deaf: bool,
     /// No command reaches it directly.
@@ -75,6 +81,9 @@
             next_beat: 0,
             cut: false,
             hangs: false,
+            hung: None,
+            forgets_lease: false,
+            mute: false,
             deaf: false,
             no_calls: false,
             home: None,
@@ -92,13 +101,44 @@
         self.renewed = now;
     }
 
+    /// It hangs: its tasks stay where they are, and get no further.
+    pub fn stops(&mut self, now: u64) {
+        self.step(now, LEASE);
+        self.hangs = true;
+        self.hung.get_or_insert((now, self.session));
+    }
+
+    /// It goes on. Its lease is judged before anything else: commands that came
+    /// meanwhile are for its session of before. False if it did not hang.
+    pub fn goes_on(&mut self, now: u64) -> bool {
+        let Some((since, session)) = self.hung.take() else {
+            return false;
+        };
+        self.step(now, LEASE);
+        self.hangs = false;
+        if self.session > session {
+            // Its session begins only now.
+            self.renewed = now;
+        }
+        for t in self
+            .tasks
+            .values_mut()
+            .filter(|t| t.state != TaskState::Ended)
+        {
+            t.runs_at += now - since;
+            t.ends_at += now - since;
+        }
+        self.next_beat = now;
+        true
+    }
+
     /// Time passes: images arrive, tasks end, the lease may run out.
     pub fn step(&mut self, now: u64, lease: u64) {
         if !self.up {
             // Its session begins when it is up.
             self.renewed = now;
         }
-        if now > self.renewed + lease {
+        if now > self.renewed + lease && !self.forgets_lease {
             self.begin_anew(now);
         }
         if self.hangs {
