--- a/src/sched/fleet.rs
+++ b/src/sched/fleet.rs
@@ -10,7 +10,7 @@
 use crate::time::{Span, Time};
 use crate::wire::cloud::{Hire, Listed};
 use crate::wire::user::Kind;
-use hookworks_life::Failure;
+use hookworks_job_lifecycle::Failure;
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 type Flavoured = (Build, Zone, bool);
@@ -64,6 +64,9 @@
     gone: HashSet<Host>,
     /// When other controllers were last found out of reach.
     pub out_of_reach: HashMap<Label, Time>,
+    /// The sequence number of the first job that came in this term; those before it
+    /// were loaded.
+    pub first_own: u64,
     /// The next machine that does not hear may be given back then.
     deaf_at: Time,
 }
@@ -78,6 +81,7 @@
             refused: HashMap::new(),
             gone: HashSet::new(),
             out_of_reach: HashMap::new(),
+            first_own: 0,
             deaf_at: Time::default(),
         }
     }
@@ -214,6 +218,7 @@
                     }
                 }
                 Life::Up => {
+                    m.end_quarantine(now);
                     let taken =
                         m.notice_until.is_some_and(|t| now > t) && now - heard > Span::secs(4.5);
                     let silent = now - heard > patience && settled && !ours;
@@ -309,8 +314,9 @@
         let works_elsewhere = j.done_count > 0;
         if j.fails_everywhere() {
             // It fails everywhere: its machines are not to blame.
-            let pause = 5.0 * 2f64.powi((j.errors / 3).min(4) as i32);
-            j.backoff_until = now + Span::secs(pause.min(60.0));
+            // Short enough that it is not left waiting once the cause is mended.
+            let pause = 5.0 * 2f64.powi((j.errors / 3).min(3) as i32);
+            j.backoff_until = now + Span::secs(pause);
             tracing::info!(job = %t.job, pause, "fails everywhere, backs off");
             let id = t.job.clone();
             for m in self.machines.values_mut() {
@@ -330,7 +336,7 @@
         let blamed = m.fail_jobs.len() > 1 || works_elsewhere;
         if m.fails >= FAILS && blamed && !m.quarantined {
             tracing::info!(%host, fails = m.fails, "quarantined");
-            m.quarantined = true;
+            (m.quarantined, m.quarantined_at) = (true, now);
             self.forgive(host);
         }
     }
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -26,6 +26,7 @@
 mod spare;
 mod team;
 mod users;
+mod waiting;
 mod zones;
 
 pub use fences::FenceRecord;
@@ -44,7 +45,7 @@
 use crate::wire::peer::{Answer, Ask};
 use crate::wire::user::JobState;
 use crate::wire::worker::{Orders, Report};
-use hookworks_life::RetryRule;
+use hookworks_job_lifecycle::RetryPolicy as RetryRule;
 use job::{Final, Job};
 use machine::{Life, Machine, Slot};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -143,9 +144,11 @@
     /// Final states kept at hand; older ones are read from the store.
     pub finals: usize,
     /// Room for classes and teams that are hardly served.
-    pub floor: hookworks_served::Floor,
+    pub floor: hookworks_fairness::FairnessPolicy,
     /// How far the time of day may be off.
     pub clock_error: Span,
+    /// How old the cloud's list of machines may be at most.
+    pub oldest_list: Span,
     /// The other controllers and their zones.
     pub controllers: BTreeMap<Label, Zone>,
 }
@@ -170,6 +173,7 @@
             act_on_zones: s.tuning.zones.act,
             floor: s.tuning.served.floor(),
             clock_error: Span::secs(s.platform.params.clock_error_ms / 1000.0),
+            oldest_list: Span::secs(s.platform.params.cloud.list_lag_s * 2.0),
             controllers: s.platform.controllers(),
         }
     }
@@ -232,6 +236,8 @@
     sum_up_at: Time,
     /// The job with which the next pass goes on.
     goes_on_at: Option<JobId>,
+    /// The last pass got no further than who is served ahead of that job.
+    stuck: bool,
     /// Machines judged for tasks since the beginning: how much work placing is.
     judged: std::cell::Cell<u64>,
     reports_held: u64,
@@ -303,6 +309,7 @@
             preempt_at: now,
             sum_up_at: now,
             goes_on_at: None,
+            stuck: false,
             judged: Default::default(),
             reports_held: 0,
             reports_refused: 0,
@@ -501,6 +508,7 @@
                 self.stop_all(now, &id);
             }
         }
+        self.fleet.first_own = self.next_seq;
         self.book_loaded(now);
         self.load_waiting(now);
         self.dirty.changed.extend(self.jobs.keys().cloned());
@@ -528,6 +536,7 @@
         self.answer_held(now, false);
         self.answer_at_fence(now);
         self.watch_machines(now);
+        self.note_waiting(now);
         self.probe(now);
         self.tell_progress(now);
         self.plan_fleet(now);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -8,6 +8,8 @@
 mod cloud;
 pub mod desk;
 pub mod given;
+pub mod handover;
+mod idle_room;
 pub mod links;
 mod machines;
 mod rules;
@@ -28,7 +30,7 @@
 use hookworks::wire::state::{Item, Txn};
 use hookworks::wire::user::JobSpec;
 use hookworks::wire::worker::{Orders, ReportAnswer};
-use hookworks_life::HoldKind;
+use hookworks_job_lifecycle::HoldKind;
 pub use links::Chaos;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -98,6 +100,7 @@
     KeepReports(f64),
     /// Users call off so many jobs that run; machines of theirs hang for so long.
     CancelNow(usize, Option<f64>),
+    HandOver(handover::Act),
 }
 
 struct Term {
@@ -178,6 +181,7 @@
     on: BTreeMap<TaskId, BTreeSet<Host>>,
     /// All troubles are over since then.
     quiet_since: Option<u64>,
+    idle_room: idle_room::IdleRoom,
     /// A fault put in: of one job in so many no question is answered.
     pub ignores_one_in: Option<u64>,
     /// Gangs that have begun, and until when those that still run will.
@@ -185,6 +189,7 @@
     /// Gangs that began to run, all members at once.
     pub gangs_begun: usize,
     pub done_tasks: BTreeSet<TaskId>,
+    pub handover: handover::HandOver,
 }
 
 const S: u64 = 1_000_000;
@@ -247,10 +252,12 @@
             run_s: 15.0,
             on: BTreeMap::new(),
             quiet_since: None,
+            idle_room: idle_room::IdleRoom::default(),
             ignores_one_in: None,
             gangs: BTreeMap::new(),
             gangs_begun: 0,
             done_tasks: BTreeSet::new(),
+            handover: Default::default(),
         };
         for i in 0..controllers {
             let c = w.new_ctl(i, 1);
@@ -319,6 +326,7 @@
             if touches || t - self.checked >= LOOK_EVERY {
                 self.checked = t;
                 self.check();
+                self.check_idle_room();
             }
         }
         true
@@ -326,6 +334,9 @@
 
     /// A network delay; now and then a long one.
     fn delay(&mut self) -> f64 {
+        if let Some(slow) = self.slow_link() {
+            return slow;
+        }
         if self.rng.random_bool(self.chaos.late) {
             self.rng.random_range(1.0..40.0)
         } else {
@@ -556,6 +567,7 @@
             }
             Ev::StepDown(i) => self.ctls[i].term = None,
             Ev::Chances(c) => self.chaos = c,
+            Ev::HandOver(a) => self.act(a),
             Ev::LateElection(i, by_s) => self.store.of(i).delay_next((by_s * 1e6) as u64),
         }
     }
