--- a/tests/submissions.rs
+++ b/tests/submissions.rs
@@ -448,7 +448,7 @@
             w.at(1.0, leader_ends(seed % 2 == 0, back_s));
         }
         for k in 0..5 {
-            w.at(0.6 + 0.5 * k as f64, Ev::CancelNow(2));
+            w.at(0.6 + 0.5 * k as f64, Ev::CancelNow(2, None));
         }
         w.run(200.0);
         ends_well(&mut w, &format!("seed {seed}, back after {back_s} s"));
--- a/tests/world/submissions.rs
+++ b/tests/world/submissions.rs
@@ -259,19 +259,6 @@
         }
     }
 
-    /// So many jobs that run are called off within 0.2 s.
-    pub(super) fn cancel_now(&mut self, count: usize) {
-        let live = |id: &&JobId| self.told.get(*id).is_some_and(|t| !t.cancel_asked);
-        let running: BTreeSet<&JobId> = self.on.keys().map(|t| &t.job).collect();
-        let mut running: Vec<JobId> = running.into_iter().filter(live).cloned().collect();
-        for _ in 0..count.min(running.len()) {
-            let n = self.rng.random_range(0..running.len());
-            let id = running.swap_remove(n);
-            let in_s = self.rng.random_range(0.0..0.2);
-            self.insists(in_s, Ask::Cancel(id.to_string()));
-        }
-    }
-
     /// Users send what is odd until then: submissions of jobs that were accepted, once
     /// more; cancellations of what is done, or unknown; what can never run or is
     /// malformed, several times by way of several controllers.
