A command that ends an attempt leaves once its event is taken in whole

A member of a gang that a worker's new session proved gone stopped the others at once, by a direct command in the middle of the report. That command told a task to run, too, which the same report proved gone a moment later: it was placed anew elsewhere and ran twice. A cancellation of several tasks took a run along for the second when it stopped the first. Commands that end attempts now leave with the next turn of the loop, after the event.

--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -318,6 +318,9 @@
             if let Some(since) = self.stopping
                 && (self.pending.is_empty() || now - since > Span::secs(3.0))
             {
+                // Nothing leaves under a term whose key is given up.
+                self.step_down(now);
+                self.send_outbox(now);
                 self.resign();
                 self.server.stop(LAST_ANSWERS);
                 return;
--- a/src/sched/report.rs
+++ b/src/sched/report.rs
@@ -477,7 +477,9 @@
         }
     }
 
-    /// The attempt is to end, saving for so long.
+    /// The attempt is to end, saving for so long. The command leaves once the event
+    /// has been taken in whole: in the middle of it, it would carry `run` for attempts
+    /// that are about to be stopped or taken for gone.
     pub(super) fn stop(&mut self, now: Time, id: &JobId, ix: TaskIx, leeway_s: f64) {
         let t = TaskId {
             job: id.clone(),
@@ -489,6 +491,6 @@
         }
         l.stop = Some(Stop { leeway_s });
         let host = l.host.clone();
-        self.push(now, &host);
+        self.ready.insert(host);
     }
 }
--- a/tests/handover.rs
+++ b/tests/handover/main.rs
@@ -1,15 +1,17 @@
 //! Leaders that change often, new machines that are up at once, work over slow
 //! links: seeded stories in which many orders are played, under the rules.
 
+mod orders;
+mod work;
+#[path = "../world/mod.rs"]
 mod world;
 
 use hookworks::ids::*;
-use hookworks::wire::peer::Ask;
-use hookworks::wire::user::{JobState, Kind, Priority};
 use rand::RngExt;
 use std::collections::BTreeSet;
+use work::{all_end, cancel, machines_in_trouble, mixed, send};
 use world::handover::{Act, Change, Conditions};
-use world::{Chaos, Ev, World, job};
+use world::{Chaos, Ev, World};
 
 /// `HANDOVERS` asks for other seeds than the usual ones, from `HANDOVERS_FROM` on.
 fn seeds() -> std::ops::Range<u64> {
@@ -18,101 +20,6 @@
     from..from + from_env("HANDOVERS").unwrap_or(30)
 }
 
-/// Users send the job until it is taken, and ask how it goes.
-fn send(
-    w: &mut World,
-    n: u64,
-    at: f64,
-    tasks: u32,
-    change: impl Fn(&mut hookworks::wire::user::JobSpec),
-) {
-    let mut j = job(n, tasks);
-    change(&mut j);
-    let (id, body) = (j.id.to_string(), serde_json::to_vec(&j).unwrap());
-    w.specs.insert(j.id.clone(), j);
-    for k in 0..12 {
-        let e = Ev::User(Ask::Submit(body.clone()));
-        w.at(at + 5.0 * k as f64, e);
-    }
-    for k in 0..80 {
-        let at = at + 1.7 * k as f64;
-        let via = w.rng.random_range(0..4);
-        let poll = Ask::Poll(id.clone());
-        let e = match via {
-            3 => Ev::User(poll),
-            i => Ev::UserVia(i, poll),
-        };
-        w.at(at, e);
-    }
-}
-
-/// A mix of arrays, gangs and zone-bound work of both teams, some of it urgent, that
-/// comes within so many seconds.
-fn mixed(w: &mut World, jobs: u64, within_s: f64) {
-    for n in 0..jobs {
-        let at = w.rng.random_range(0.0..within_s);
-        let tasks = w.rng.random_range(1..4);
-        send(w, n, at, tasks, |j| {
-            match n % 6 {
-                1 => (j.kind, j.tasks, j.one_zone) = (Kind::Gang, 2, true),
-                2 => j.one_zone = true,
-                3 => j.zone = Some("b".into()),
-                _ => {}
-            }
-            if n % 2 == 1 {
-                (j.team, j.spot) = ("blue".into(), n % 4 == 1);
-            }
-            if n % 5 == 4 {
-                j.priority = Priority::High;
-            }
-        });
-    }
-}
-
-/// Cancels the job at that moment, again and again until that is heard, by way of
-/// any controller.
-fn cancel(w: &mut World, id: &str, at: f64) {
-    for k in 0..6 {
-        let ask = Ask::Cancel(id.into());
-        let e = match w.rng.random_range(0..4) {
-            3 => Ev::User(ask),
-            i => Ev::UserVia(i, ask),
-        };
-        w.at(at + 0.7 * k as f64, e);
-    }
-}
-
-/// The troubles are over: within so many seconds all jobs end.
-fn all_end(w: &mut World, what: &str, within_s: f64) {
-    w.chaos = Chaos::default();
-    w.set(Conditions::default());
-    w.all_quiet();
-    for i in 0..3 {
-        if !w.ctls[i].up {
-            w.at(0.1, Ev::Restart(i));
-        }
-    }
-    let ids: Vec<JobId> = w.specs.keys().cloned().collect();
-    for id in &ids {
-        let body = serde_json::to_vec(&w.specs[id]).unwrap();
-        w.at(1.0, Ev::User(Ask::Submit(body)));
-        for k in 0..(within_s / 5.0) as u32 {
-            w.at(2.0 + 5.0 * k as f64, Ev::User(Ask::Poll(id.to_string())));
-        }
-    }
-    w.run(within_s);
-    let broken = &w.broken[..w.broken.len().min(5)];
-    assert!(broken.is_empty(), "{what}: {broken:#?}\n{:#?}", w.log);
-    let i = w.leader().expect("a leader after the troubles");
-    let left: Vec<_> = w.sched(i).jobs.keys().cloned().collect();
-    assert!(left.is_empty(), "{what}: never finished {left:?}");
-    for id in ids {
-        let over = [Some(JobState::Done), Some(JobState::Cancelled)];
-        let state = w.state_of(id.as_str());
-        assert!(over.contains(&state), "{what}: {id} {state:?}");
-    }
-}
-
 /// Machines that are up before the cloud has answered, and before any list shows them.
 const UP_AT_ONCE: Conditions = Conditions {
     boot: Some((0.02, 2.0)),
@@ -187,6 +94,9 @@
             w.at(at, Ev::StoreDown(true));
             w.at(at + long, Ev::StoreDown(false));
         }
+        if seed % 4 > 1 {
+            machines_in_trouble(&mut w, 90.0);
+        }
         for n in 0..4 {
             let at = w.rng.random_range(30.0..130.0);
             cancel(&mut w, &format!("job-{n:06}"), at);
@@ -306,6 +216,92 @@
     assert!(stopped > n, "hardly anything was cancelled: {stopped}");
 }
 
+/// All of the above at once, each by chance.
+#[test]
+fn rules_hold_when_many_of_these_troubles_meet() {
+    let mut cancelled = 0;
+    for seed in seeds() {
+        let mut w = World::new(seed, 3);
+        w.capacity = w.rng.random_range(1..4);
+        let mut c = Conditions::default();
+        let mut some = || w.rng.random_bool(0.5);
+        c.boot = some().then_some((0.02, 2.0));
+        c.cloud = some().then_some((0.05, 1.5));
+        c.links = some().then_some((0.2, 2.0));
+        c.writes = some().then_some((0.05, 4.0));
+        c.load = some().then_some((0.02, 1.5));
+        c.list_lag_s = if some() { 3.0 } else { 0.0 };
+        w.chaos = Chaos {
+            lose_answer: 0.05,
+            lose_txn_answer: 0.1,
+            late_txn: 0.05,
+            copy: 0.1,
+            ..Chaos::default()
+        };
+        w.set(c);
+        w.run_s = [5.0, 25.0, 80.0][w.rng.random_range(0..3)];
+        w.run(2.0);
+        mixed(&mut w, 10, 80.0);
+        let times = w.rng.random_range(2..11);
+        w.change_leaders(5.0, times, 100.0);
+        machines_in_trouble(&mut w, 100.0);
+        if w.rng.random_bool(0.5) {
+            let (at, long) = (w.rng.random_range(5.0..80.0), w.rng.random_range(2.0..50.0));
+            w.at(at, Ev::StoreDown(true));
+            w.at(at + long, Ev::StoreDown(false));
+        }
+        for n in 0..6 {
+            let at = w.rng.random_range(10.0..120.0);
+            cancel(&mut w, &format!("job-{n:06}"), at);
+        }
+        w.run(170.0);
+        cancelled += w.cancellations();
+        let rest = 160.0 + 8.0 * w.run_s;
+        all_end(&mut w, &format!("seed {seed}"), rest);
+        assert!(w.rented() <= 40, "seed {seed}: {} rented", w.rented());
+    }
+    let least = seeds().count();
+    assert!(
+        cancelled > least,
+        "hardly anything was cancelled: {cancelled}"
+    );
+}
+
+/// What each new leader adds to the lease of a machine that it has not heard counts
+/// from its own beginning: after ten changes the task of a machine that is cut off
+/// runs elsewhere as soon as after one, and not while it may still run there.
+#[test]
+fn ten_changes_of_leader_delay_a_lost_machines_tasks_no_longer_than_the_last_one() {
+    for seed in 0..8 {
+        let mut w = World::new(seed, 3);
+        w.run_s = 30.0;
+        w.run(2.0);
+        send(&mut w, 1, 0.0, 1, |_| {});
+        w.run(20.0);
+        let task = TaskId {
+            job: "job-000001".into(),
+            ix: TaskIx(0),
+        };
+        let at = w.workers.values().find(|m| m.present().contains(&task));
+        let host = at.expect("it runs").host.clone();
+        w.at(0.0, Ev::Cut(host.clone(), true));
+        for k in 0..10 {
+            let e = Act::Change(Change::Ends, 0.05);
+            w.at(0.5 + 4.0 * k as f64, Ev::HandOver(e));
+        }
+        w.run(36.6);
+        let last = w.now;
+        let done = |w: &World| w.done_tasks.contains(&task);
+        while !done(&w) && w.now < last + 200_000_000 {
+            w.run(0.5);
+        }
+        w.assert_rules();
+        // Grace, lease, a new machine, and the task itself.
+        let took = (w.now - last) as f64 / 1e6;
+        assert!(took < 20.0 + 21.1 + 20.0 + 31.0, "seed {seed}: {took} s");
+    }
+}
+
 /// A leader that is elected anew every two seconds finds in no list what the one
 /// before has just rented: ten of them once rented for the same job ten times.
 #[test]
