--- a/tests/world/cloud.rs
+++ b/tests/world/cloud.rs
@@ -29,6 +29,7 @@
     }
 
     pub(super) fn hire(&mut self, i: usize, epoch: Epoch, h: Hire) {
+        self.check_name(&h.name, epoch);
         let r = match self.hires.get(&h.name) {
             Some(hosts) => HireResult::Ok(hosts.clone()),
             None => {
--- a/tests/world/handover.rs
+++ b/tests/world/handover.rs
@@ -39,6 +39,8 @@
     /// Machines that were up before the answer to their rental's request.
     pub before_answer: usize,
     awaits_answer: BTreeMap<Host, u64>,
+    /// The terms in which rental requests were named.
+    names: BTreeMap<String, Epoch>,
     /// The latest election that each controller has won.
     won: BTreeMap<usize, Epoch>,
 }
@@ -118,6 +120,14 @@
         self.draw(self.handover.now.boot.unwrap_or(usual))
     }
 
+    /// The name of a rental request belongs to one term for ever.
+    pub(super) fn check_name(&mut self, name: &str, epoch: Epoch) {
+        let named = self.handover.names.entry(name.into()).or_insert(epoch);
+        if *named != epoch {
+            self.broken.push(format!("request name used again: {name}"));
+        }
+    }
+
     /// The answer to a rental request leaves so long after it was carried out.
     pub(super) fn note_rented(&mut self, hosts: &[Host], answer_s: f64) {
         let answered = self.now + (answer_s * 1e6) as u64;
