--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -9,6 +9,7 @@
 pub mod desk;
 pub mod given;
 pub mod handover;
+mod idle_room;
 pub mod links;
 mod rules;
 mod steps;
@@ -28,7 +29,7 @@
 use hookworks::wire::state::{Item, Txn};
 use hookworks::wire::user::JobSpec;
 use hookworks::wire::worker::{Orders, ReportAnswer};
-use hookworks_life::HoldKind;
+use hookworks_job_lifecycle::HoldKind;
 pub use links::Chaos;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -169,6 +170,7 @@
     on: BTreeMap<TaskId, BTreeSet<Host>>,
     /// All troubles are over since then.
     quiet_since: Option<u64>,
+    idle_room: idle_room::IdleRoom,
     /// A fault put in: of one job in so many no question is answered.
     pub ignores_one_in: Option<u64>,
     /// Gangs that have begun, and until when those that still run will.
@@ -237,6 +239,7 @@
             run_s: 15.0,
             on: BTreeMap::new(),
             quiet_since: None,
+            idle_room: idle_room::IdleRoom::default(),
             ignores_one_in: None,
             gangs: BTreeMap::new(),
             gangs_begun: 0,
@@ -310,6 +313,7 @@
             if touches || t - self.checked >= LOOK_EVERY {
                 self.checked = t;
                 self.check();
+                self.check_idle_room();
             }
         }
         true
