--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -45,7 +45,7 @@
 use crate::wire::peer::{Answer, Ask};
 use crate::wire::user::JobState;
 use crate::wire::worker::{Orders, Report};
-use hookworks_life::RetryRule;
+use hookworks_job_lifecycle::RetryPolicy as RetryRule;
 use job::{Final, Job};
 use machine::{Life, Machine, Slot};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -144,9 +144,11 @@
     /// Final states kept at hand; older ones are read from the store.
     pub finals: usize,
     /// Room for classes and teams that are hardly served.
-    pub floor: hookworks_served::Floor,
+    pub floor: hookworks_fairness::FairnessPolicy,
     /// How far the time of day may be off.
     pub clock_error: Span,
+    /// How old the cloud's list of machines may be at most.
+    pub oldest_list: Span,
     /// The other controllers and their zones.
     pub controllers: BTreeMap<Label, Zone>,
 }
@@ -171,6 +173,7 @@
             act_on_zones: s.tuning.zones.act,
             floor: s.tuning.served.floor(),
             clock_error: Span::secs(s.platform.params.clock_error_ms / 1000.0),
+            oldest_list: Span::secs(s.platform.params.cloud.list_lag_s * 2.0),
             controllers: s.platform.controllers(),
         }
     }
@@ -505,6 +508,7 @@
                 self.stop_all(now, &id);
             }
         }
+        self.fleet.first_own = self.next_seq;
         self.book_loaded(now);
         self.load_waiting(now);
         self.dirty.changed.extend(self.jobs.keys().cloned());
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -8,6 +8,7 @@
 mod cloud;
 pub mod desk;
 pub mod given;
+pub mod handover;
 mod idle_room;
 pub mod links;
 mod rules;
@@ -28,7 +29,7 @@
 use hookworks::wire::state::{Item, Txn};
 use hookworks::wire::user::JobSpec;
 use hookworks::wire::worker::{Orders, ReportAnswer};
-use hookworks_life::HoldKind;
+use hookworks_job_lifecycle::HoldKind;
 pub use links::Chaos;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -91,6 +92,7 @@
     StepDown(usize),
     /// From now on these chances.
     Chances(Chaos),
+    HandOver(handover::Act),
 }
 
 struct Term {
@@ -176,6 +178,7 @@
     /// Gangs that began to run, all members at once.
     pub gangs_begun: usize,
     pub done_tasks: BTreeSet<TaskId>,
+    pub handover: handover::HandOver,
 }
 
 const S: u64 = 1_000_000;
@@ -241,6 +244,7 @@
             gangs: BTreeMap::new(),
             gangs_begun: 0,
             done_tasks: BTreeSet::new(),
+            handover: Default::default(),
         };
         for i in 0..controllers {
             let c = w.new_ctl(i, 1);
@@ -317,6 +321,9 @@
 
     /// A network delay; now and then a long one.
     fn delay(&mut self) -> f64 {
+        if let Some(slow) = self.slow_link() {
+            return slow;
+        }
         if self.rng.random_bool(self.chaos.late) {
             self.rng.random_range(1.0..40.0)
         } else {
@@ -566,6 +573,7 @@
             }
             Ev::StepDown(i) => self.ctls[i].term = None,
             Ev::Chances(c) => self.chaos = c,
+            Ev::HandOver(a) => self.act(a),
             Ev::LateElection(i, by_s) => self.store.of(i).delay_next((by_s * 1e6) as u64),
         }
     }
