Node: what a follower decides is a piece of its own, without I/O

Where a request goes at a controller that does not lead is decided by node::follow, which the tests' world can use as well; the loop carries it out. Nothing that is answered has changed.

--- a/src/node/asks.rs
+++ b/src/node/asks.rs
@@ -1,13 +1,13 @@
 //! Requests of users and workers: answered as the leader, or passed on to it.
 
+use super::follow::{self, KnownLeader, Route};
 use super::lists::Wanted;
 use super::{Node, Origin, Pending, Role, StoreJob};
 use crate::api::redirect;
-use crate::ids::{Epoch, JobId, Label, ReqId};
+use crate::ids::{Epoch, Label, ReqId};
 use crate::sched::Event;
 use crate::time::{Span, Time};
 use crate::wire::peer::{Answer, Ask, PeerMsg};
-use crate::wire::user::JobSpec;
 use hookworks_listing::{Query, since};
 
 /// A leader that is gone is no longer named by the state service after so long.
@@ -103,30 +103,31 @@
 
     /// A follower passes everything on to the leader.
     pub(super) fn pass_on(&mut self, now: Time, req: ReqId, ask: Ask) {
-        if let Ask::Submit(body) = &ask
-            && let Err(e) = JobSpec::parse(body)
-        {
-            // Malformed is malformed, whoever leads.
-            return self.answer(now, req, Answer::error(400, &e));
+        match follow::route(&ask, self.known_leader(&ask)) {
+            Route::PassOn(leader, epoch) => self.pass_on_to(req, ask, leader, epoch),
+            route => self.without_leader(now, req, ask, route),
         }
+    }
+
+    /// Who leads elsewhere, as far as is known here, and whether this may go there.
+    fn known_leader(&self, ask: &Ask) -> Option<KnownLeader> {
         let me = &self.settings.platform.label;
-        let leader = self.peers.best_leader().filter(|l| l.0 != *me);
-        let Some((leader, epoch)) = leader else {
-            return self.no_leader(now, req, ask);
-        };
+        let (label, epoch) = self.peers.best_leader().filter(|l| l.0 != *me)?;
+        Some(KnownLeader {
+            reachable: self.peers.reachable(&label),
+            understands: self.peers.speaks(&label, ask.needs()),
+            label,
+            epoch,
+        })
+    }
+
+    fn pass_on_to(&mut self, req: ReqId, ask: Ask, leader: Label, epoch: Epoch) {
         let msg = PeerMsg::Ask {
             id: req.0,
-            from: me.to_string(),
+            from: self.settings.platform.label.to_string(),
             to: leader.to_string(),
             ask: ask.clone(),
         };
-        if !self.peers.reachable(&leader) {
-            return self.no_leader(now, req, ask);
-        }
-        if !self.peers.speaks(&leader, ask.needs()) {
-            let text = "the leader runs an earlier version";
-            return self.answer(now, req, Answer::later(text, 5));
-        }
         self.tell(leader.clone(), msg);
         if let Some(p) = self.pending.get_mut(&req) {
             p.with = Some((leader, epoch));
@@ -198,29 +199,30 @@
         self.answer(now, req, answer);
     }
 
-    pub(super) fn no_leader(&mut self, now: Time, req: ReqId, ask: Ask) {
-        match ask {
-            Ask::Poll(id) if JobId::well_formed(&id) => {
-                // What is final may be told by anyone who has read it. While nobody
-                // led, questions took all requests there are, and the next leader
-                // was elected a second later for that.
+    /// Carries out what was decided about a request that goes to no leader.
+    fn without_leader(&mut self, now: Time, req: ReqId, ask: Ask, route: Route) {
+        match (route, ask) {
+            (Route::Answer(a), _) => self.answer(now, req, a),
+            (Route::ReadFinal(id), _) => {
+                // While nobody led, questions took all requests there are, and the
+                // next leader was elected a second later for that.
                 if !self.looks.has(now, 1.0) {
-                    return self.answer(now, req, Answer::later("no leader in reach", 1));
+                    return self.answer(now, req, follow::no_leader());
                 }
                 self.looks.take(now, 1.0);
-                let _ = self.store.send(StoreJob::Look(req, id.as_str().into()));
+                let _ = self.store.send(StoreJob::Look(req, id));
             }
-            Ask::Report(body) => {
+            (_, Ask::Report(body)) => {
                 // Known from the state service, but not to be reached from
                 // here: the worker may well have a way of its own.
                 let leader = self.seen.as_ref().map(|l| l.label.clone());
                 let leader = leader.filter(|l| *l != self.settings.platform.label);
                 match leader.and_then(|l| self.balance.sent(now, &body).then_some(l)) {
                     Some(l) => self.answer(now, req, redirect(Some(l))),
-                    None => self.answer(now, req, Answer::later("no leader in reach", 1)),
+                    None => self.answer(now, req, follow::no_leader()),
                 }
             }
-            _ => self.answer(now, req, Answer::later("no leader in reach", 1)),
+            _ => self.answer(now, req, follow::no_leader()),
         }
     }
 
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -3,6 +3,7 @@
 mod asks;
 mod balance;
 mod duties;
+pub mod follow;
 mod health;
 pub mod lists;
 pub mod load;
@@ -387,11 +388,7 @@
             }
             Msg::Listed(req, a) => self.answer(now, req, a),
             Msg::Look(req, id, r) => {
-                let a = match r {
-                    Ok(Some(f)) => crate::sched::answer_final(&id, f),
-                    _ => Answer::later("no leader in reach", 1),
-                };
-                self.answer(now, req, a);
+                self.answer(now, req, follow::answer_read(&id, r));
             }
         }
     }
