A leader tells nothing older than a final state that others may have read

A final state that was sent and carried out, but whose answer was late or lost, could be read and told by a follower without a leader in reach (and stood in lists of finished jobs) while the leader still told 'running' from memory. From the moment at which it is sent until it is known what became of it, polls and repeated submissions now wait for the outcome, as cancellations did; what was refused was not carried out, and polls go on from memory.

The tests' world: followers take part (they pass questions on to the leader they know of, or read final states, by the product's own decision), answers take time and may be held, questions record when they were sent, users look closely after each piece of news, and transactions may lose their answers alone. The checker holds an answer against all that was told before its question was sent.

--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -86,6 +86,9 @@
     pub cancel_ver: u64,
     /// Nothing is left to do; the final state is being stored.
     pub closing: Option<JobState>,
+    /// Transactions with the final state that were sent and of which it isn't known
+    /// whether they were carried out: others may have read it there already.
+    pub unresolved_final_writes: u32,
     done: Vec<u64>,
     pub done_count: u32,
     fresh: u32,
@@ -211,6 +214,7 @@
             cancelled: false,
             cancel_ver: 0,
             closing: None,
+            unresolved_final_writes: 0,
             done: vec![0; n.div_ceil(64) as usize],
             done_count: 0,
             fresh: 0,
--- a/src/sched/records.rs
+++ b/src/sched/records.rs
@@ -186,6 +186,20 @@
         })
     }
 
+    /// A transaction with the job's final state leaves.
+    pub fn final_write_sent(&mut self, id: &JobId) {
+        if let Some(j) = self.jobs.get_mut(id) {
+            j.unresolved_final_writes += 1;
+        }
+    }
+
+    /// One that was sent has not been carried out, and never will be.
+    pub fn final_write_failed(&mut self, id: &JobId) {
+        if let Some(j) = self.jobs.get_mut(id) {
+            j.unresolved_final_writes = j.unresolved_final_writes.saturating_sub(1);
+        }
+    }
+
     pub(super) fn stored(&mut self, now: Time, key: Key, ver: u64) {
         match key {
             Key::Part(id, part) => {
--- a/src/sched/users.rs
+++ b/src/sched/users.rs
@@ -189,7 +189,12 @@
     }
 
     fn tell_live(&mut self, req: ReqId, id: &JobId) {
-        if let Some(j) = self.jobs.get(id) {
+        if let Some(j) = self.jobs.get_mut(id) {
+            // Whoever reads the state service may have told the final state already:
+            // any other answer could be older. It is known in a moment.
+            if j.unresolved_final_writes > 0 {
+                return j.waiters.push((u64::MAX, req, Waiting::Known));
+            }
             // What is not stored is not told: it could go back.
             if j.cancelled && j.parts[0].stored < j.cancel_ver {
                 return self.answer(req, Answer::later("the job is being cancelled", 1));
--- a/src/store/commit.rs
+++ b/src/store/commit.rs
@@ -239,6 +239,9 @@
                 });
             }
             txn.changes.extend(changes);
+            if matches!(work.what, What::End) {
+                sched.final_write_sent(&job);
+            }
             self.busy.insert(job);
             works.push(work);
         }
@@ -316,6 +319,13 @@
         }
     }
 
+    /// A transaction with these has certainly not been carried out.
+    fn not_carried_out(sched: &mut Sched, works: &[Work]) {
+        for w in works.iter().filter(|w| matches!(w.what, What::End)) {
+            sched.final_write_failed(&w.job);
+        }
+    }
+
     fn queue_again(sched: &mut Sched, w: Work) {
         let part = match w.what {
             What::Part(p, _) => p,
@@ -365,6 +375,7 @@
                 steps.push(Step::Deposed);
             }
             Outcome::Conflict(failed) => {
+                Self::not_carried_out(sched, &works);
                 // Ours alone may write here, so these are earlier writes of our
                 // own whose answers were lost: read back, then go on from there.
                 let (hit, fine): (Vec<Work>, Vec<Work>) = works.into_iter().partition(|w| {
@@ -388,6 +399,7 @@
             }
             Outcome::NotDone | Outcome::NoLease => {
                 self.rest_until = now + Span::millis(250);
+                Self::not_carried_out(sched, &works);
                 // Whoever waits for these is told at once to come again.
                 events.extend(works.iter().map(|w| Event::NotStored(w.job.clone())));
                 self.requeue(sched, works);
--- /dev/null
+++ b/tests/answers.rs
@@ -0,0 +1,412 @@
+//! No controller ever answers something older than any user was told before the
+//! question was sent: users ask at all controllers while final states are written,
+//! answers get lost, followers are cut off and leaders change.
+
+mod world;
+
+use hookworks::ids::*;
+use hookworks::lead::{Candidate, Elect, Elector};
+use hookworks::store::Outcome;
+use hookworks::store::commit::{Committer, Step};
+use hookworks::time::{Span, Time};
+use hookworks::wire::peer::Ask;
+use hookworks::wire::user::{JobSpec, JobState};
+use hookworks::wire::worker::{Cause, TaskState};
+use rand::RngExt;
+use world::close_looks::CloseLooks;
+use world::desk::{Desk, ended, report, task};
+use world::links::Link;
+use world::store::Handle;
+use world::{Chaos, Ev, World, job, settings};
+
+const JOB: &str = "job-000001";
+const ZONES: [&str; 3] = ["a", "b", "c"];
+
+/// A controller in each zone, and users that look closely.
+fn fleet(seed: u64, cancels: f64) -> World {
+    let mut w = World::wide(seed, &ZONES, 2);
+    w.run_s = 4.0;
+    w.close_looks = Some(CloseLooks::new(seed, cancels));
+    w.run(2.0);
+    w
+}
+
+/// Controller `i` reaches the state service and its users, but no other controller.
+fn cut_from_peers(w: &mut World, i: usize, link: Link) {
+    let here = w.zone_of(i);
+    for other in ZONES.into_iter().filter(|z| *z != here.as_str()) {
+        w.set_link(here.as_str(), other, link);
+        w.set_link(other, here.as_str(), link);
+    }
+}
+
+fn submits(w: &mut World, j: &JobSpec) -> Ask {
+    w.specs.insert(j.id.clone(), j.clone());
+    Ask::Submit(serde_json::to_vec(j).unwrap())
+}
+
+/// Users repeat this at every controller, and ask, for so many seconds.
+fn ask_everywhere(w: &mut World, id: &str, from_s: f64, for_s: f64) {
+    let n = (for_s / 0.06) as usize;
+    for k in 0..n {
+        let ask = Ask::Poll(id.into());
+        w.at(from_s + 0.06 * k as f64, Ev::UserVia(k % 3, ask));
+    }
+}
+
+/// What becomes of a write that gets no answer.
+#[derive(Clone, Copy, Debug)]
+enum Fate {
+    CarriedOut,
+    /// After all that is written in its place, so it fails.
+    Late,
+}
+
+/// Two jobs run and end, two are cancelled; the leader may end after a while.
+/// Write `n` gets no answer, while a follower that is cut off from the others reads
+/// what was written.
+fn one_write_without_answer(n: u64, fate: Fate, leader_ends_s: Option<f64>) -> World {
+    let mut w = fleet(n, 0.0);
+    let leader = w.leader().expect("a leader");
+    cut_from_peers(&mut w, (leader + 1) % 3, Link::Cut);
+    let write = w.transactions + n;
+    match fate {
+        Fate::CarriedOut => w.lost_answers.one = Some(write),
+        Fate::Late => w.late_one = Some((write, 30.0)),
+    }
+    // One after the other, so that each has writes of its own.
+    for number in 1..=4 {
+        let mut j = job(number, 2);
+        // Where its machines reach the leader, and the next one.
+        let third = (leader + 2) % 3;
+        j.zone = Some(w.zone_of(third));
+        let (ask, at) = (submits(&mut w, &j), 1.1 * (number - 1) as f64);
+        for k in 0..35 {
+            w.at(at + 2.0 * k as f64, Ev::UserVia(leader, ask.clone()));
+            w.at(at + 2.0 * k as f64, Ev::UserVia(third, ask.clone()));
+        }
+        ask_everywhere(&mut w, j.id.as_str(), at, 45.0);
+        for k in (0..8).filter(|_| number % 2 == 0) {
+            let at = 5.0 + 0.7 * n as f64 + k as f64;
+            let cancel = Ask::Cancel(j.id.to_string());
+            w.at(at, Ev::UserVia(third, cancel));
+        }
+    }
+    let end = w.now + 40_000_000;
+    while w.transactions < write && w.step(end) {}
+    if let Some(s) = leader_ends_s {
+        w.at(s, Ev::Kill(leader));
+        w.at(s + 9.0, Ev::Restart(leader));
+    }
+    w.run(50.0);
+    // Whoever leads now may have had no way to any machine.
+    cut_from_peers(&mut w, (leader + 1) % 3, Link::Open);
+    w.run(60.0);
+    w
+}
+
+/// Each write in turn, with and without a change of leader soon after it.
+#[test]
+fn no_answer_is_older_while_a_write_has_no_answer() {
+    let (mut read, mut lost, mut cancelled) = (0, 0, 0);
+    let fates = [Fate::CarriedOut, Fate::Late];
+    let ends = [None, Some(0.3), Some(1.2)];
+    for n in 1..=12 {
+        for (fate, ends) in fates.iter().flat_map(|f| ends.map(|e| (*f, e))) {
+            let mut w = one_write_without_answer(n, fate, ends);
+            let b = w.broken.first();
+            assert!(
+                b.is_none(),
+                "write {n}, {fate:?}, leader ends {ends:?}: {b:?}"
+            );
+            for number in 1..=4 {
+                match w.state_of(&format!("job-{number:06}")) {
+                    Some(JobState::Cancelled) if number % 2 == 0 => cancelled += 1,
+                    end => assert_eq!(end, Some(JobState::Done), "{n} {fate:?} {ends:?} {number}"),
+                }
+            }
+            read += w.questions.read_by_followers;
+            lost += w.lost_answers.lost;
+        }
+    }
+    assert!(read > 1000, "followers hardly read any: {read}");
+    assert!(lost > 25, "hardly any answer was lost: {lost}");
+    assert!(cancelled > 20, "hardly any job was cancelled: {cancelled}");
+}
+
+/// A store with a leader, and what writes there for it.
+fn committer(s: &Handle) -> Committer {
+    let me = Candidate {
+        label: "a".into(),
+        instance: Instance(1),
+        home: None,
+    };
+    match Elector::new(s.clone(), me, Span::secs(2.0)).step(|| Time(0)) {
+        Elect::Won { stamp, .. } => Committer::new(stamp, &settings("x").platform.params.state),
+        e => panic!("{e:?}"),
+    }
+}
+
+/// The next transaction gets this outcome if one is given, and what the store says
+/// otherwise; it is carried out unless it is refused.
+fn write(s: &Handle, c: &mut Committer, d: &mut Desk, outcome: Option<Outcome>) -> bool {
+    d.now += 300_000;
+    let Some((id, txn)) = c.next(Time(d.now), &mut d.s) else {
+        return false;
+    };
+    let o = match outcome {
+        Some(Outcome::NotDone) => Outcome::NotDone,
+        Some(o) => {
+            s.apply(&txn);
+            o
+        }
+        None => s.apply(&txn),
+    };
+    let (mut events, steps) = c.finished(Time(d.now), id, o, &mut d.s);
+    for step in steps {
+        let Step::Read(key) = step else {
+            panic!("{step:?}")
+        };
+        let item = s.read(&key).map_err(|_| ());
+        events.extend(c.read_back(key, item, &mut d.s).0);
+    }
+    for e in events {
+        d.event(e);
+    }
+    true
+}
+
+/// A job whose only task is done, with nothing of that stored.
+fn about_to_be_done(s: &Handle, c: &mut Committer) -> Desk {
+    let mut d = Desk::new(5);
+    d.stores = false;
+    d.refuses = true;
+    d.beat(&report(1, 1, Token(0)));
+    d.submit(&job(1, 1));
+    while write(s, c, &mut d, None) {}
+    let attempt = d.attempt(JOB, 0).expect("placed");
+    let mut r = report(1, 2, Token(0));
+    r.tasks = vec![task(JOB, 0, attempt, TaskState::Running)];
+    d.beat(&r);
+    while write(s, c, &mut d, None) {}
+    let mut r = report(1, 3, Token(0));
+    r.tasks = vec![ended(JOB, 0, attempt, Cause::Done)];
+    d.beat(&r);
+    d
+}
+
+/// A final state was sent and carried out, and the answer was lost. Whoever read the
+/// state service told `done`; the leader still told `running`.
+#[test]
+fn leader_tells_nothing_older_while_its_final_write_is_unclear() {
+    let s = Handle::default();
+    let mut c = committer(&s);
+    let mut d = about_to_be_done(&s, &mut c);
+    let before = d.ask(Ask::Poll(JOB.into()));
+    assert_eq!(d.status(before), Some(200), "nothing of it was sent yet");
+    assert!(write(&s, &mut c, &mut d, Some(Outcome::Unclear)));
+    let asked = [
+        d.ask(Ask::Poll(JOB.into())),
+        d.submit(&job(1, 1)),
+        d.ask(Ask::Cancel(JOB.into())),
+    ];
+    for req in asked {
+        assert_eq!(d.status(req), None, "it may be older than what is stored");
+    }
+    while write(&s, &mut c, &mut d, None) {}
+    for req in asked {
+        let a = d.answer(req).expect("answered");
+        assert!(a.status == 200 && a.body.contains("\"done\""), "{a:?}");
+    }
+}
+
+/// While the state service refuses changes, polls are answered all the same: what was
+/// refused is stored nowhere. So they are before the write leaves.
+#[test]
+fn polls_are_answered_from_memory_while_final_writes_are_refused() {
+    let s = Handle::default();
+    let mut c = committer(&s);
+    let mut d = about_to_be_done(&s, &mut c);
+    for _ in 0..5 {
+        assert!(write(&s, &mut c, &mut d, Some(Outcome::NotDone)));
+        let poll = d.ask(Ask::Poll(JOB.into()));
+        assert_eq!(d.status(poll), Some(200));
+    }
+    // One without an answer among them may yet be carried out.
+    assert!(write(&s, &mut c, &mut d, Some(Outcome::Unclear)));
+    assert!(write(&s, &mut c, &mut d, Some(Outcome::NotDone)));
+    let poll = d.ask(Ask::Poll(JOB.into()));
+    assert_eq!(d.status(poll), None);
+    while write(&s, &mut c, &mut d, None) {}
+    assert_eq!(d.status(poll), Some(200));
+}
+
+/// Who asks while the final state is on its way waits for milliseconds, no more.
+#[test]
+fn polls_at_the_end_of_a_job_wait_no_longer_than_a_write_takes() {
+    let mut w = fleet(5, 0.0);
+    w.submit(job(1, 3));
+    ask_everywhere(&mut w, JOB, 1.0, 40.0);
+    w.run(45.0);
+    w.assert_rules();
+    let polls = w.answers.iter().filter(|a| matches!(a.0, Ask::Poll(_)));
+    let (fine, refused): (Vec<_>, Vec<_>) = polls.partition(|a| a.1.status == 200);
+    assert!(fine.len() > 600, "{}", fine.len());
+    assert!(refused.is_empty(), "{:?}", refused.first());
+    assert_eq!(w.state_of(JOB), Some(JobState::Done));
+}
+
+/// One job, and questions about it all along.
+fn one_job(seed: u64) -> World {
+    let mut w = fleet(seed, 0.0);
+    w.submit(job(1, 2));
+    ask_everywhere(&mut w, JOB, 1.0, 40.0);
+    w
+}
+
+/// When the leader hears that the last task is done.
+fn end_of_last_task(seed: u64) -> u64 {
+    let mut w = one_job(seed);
+    w.run(5.0);
+    let (i, end) = (w.leader().expect("a leader"), w.now + 60_000_000);
+    let lives = |w: &World| {
+        let j = w.sched(i).jobs.get(&JobId::from(JOB));
+        j.is_some_and(|j| j.closing.is_none())
+    };
+    assert!(lives(&w));
+    while lives(&w) && w.step(end) {}
+    w.now
+}
+
+/// A cancellation, questions and repeated submissions by way of all controllers, in
+/// the moments around the end of the last task, with no other trouble.
+#[test]
+fn answers_agree_on_what_comes_first_at_the_end_of_the_last_task() {
+    let (mut done, mut cancelled) = (0, 0);
+    for seed in 0..3 {
+        let end = end_of_last_task(seed);
+        for by_ms in -30..30 {
+            let mut w = one_job(seed);
+            let at = (end as i64 + by_ms * 1000 - w.now as i64) as f64 / 1e6;
+            let again = submits(&mut w, &job(1, 2));
+            for i in 0..3 {
+                let cancel = Ask::Cancel(JOB.into());
+                w.at(at + 0.003 * i as f64, Ev::UserVia(i, again.clone()));
+                w.at(at + 0.004 * i as f64, Ev::UserVia(i, cancel));
+            }
+            w.run(at + 6.0);
+            w.assert_rules();
+            match w.state_of(JOB) {
+                Some(JobState::Done) => done += 1,
+                Some(JobState::Cancelled) => cancelled += 1,
+                s => panic!("{seed} {by_ms}: {s:?}"),
+            }
+        }
+    }
+    assert!(
+        done > 10 && cancelled > 10,
+        "{done} done, {cancelled} cancelled"
+    );
+}
+
+/// What may happen to controllers while users look closely.
+fn trouble(w: &mut World, at: f64) {
+    let i = w.leader().unwrap_or(0);
+    let other = (i + w.rng.random_range(1..3)) % 3;
+    let long = w.rng.random_range(0.2..4.0);
+    let (begin, end) = match w.rng.random_range(0..7) {
+        0 => (Ev::Kill(i), Ev::Restart(i)),
+        1 => (Ev::Refuse(i, true), Ev::Refuse(i, false)),
+        2 => (Ev::StoreDown(true), Ev::StoreDown(false)),
+        3 => (Ev::Lonely(i, true), Ev::Lonely(i, false)),
+        4 => (Ev::Lonely(other, true), Ev::Lonely(other, false)),
+        5 => (Ev::Freeze(i, long), Ev::LostElection),
+        _ => (Ev::StepDown(i), Ev::LostElection),
+    };
+    w.at(at, begin);
+    w.at(at + long, end);
+}
+
+/// Jobs that are accepted, end and are cancelled all along, while answers of the state
+/// service are lost, writes are late, legs are held, and leaders change.
+fn history(seed: u64) -> World {
+    let mut w = fleet(seed, 0.25);
+    w.questions.held = [0.0, 0.02, 0.2][w.rng.random_range(0..3)];
+    w.chaos.lost_answer = [0.0, 0.1, 0.3][w.rng.random_range(0..3)];
+    w.chaos.late_txn = [0.0, 0.1, 0.3][w.rng.random_range(0..3)];
+    let cut = w.rng.random_range(0..3);
+    let link = [Link::Cut, Link::Held, Link::Open][w.rng.random_range(0..3)];
+    cut_from_peers(&mut w, cut, link);
+    for n in 0..10 {
+        let mut j = job(n, w.rng.random_range(1..4));
+        if link != Link::Open {
+            j.zone = Some(w.zone_of((cut + 1) % 3));
+        }
+        let ask = submits(&mut w, &j);
+        let at = w.rng.random_range(0.0..20.0);
+        for k in 0..20 {
+            let via = w.rng.random_range(0..3);
+            w.at(at + 1.7 * k as f64, Ev::UserVia(via, ask.clone()));
+        }
+        ask_everywhere(&mut w, j.id.as_str(), at, 40.0);
+    }
+    for _ in 0..4 {
+        let at = w.rng.random_range(0.0..35.0);
+        trouble(&mut w, at);
+    }
+    w.run(42.0);
+    w.chaos = Chaos::default();
+    w.questions.held = 0.0;
+    cut_from_peers(&mut w, cut, Link::Open);
+    w.run(60.0);
+    w
+}
+
+#[test]
+fn no_controller_answers_older_than_any_user_was_told() {
+    let more = std::env::var("ANSWERS").ok().and_then(|n| n.parse().ok());
+    let (mut read, mut passed, mut lost, mut cancelled) = (0, 0, 0, 0);
+    let mut faults = vec![];
+    for seed in 0..more.unwrap_or(40) {
+        let w = history(seed);
+        if let Some(b) = w.broken.first() {
+            faults.push(format!("seed {seed}: {b}"));
+        }
+        read += w.questions.read_by_followers;
+        passed += w.questions.passed_back;
+        lost += w.lost_answers.lost;
+        cancelled += w.cancellations();
+    }
+    assert!(faults.is_empty(), "{}", faults.join("\n"));
+    let counts = format!("{read} read, {passed} passed on, {lost} lost, {cancelled} cancelled");
+    assert!(
+        read > 200 && passed > 2000 && lost > 50 && cancelled > 40,
+        "{counts}"
+    );
+}
+
+/// A follower without a leader in reach says nothing of a job that is live, and one
+/// whose leader has ended passes questions on to nobody in vain for long.
+#[test]
+fn follower_without_a_leader_tells_final_states_only() {
+    let mut w = fleet(3, 0.0);
+    w.close_looks = None;
+    w.submit(job(1, 1));
+    w.run(30.0);
+    w.run_s = 500.0;
+    w.submit(job(2, 1));
+    w.run(30.0);
+    let i = (w.leader().unwrap() + 1) % 3;
+    cut_from_peers(&mut w, i, Link::Cut);
+    for id in [JOB, "job-000002", "job-000009"] {
+        w.at(0.1, Ev::UserVia(i, Ask::Poll(id.into())));
+    }
+    let before = w.answers.len();
+    w.run(1.0);
+    w.assert_rules();
+    let told: Vec<_> = w.answers[before..].iter().map(|a| a.1.status).collect();
+    assert_eq!(told.len(), 3);
+    assert_eq!(w.answers_to(JOB).last(), Some(&200));
+    assert_eq!(w.answers_to("job-000002").last(), Some(&503));
+    assert_eq!(w.answers_to("job-000009").last(), Some(&503));
+}
--- a/tests/checker.rs
+++ b/tests/checker.rs
@@ -167,3 +167,36 @@
     told(&mut w, Ask::Poll(JOB.into()), 200, "cancelled");
     assert!(noticed(&w, "went_back"), "{:?}", w.broken);
 }
+
+/// What was told before the question was sent counts, by whomever; of two questions
+/// that overlap either may be answered first.
+#[test]
+fn an_answer_older_than_one_told_before_the_question_was_sent() {
+    let view = |state: &str| format!(r#"{{"Id":"{JOB}","Status":"{state}","done":0,"running":0}}"#);
+    let poll = || Ask::Poll(JOB.into());
+    for (sent_later, went_back) in [(true, true), (false, false)] {
+        let mut w = running(|_| {});
+        let before = w.now;
+        w.run(1.0);
+        told(&mut w, Ask::Cancel(JOB.into()), 200, "cancelled");
+        w.run(1.0);
+        let sent = if sent_later { w.now } else { before };
+        w.told_by_mistake_since(poll(), Answer::new(200, view("running")), sent);
+        assert_eq!(noticed(&w, "went_back"), went_back, "{:?}", w.broken);
+        // Two final states are never both right.
+        w.told_by_mistake_since(poll(), Answer::new(200, view("done")), before);
+        assert!(noticed(&w, "went_back"), "{:?}", w.broken);
+    }
+    for status in [400, 404, 422] {
+        for (sent_later, forgotten) in [(true, true), (false, false)] {
+            let mut w = running(|_| {});
+            let sent = if sent_later { w.now } else { 1 };
+            let again = Ask::Submit(serde_json::to_vec(&w.specs[&JobId::from(JOB)]).unwrap());
+            for ask in [poll(), again] {
+                let a = Answer::new(status, "{}".into());
+                w.told_by_mistake_since(ask, a, sent);
+                assert_eq!(noticed(&w, "forgotten"), forgotten, "{:?}", w.broken);
+            }
+        }
+    }
+}
--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -23,6 +23,7 @@
         refuse_txn: 0.02,
         copy: 0.05,
         late_txn: 0.01,
+        ..Chaos::default()
     };
     w.run(2.0);
     let (mut ids, mut services): (Vec<hookworks::ids::JobId>, _) = (vec![], vec![]);
--- /dev/null
+++ b/tests/world/followers.rs
@@ -0,0 +1,190 @@
+//! Questions at any controller: a follower passes them on to the leader that it
+//! knows of, or reads the final state itself. What it decides is the product's own
+//! decision. Every leg of the way takes time, and may be held.
+
+use super::{Ev, S, World};
+use hookworks::ids::*;
+use hookworks::node::follow::{KnownLeader, Route, answer_read, no_leader, route};
+use hookworks::sched::Event;
+use hookworks::sched::job::Final;
+use hookworks::store::final_key;
+use hookworks::wire::peer::{Answer, Ask};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::BTreeMap;
+
+/// What happens to a question at a controller, or on its way from there.
+pub enum Leg {
+    /// It arrives, from a user.
+    Arrives,
+    /// It arrives, passed on by that follower.
+    PassedOn(usize),
+    /// The follower reads the final state.
+    Read(JobId),
+    ReadBack(JobId, Result<Option<Final>, ()>),
+    /// The answer is back from the controller that was asked.
+    Returned(usize, Answer),
+    /// The answer reaches the user.
+    Told(Answer),
+}
+
+/// Questions whose way takes time.
+pub struct Questions {
+    /// When each was sent.
+    sent: BTreeMap<ReqId, u64>,
+    /// What a follower has passed on: the request there, and the follower.
+    passed_on: BTreeMap<ReqId, (ReqId, usize)>,
+    /// Draws of its own, so that stories without followers go on as they were.
+    rng: StdRng,
+    /// Chance that a leg is held for up to a second and a half.
+    pub held: f64,
+    /// Final states that followers have told by themselves.
+    pub read_by_followers: u64,
+    /// Answers that reached users by way of a follower and the leader.
+    pub passed_back: u64,
+}
+
+impl Questions {
+    pub(super) fn new(seed: u64) -> Questions {
+        Questions {
+            sent: BTreeMap::new(),
+            passed_on: BTreeMap::new(),
+            rng: StdRng::seed_from_u64(seed),
+            held: 0.0,
+            read_by_followers: 0,
+            passed_back: 0,
+        }
+    }
+
+    /// Seconds that the next leg takes.
+    fn leg(&mut self) -> f64 {
+        match self.held > 0.0 && self.rng.random_bool(self.held) {
+            true => self.rng.random_range(0.01..1.5),
+            false => self.rng.random_range(0.0002..0.003),
+        }
+    }
+}
+
+/// For how long a user waits for an answer.
+fn patience(ask: &Ask) -> u64 {
+    match ask {
+        Ask::Poll(_) => 2 * S,
+        _ => 5 * S,
+    }
+}
+
+impl World {
+    /// To a given controller, leader or not.
+    pub fn ask_via(&mut self, i: usize, ask: Ask) {
+        if self.ctls[i].term.is_some() && self.questions.held == 0.0 {
+            return self.ask(i, ask);
+        }
+        let q = self.note_asked(&ask);
+        self.questions.sent.insert(q, self.now);
+        self.question(i, q, Leg::Arrives);
+    }
+
+    fn go(&mut self, i: usize, q: ReqId, leg: Leg) {
+        let d = self.questions.leg();
+        self.at(d, Ev::Question(i, q, leg));
+    }
+
+    pub(super) fn question(&mut self, i: usize, q: ReqId, leg: Leg) {
+        // A process that has ended answers nothing; what has left it goes on.
+        if !self.ctls[i].up && !matches!(leg, Leg::Told(_)) {
+            return;
+        }
+        let Some(ask) = self.asks.get(&q).cloned() else {
+            return;
+        };
+        match leg {
+            Leg::Arrives if self.ctls[i].term.is_some() => self.event(i, Event::Ask(q, ask)),
+            Leg::Arrives => self.follow(i, q, &ask),
+            Leg::PassedOn(from) if self.ctls[i].term.is_some() => {
+                let there = ReqId(self.next_req);
+                self.next_req += 1;
+                self.questions.passed_on.insert(there, (q, from));
+                self.event(i, Event::Ask(there, ask));
+            }
+            Leg::PassedOn(from) => {
+                let a = Answer::later("not the leader", 1);
+                self.go(from, q, Leg::Returned(i, a));
+            }
+            Leg::Read(id) => {
+                let read = self.store.of(i).read(&final_key(&id)).map_err(|_| ());
+                let f = read.map(|o| o.map(|x| serde_json::from_value(x.value).unwrap()));
+                self.go(i, q, Leg::ReadBack(id, f));
+            }
+            Leg::ReadBack(id, f) => {
+                self.questions.read_by_followers += u64::from(matches!(f, Ok(Some(_))));
+                self.go(i, q, Leg::Told(answer_read(&id, f)));
+            }
+            Leg::Returned(_, a) => {
+                self.questions.passed_back += u64::from(a.status < 300);
+                self.go(i, q, Leg::Told(a));
+            }
+            Leg::Told(a) => self.hears(q, &ask, a),
+        }
+    }
+
+    /// What a controller that does not lead makes of it.
+    fn follow(&mut self, i: usize, q: ReqId, ask: &Ask) {
+        match route(ask, self.known_leader(i)) {
+            Route::PassOn(leader, _) => self.go(index(&leader), q, Leg::PassedOn(i)),
+            Route::ReadFinal(id) => self.go(i, q, Leg::Read(id)),
+            Route::Answer(a) => self.go(i, q, Leg::Told(a)),
+            Route::NoLeaderForReport => self.go(i, q, Leg::Told(no_leader())),
+        }
+    }
+
+    /// The user has it, if it is not too late.
+    fn hears(&mut self, q: ReqId, ask: &Ask, a: Answer) {
+        self.asks.remove(&q);
+        let sent = self.questions.sent.remove(&q).unwrap_or(self.now);
+        if self.now - sent < patience(ask) {
+            self.note_hold(q, ask, &a);
+            self.heard_since(ask.clone(), a, sent);
+        }
+    }
+
+    /// A leader's answer to a question whose way takes time; false if it is none.
+    pub(super) fn answers_question(&mut self, i: usize, req: ReqId, a: &Answer) -> bool {
+        if let Some((q, follower)) = self.questions.passed_on.remove(&req) {
+            self.go(follower, q, Leg::Returned(i, a.clone()));
+            return true;
+        }
+        let routed = self.questions.sent.contains_key(&req);
+        if routed {
+            self.go(i, req, Leg::Told(a.clone()));
+        }
+        routed
+    }
+
+    /// The latest leader that it or any other controller in touch speaks of, which
+    /// may be one that leads no more.
+    fn known_leader(&self, i: usize) -> Option<KnownLeader> {
+        let in_touch = (0..self.ctls.len()).filter(|j| *j == i || self.in_touch(i, *j));
+        let named = in_touch.filter_map(|j| self.ctls[j].sees);
+        let (leader, epoch) = named.max_by_key(|l| l.1).filter(|l| l.0 != i)?;
+        Some(KnownLeader {
+            label: label(leader),
+            epoch,
+            reachable: self.in_touch(i, leader),
+            understands: true,
+        })
+    }
+
+    /// Who leads as of now, as this controller has seen it.
+    pub(super) fn sees(&mut self, i: usize, leader: Option<(Label, Epoch)>) {
+        let leader = leader.map(|(l, epoch)| (index(&l), epoch));
+        self.ctls[i].sees = leader;
+    }
+}
+
+pub(super) fn label(i: usize) -> Label {
+    Label::from(format!("c{i}").as_str())
+}
+
+fn index(label: &Label) -> usize {
+    label.as_str().trim_start_matches('c').parse().unwrap()
+}
--- a/tests/world/links.rs
+++ b/tests/world/links.rs
@@ -2,6 +2,7 @@
 //! users, cloud and state service in the region. A link may be cut, reset what
 //! passes, or hold it back until it is open again; each direction by itself.
 
+use super::followers::Leg;
 use super::worker::Worker;
 use super::{Ev, World};
 use hookworks::ids::*;
@@ -20,6 +21,8 @@
     pub copy: f64,
     /// A transaction gets no answer and is carried out 2 to 12 s later.
     pub late_txn: f64,
+    /// A transaction is carried out at once and its answer alone is lost.
+    pub lost_answer: f64,
 }
 
 /// What becomes of messages from one zone to another.
@@ -116,6 +119,15 @@
         }
     }
 
+    /// Two controllers can talk, directly or by way of the third.
+    pub(super) fn in_touch(&self, i: usize, j: usize) -> bool {
+        let (here, there) = (self.zone_of(i), self.zone_of(j));
+        let both = self.ctls[i].up && self.ctls[j].up;
+        let lonely = self.ctls[i].lonely || self.ctls[j].lonely;
+        let open = |a: &Zone, b: &Zone| a == b || self.way(a, b) == Link::Open;
+        both && !lonely && open(&here, &there) && open(&there, &here)
+    }
+
     /// Controllers that this one can't talk to.
     pub(super) fn out_of_reach(&self, i: usize) -> Vec<Label> {
         let me = self.zone_of(i);
@@ -151,6 +163,16 @@
                 (region, self.zone_of(*i), false)
             }
             Ev::UserVia(i, _) => (region, self.zone_of(*i), false),
+            Ev::Question(i, _, leg) => {
+                let here = self.zone_of(*i);
+                match leg {
+                    Leg::Arrives | Leg::ReadBack(..) => (region, here, false),
+                    Leg::PassedOn(from) | Leg::Returned(from, _) => {
+                        (self.zone_of(*from), here, true)
+                    }
+                    Leg::Read(_) | Leg::Told(_) => (here, region, false),
+                }
+            }
             _ => return None,
         })
     }
@@ -212,6 +234,10 @@
             Ev::Hire(i, ..) | Ev::Release(i, ..) | Ev::Elect(i) | Ev::List(i) => i,
             Ev::TxnDone(i, _, _, o) if *o != Outcome::Unclear => i,
             Ev::ReadDone(i, ..) | Ev::CloudDone(i, ..) => i,
+            Ev::Question(i, _, Leg::Read(_) | Leg::ReadBack(..)) => i,
+            Ev::Question(i, _, Leg::PassedOn(from) | Leg::Returned(from, _)) => {
+                return self.ctls[*i].lonely || self.ctls[*from].lonely;
+            }
             _ => return false,
         };
         self.ctls[*i].lonely
@@ -224,6 +250,9 @@
             Ev::ToCtl(i, ..) | Ev::Direct(i, ..) | Ev::TxnDone(i, ..) | Ev::Copy(i, ..) => *i,
             Ev::ReadDone(i, ..) | Ev::Final(i, ..) | Ev::Record(i, ..) => *i,
             Ev::CloudDone(i, ..) | Ev::UserVia(i, ..) => *i,
+            // What is on its way to the user goes on.
+            Ev::Question(_, _, Leg::Told(_)) => return Some(e),
+            Ev::Question(i, ..) => *i,
             _ => return Some(e),
         };
         let until = self.ctls[i].frozen_until;
