--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -10,6 +10,7 @@
 use hookworks::wire::peer::Ask;
 use hookworks::wire::user::Kind;
 use rand::RngExt;
+use world::close_looks::CloseLooks;
 use world::{Chaos, Ev, World, job};
 
 /// Seconds: at once, a renewal, the proof, the key's lease, an election after it, an
@@ -39,9 +40,13 @@
     Copies,
     /// The leader stands still, its clocks running on.
     Freeze,
+    /// Transactions are carried out at once and their answers lost, and an election's.
+    LostAnswers,
+    /// Users ask at all controllers after each piece of news, and some cancel.
+    CloseLooks,
 }
 
-const TROUBLES: [Trouble; 10] = [
+const TROUBLES: [Trouble; 12] = [
     Trouble::HandOver,
     Trouble::Machine,
     Trouble::Loss,
@@ -52,6 +57,8 @@
     Trouble::Outage,
     Trouble::Copies,
     Trouble::Freeze,
+    Trouble::LostAnswers,
+    Trouble::CloseLooks,
 ];
 
 /// A moment near one of the edges.
@@ -138,6 +145,18 @@
             );
         }
         Trouble::Freeze => w.at(at, Ev::Freeze(leader, long)),
+        Trouble::LostAnswers => {
+            let lost_answer = 0.4;
+            chances(
+                w,
+                Chaos {
+                    lost_answer,
+                    ..Chaos::default()
+                },
+            );
+            w.at(at, Ev::LostElection);
+        }
+        Trouble::CloseLooks => w.close_looks = Some(CloseLooks::new(n, 0.1)),
     }
 }
 
@@ -233,7 +252,7 @@
     w
 }
 
-/// The pair that belongs to a seed: each of the hundred in turn.
+/// The pair that belongs to a seed: each in turn.
 fn pair(seed: u64) -> (Trouble, Trouble) {
     let n = TROUBLES.len() as u64;
     (
@@ -252,7 +271,8 @@
     let from = from.unwrap_or(0);
     let (mut ran, mut gangs, mut cancelled) = (0, 0, 0);
     let mut faults = vec![];
-    for seed in from..from + more.unwrap_or(100) {
+    let pairs = (TROUBLES.len() * TROUBLES.len()) as u64;
+    for seed in from..from + more.unwrap_or(pairs) {
         let pair = pair(seed);
         let w = meeting(seed, pair, |_| {});
         let i = w.leader().expect("a leader after the troubles");
