--- a/tests/world/acts.rs
+++ b/tests/world/acts.rs
@@ -50,6 +50,7 @@
                 {
                     if let Ok(a) = serde_json::from_str::<ReportAnswer>(&a.body) {
                         self.check_held(&a.orders);
+                        self.commands_leave(&host, &a.orders);
                     }
                     self.at(d, Ev::ToWorker(host, sent, a, i));
                 }
@@ -60,6 +61,7 @@
                 call, host, orders, ..
             } => {
                 self.check_held(&orders.orders);
+                self.commands_leave(&host, &orders.orders);
                 if let Some(after) = self.gives_up(d, 2.5) {
                     let e = Ev::Direct(i, epoch, call, host.clone(), DirectResult::Unclear);
                     self.at(after, e);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -14,6 +14,7 @@
 mod rules;
 mod steps;
 pub mod store;
+pub mod submissions;
 mod users;
 pub mod worker;
 
@@ -92,6 +93,10 @@
     StepDown(usize),
     /// From now on these chances.
     Chances(Chaos),
+    /// So many jobs that run are called off within 0.2 s.
+    CancelNow(usize),
+    /// Users send what is odd, until then.
+    OddRequests(u64),
     HandOver(handover::Act),
 }
 
@@ -178,6 +183,7 @@
     /// Gangs that began to run, all members at once.
     pub gangs_begun: usize,
     pub done_tasks: BTreeSet<TaskId>,
+    pub submissions: submissions::Submissions,
     pub handover: handover::HandOver,
 }
 
@@ -244,6 +250,7 @@
             gangs: BTreeMap::new(),
             gangs_begun: 0,
             done_tasks: BTreeSet::new(),
+            submissions: submissions::Submissions::default(),
             handover: Default::default(),
         };
         for i in 0..controllers {
@@ -573,6 +580,8 @@
             }
             Ev::StepDown(i) => self.ctls[i].term = None,
             Ev::Chances(c) => self.chaos = c,
+            Ev::CancelNow(count) => self.cancel_now(count),
+            Ev::OddRequests(until) => self.odd_requests(until),
             Ev::HandOver(a) => self.act(a),
             Ev::LateElection(i, by_s) => self.store.of(i).delay_next((by_s * 1e6) as u64),
         }
--- a/tests/world/steps.rs
+++ b/tests/world/steps.rs
@@ -91,7 +91,11 @@
         w.up = true;
         self.handover.first_report(&h, now);
         // What it is about to tell has happened.
-        self.done_tasks.extend(w.take_done());
+        let ended = w.take_done();
+        self.tasks_end(&h, ended);
+        let Some(w) = self.workers.get_mut(&h) else {
+            return;
+        };
         if now < w.next_beat {
             return;
         }
