--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -1,6 +1,7 @@
 //! The scheduler itself: no I/O, no clock, no threads. Whatever happens comes
 //! in as an event with its time; what is to be done goes out as effects.
 
+mod admission;
 mod after;
 mod audit;
 mod beats;
--- a/src/sched/users.rs
+++ b/src/sched/users.rs
@@ -1,12 +1,11 @@
 //! What users ask: submissions, polls and cancellations.
 
+use super::Sched;
 use super::after::Came;
-use super::job::{Final, Job, LATER, Waiting, part_size};
+use super::job::{Final, Job, Waiting};
 use super::records::Purpose;
-use super::{Room, Sched};
-use crate::ids::{JobId, ReqId, Zone};
+use crate::ids::{JobId, ReqId};
 use crate::time::{Span, Time};
-use crate::wire::cloud::Flavor;
 use crate::wire::peer::{Answer, Ask};
 use crate::wire::user::{JobSpec, JobState, JobView, Kind};
 use hookworks_fairness::JobEvent as What;
@@ -58,60 +57,6 @@
         self.answer(req, Answer::later(text, 1));
     }
 
-    /// Why a job can never run, if so; `Err` when that can't be told yet.
-    fn never_runs(&self, s: &JobSpec) -> Result<Option<String>, String> {
-        let Some(limit) = self.teams.limit(&s.team) else {
-            return Ok(Some(format!("Crew: no team {}", s.team)));
-        };
-        let need = Room::of_task(s);
-        let at_once = match s.kind {
-            Kind::Array => 1,
-            Kind::Gang | Kind::Service => s.tasks as i64,
-        };
-        if let Some(part) = limit.lacks(&need.scaled(at_once)) {
-            return Ok(Some(format!("{part}: more than the team's limit")));
-        }
-        if self.flavors.is_empty() {
-            return Err("machine types are not known yet".into());
-        }
-        let allowed = |f: &&Flavor| s.builds.as_ref().is_none_or(|b| b.contains(&f.build));
-        let types: Vec<&Flavor> = self.flavors.values().filter(allowed).collect();
-        if types.is_empty() {
-            return Ok(Some("Builds: no such machine type".into()));
-        }
-        let lacks: Vec<_> = types
-            .iter()
-            .map(|f| Room::of_flavor(f).lacks(&need))
-            .collect();
-        if lacks.iter().all(Option::is_some) {
-            let part = lacks.into_iter().flatten().next().unwrap_or("Vcpus");
-            return Ok(Some(format!("{part}: more than any allowed machine has")));
-        }
-        let fitting = types.iter().filter(|f| Room::of_flavor(f).fits(&need));
-        let mut zones: Vec<Option<&Zone>> = vec![];
-        for f in fitting {
-            match f.zones.is_empty() {
-                // Not told: it could be any.
-                true => zones.extend([None, None]),
-                false => zones.extend(f.zones.iter().map(Some)),
-            }
-        }
-        let wanted = |z: &&Option<&Zone>| match (z, &s.zone) {
-            (Some(z), Some(only)) => *z == only,
-            _ => true,
-        };
-        let zones: Vec<_> = zones.iter().filter(wanted).collect();
-        if zones.is_empty() {
-            return Ok(Some("Yard: no machine there has room for a task".into()));
-        }
-        let distinct = zones.len() > 1 && zones.iter().any(|z| *z != zones[0] || z.is_none());
-        let one = s.one_zone || s.zone.is_some() || !distinct;
-        if s.spread && one && at_once > 1 {
-            return Ok(Some("Scatter: all tasks would be in one zone".into()));
-        }
-        Ok(None)
-    }
-
     fn submit(&mut self, now: Time, req: ReqId, spec: JobSpec, _body: Vec<u8>) {
         let id = spec.id.clone();
         if let Some(f) = self.finals.get(&id) {
@@ -184,36 +129,6 @@
         self.replan = true;
     }
 
-    fn new_job(&self, now: Time, spec: JobSpec) -> Job {
-        let size = part_size(self.cfg.value_kb);
-        Job::new(spec, self.next_seq, now, self.wall, size)
-    }
-
-    /// The state service would not take the job's first record.
-    fn too_large(&self, job: &Job) -> bool {
-        let size = part_size(self.cfg.value_kb);
-        let room = (self.cfg.value_kb * 1024.0) as usize;
-        let first = job.encode(0).to_string().len() + LATER;
-        first + size.min(job.spec.tasks) as usize * 42 > room
-    }
-
-    /// What a submission gets that would be refused, now that nothing is known of
-    /// a job of that name.
-    fn refusal(&self, now: Time, body: &[u8]) -> Answer {
-        let spec = match JobSpec::parse(body) {
-            Ok(spec) => spec,
-            Err(e) => return Answer::error(400, &e),
-        };
-        match self.never_runs(&spec) {
-            Ok(Some(text)) => Answer::error(422, &text),
-            Ok(None) if self.too_large(&self.new_job(now, spec)) => {
-                let text = "Builds: the job's description is too large to be stored";
-                Answer::error(400, text)
-            }
-            _ => Answer::later("the machine types have changed", 1),
-        }
-    }
-
     fn tell_live(&mut self, req: ReqId, id: &JobId) {
         if let Some(j) = self.jobs.get(id) {
             // What is not stored is not told: it could go back.
