--- a/src/sched/report.rs
+++ b/src/sched/report.rs
@@ -2,6 +2,7 @@
 //! gone. How reports are answered is in `beats`.
 
 use super::after::Came;
+use super::hearing::SessionSeen;
 use super::job::{Phase, Stop};
 use super::machine::{Life, Machine};
 use super::{Sched, estimate};
@@ -51,7 +52,10 @@
         m.in_term |= sent_in_term;
         m.certain |= sent_in_term;
         (m.session, m.seq) = (r.session, r.seq);
-        m.heard = now;
+        m.reached = now;
+        if beat || m.reported_at.is_none() {
+            m.heard = now;
+        }
         m.reported_at = Some(now);
         m.build = r.build.clone();
         m.zone = r.zone.clone();
@@ -102,7 +106,12 @@
             m.strays = strays;
         }
         if beat {
-            self.note_hearing(now, r, &shown, new_session);
+            let session = match (new_session, known) {
+                (false, _) => SessionSeen::Same,
+                (true, true) => SessionSeen::Later,
+                (true, false) => SessionSeen::Unproven,
+            };
+            self.note_hearing(now, r, &shown, session);
         }
         self.take_missing(now, &r.host, &shown, beat);
         true
@@ -407,7 +416,10 @@
     /// end is told without any limit.
     pub(super) fn orders_for(&mut self, now: Time, host: &Host, by: By) -> Vec<Order> {
         // Without proof of the leadership nothing new is started.
-        let up = self.machines.get(host).is_some_and(|m| m.life == Life::Up);
+        // A call starts nothing where no reports come from: its lease runs out.
+        let fresh = self.heard_within();
+        let takes = |m: &Machine| m.life == Life::Up && (by != By::Call || now - m.heard < fresh);
+        let up = self.machines.get(host).is_some_and(takes);
         let may_run = up && self.may_start(now);
         let Some(m) = self.machines.get(host) else {
             return vec![];
@@ -477,7 +489,9 @@
         }
     }
 
-    /// The attempt is to end, saving for so long.
+    /// The attempt is to end, saving for so long. The command leaves once the event
+    /// has been taken in whole: in the middle of it, it would carry `run` for attempts
+    /// that are about to be stopped or taken for gone.
     pub(super) fn stop(&mut self, now: Time, id: &JobId, ix: TaskIx, leeway_s: f64) {
         let t = TaskId {
             job: id.clone(),
@@ -488,7 +502,10 @@
             return self.gone(now, &t);
         }
         l.stop = Some(Stop { leeway_s });
-        let host = l.host.clone();
-        self.push(now, &host);
+        let (host, unseen) = (l.host.clone(), l.phase == Phase::Placed);
+        if unseen {
+            self.outdate_call(&host);
+        }
+        self.ready.insert(host);
     }
 }
--- a/tests/submissions.rs
+++ b/tests/submissions.rs
@@ -453,7 +453,7 @@
         }
         w.at(0.85, Ev::CancelNow(2));
         for k in 0..5 {
-            w.at(0.6 + 0.5 * k as f64, Ev::CancelNow(2));
+            w.at(0.6 + 0.5 * k as f64, Ev::CancelNow(2, None));
         }
         w.run(200.0);
         ends_well(&mut w, &format!("seed {seed}, back after {back_s} s"));
