--- a/tests/submissions.rs
+++ b/tests/submissions.rs
@@ -451,7 +451,7 @@
         if seed % 3 > 0 {
             w.conditions(0.5, 4.0, |c| c.writes = Some((0.05, 0.8)));
         }
-        w.at(0.85, Ev::CancelNow(2));
+        w.at(0.85, Ev::CancelNow(2, None));
         for k in 0..5 {
             w.at(0.6 + 0.5 * k as f64, Ev::CancelNow(2, None));
         }
