Scheduler: a task is stopped only where that makes room for whom it is stopped

Victims were the cheapest of the fleet, whatever their machine. Now a task is stopped only along with others of its machine whose end lets a task of the claimant begin there.

A machine is kept for a gang for 80 s rather than 60 before overdue jobs take it: those that the gang counts on may take as long to empty.

--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -6,10 +6,10 @@
 use super::order::{Order, Rank};
 use super::place::{allowed, task_id};
 use super::{Room, Sched, estimate};
-use crate::ids::{JobId, TaskIx, Zone};
+use crate::ids::{Host, JobId, TaskIx, Zone};
 use crate::time::{Span, Time};
 use crate::wire::user::{Kind, Priority};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Tasks stopped in one go; the next pass sees what came of it.
 const MAX_STOPS: usize = 12;
@@ -52,6 +52,19 @@
     closed: BTreeSet<&'a Zone>,
 }
 
+impl Victim<'_> {
+    /// Little is lost with it.
+    fn little(&self) -> bool {
+        self.cheap || self.lost < BORROWED_S
+    }
+}
+
+impl Claim<'_> {
+    fn urgent(&self) -> bool {
+        self.job.spec.priority <= Priority::High
+    }
+}
+
 impl Sched {
     /// Stops tasks for those that found no room and have a right to it.
     pub(super) fn preempt(&mut self, now: Time, order: &Order) {
@@ -77,8 +90,11 @@
         }
         // The cheapest first: what would lose least.
         all.sort_by(|a, b| a.cost.total_cmp(&b.cost));
-        let little = |v: &Victim| v.cheap || v.lost < BORROWED_S;
-        let little: Vec<usize> = (0..all.len()).filter(|i| little(&all[*i])).collect();
+        let little: Vec<usize> = (0..all.len()).filter(|i| all[*i].little()).collect();
+        let mut here: BTreeMap<&Host, Vec<usize>> = BTreeMap::new();
+        for (i, v) in all.iter().enumerate() {
+            here.entry(&v.machine.host).or_default().push(i);
+        }
         let any: Vec<usize> = (0..all.len()).collect();
         let mut stops = vec![];
         let mut looked = 0u32;
@@ -88,8 +104,7 @@
             let asked = c.job.need.scaled(c.tasks);
             let mut need = (part(&asked) - part(&stopping)).max(0);
             stopping = stopping.minus(&asked).at_least_zero();
-            let urgent = c.job.spec.priority <= Priority::High;
-            for i in if urgent { &any } else { &little } {
+            for i in if c.urgent() { &any } else { &little } {
                 if need <= 0 || stops.len() >= MAX_STOPS {
                     break;
                 }
@@ -97,15 +112,20 @@
                 if looked > MOST_LOOKED {
                     return stops;
                 }
-                let v = &mut all[*i];
+                let v = &all[*i];
                 if v.taken || !self.gives_way(v, &c, order) {
                     continue;
                 }
-                tracing::info!(job = %v.job.id(), task = %v.task, host = %v.machine.host,
-                    for_job = %c.job.id(), class = %c.job.spec.class, "preempted");
-                v.taken = true;
-                need -= part(&v.job.need);
-                stops.push((v.job.id().clone(), v.task));
+                let beside = here.get(&v.machine.host).map_or(&[][..], |h| h);
+                looked += beside.len() as u32;
+                for k in self.makes_room(&c, &all, *i, beside, order) {
+                    let v = &mut all[k];
+                    tracing::info!(job = %v.job.id(), task = %v.task, host = %v.machine.host,
+                        for_job = %c.job.id(), class = %c.job.spec.class, "preempted");
+                    v.taken = true;
+                    need -= part(&v.job.need);
+                    stops.push((v.job.id().clone(), v.task));
+                }
             }
             if stops.len() >= MAX_STOPS {
                 break;
@@ -197,6 +217,39 @@
         (stopping, victims)
     }
 
+    /// Tasks on one machine, this one first, whose end lets a task of the claim begin
+    /// there; none if it would not. Stopped wherever they were cheapest, tasks made no
+    /// room for a larger one, were placed anew and stopped again, and never began.
+    fn makes_room(
+        &self,
+        c: &Claim,
+        all: &[Victim],
+        first: usize,
+        beside: &[usize],
+        order: &Order,
+    ) -> Vec<usize> {
+        let mut room = all[first].machine.free();
+        let mut stops = vec![];
+        if room.fits(&c.job.need) {
+            // It is not for want of room that nothing of it begins here.
+            return stops;
+        }
+        let others = beside.iter().copied().filter(|k| *k != first);
+        for k in std::iter::once(first).chain(others) {
+            let v = &all[k];
+            let may = c.urgent() || v.little();
+            if v.taken || !may || !self.gives_way(v, c, order) {
+                continue;
+            }
+            room += v.job.need;
+            stops.push(k);
+            if room.fits(&c.job.need) {
+                return stops;
+            }
+        }
+        vec![]
+    }
+
     /// A task may be stopped for work of higher priority, or if its team has
     /// borrowed beyond its guarantee and the other is within its own.
     fn gives_way(&self, v: &Victim, c: &Claim, order: &Order) -> bool {
--- a/src/sched/waiting.rs
+++ b/src/sched/waiting.rs
@@ -13,7 +13,8 @@
 /// A job that waits for longer takes any room that it may run on.
 const PATIENCE: Span = Span(70_000_000);
 /// A machine is kept free for a gang for so long; then it is for who is overdue, too.
-const KEPT_FOR: Span = Span(60_000_000);
+/// Long enough for those to empty that the gang counts on.
+const KEPT_FOR: Span = Span(80_000_000);
 /// A faulty machine that can't be given back is tried again after so long.
 const QUARANTINE: Span = Span(60_000_000);
 /// A task that exceeds its estimate by more is not expected to end soon.
