--- a/tests/waiting.rs
+++ b/tests/waiting.rs
@@ -453,7 +453,7 @@
     w
 }
 
-/// `WORLDS` asks for more of them, `WORLDS_FROM` for others. In seven of the usual ones
+/// `WORLDS` asks for more of them, `WORLDS_FROM` for others. In five of the usual ones
 /// tasks were stopped again and again before they began, for what they made no room for.
 #[test]
 fn no_job_is_left_waiting_in_worlds_with_more_work_than_room() {
