--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -3,6 +3,7 @@
 mod asks;
 mod balance;
 mod duties;
+pub mod follow;
 mod health;
 pub mod lists;
 pub mod load;
@@ -318,6 +319,9 @@
             if let Some(since) = self.stopping
                 && (self.pending.is_empty() || now - since > Span::secs(3.0))
             {
+                // Nothing leaves under a term whose key is given up.
+                self.step_down(now);
+                self.send_outbox(now);
                 self.resign();
                 self.server.stop(LAST_ANSWERS);
                 return;
@@ -387,11 +391,7 @@
             }
             Msg::Listed(req, a) => self.answer(now, req, a),
             Msg::Look(req, id, r) => {
-                let a = match r {
-                    Ok(Some(f)) => crate::sched::answer_final(&id, f),
-                    _ => Answer::later("no leader in reach", 1),
-                };
-                self.answer(now, req, a);
+                self.answer(now, req, follow::answer_read(&id, r));
             }
         }
     }
