--- a/tests/rentals.rs
+++ b/tests/rentals.rs
@@ -4,10 +4,23 @@
 mod world;
 
 use hookworks::ids::*;
+use hookworks::sched::job::Job;
 use hookworks::sched::{Effect, Event, HireResult};
+use hookworks::time::{Time, Wall};
+use hookworks::wire::cloud::Hire;
+use hookworks::wire::worker::Report;
 use world::desk::{Desk, report};
 use world::job;
 
+/// Machines asked for so far.
+fn hires(d: &Desk) -> Vec<Hire> {
+    let h = |f: &Effect| match f {
+        Effect::Hire(h) => Some(h.clone()),
+        _ => None,
+    };
+    d.fx.iter().filter_map(h).collect()
+}
+
 #[test]
 fn request_names_are_never_used_twice_and_repeated_only_when_unclear() {
     let mut names = std::collections::BTreeSet::new();
@@ -15,13 +28,6 @@
         let mut d = Desk::new(epoch);
         d.submit(&job(1, 3));
         d.wait(1.0);
-        let hires = |d: &Desk| -> Vec<_> {
-            let h = |f: &Effect| match f {
-                Effect::Hire(h) => Some(h.clone()),
-                _ => None,
-            };
-            d.fx.iter().filter_map(h).collect()
-        };
         let first = hires(&d).remove(0);
         assert!(names.insert(first.name.clone()));
         d.event(Event::Hired(first.clone(), HireResult::Unclear));
@@ -45,3 +51,42 @@
     }
     assert!(d.released().contains(&Host::from("n-000007")));
 }
+
+/// Up within a moment: its first report may also be a copy of an earlier term's.
+#[test]
+fn a_machine_that_reports_before_the_answer_to_its_rental_is_used_with_that_answer() {
+    let mut d = Desk::new(5);
+    d.lists = false;
+    d.submit(&job(1, 1));
+    d.wait(1.0);
+    let hire = hires(&d).remove(0);
+    d.beat(&Report {
+        zone: hire.zone.clone(),
+        spot: hire.spot,
+        ..report(7, 1, Token(0))
+    });
+    assert_eq!(d.attempt("job-000001", 0), None);
+    let up = HireResult::Ok(vec!["n-000007".into()]);
+    d.event(Event::Hired(hire, up));
+    assert!(d.attempt("job-000001", 0).is_some());
+}
+
+/// What an earlier leader has just rented for a job is on no list yet.
+#[test]
+fn a_loaded_job_is_rented_for_once_lists_show_what_was_rented_before() {
+    let mut first = Desk::new(5);
+    first.submit(&job(1, 3));
+    first.wait(1.0);
+    let record = first.s.jobs[&JobId::from("job-000001")].encode(0);
+    let loaded = Job::decode(&record, Time(first.now), Wall(1_000_000)).unwrap();
+    let mut d = Desk::with(6, vec![loaded]);
+    d.wait(5.5);
+    assert_eq!(hires(&d), []);
+    d.wait(1.0);
+    assert_eq!(hires(&d).len(), 1);
+    // One that came in this term is rented for at once.
+    let mut own = Desk::new(6);
+    own.submit(&job(2, 3));
+    own.wait(1.0);
+    assert_eq!(hires(&own).len(), 1);
+}
