--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -10,6 +10,7 @@
 use hookworks::wire::peer::Ask;
 use hookworks::wire::user::Kind;
 use rand::RngExt;
+use world::close_looks::CloseLooks;
 use world::handover::{Act, Change, Conditions};
 use world::{Chaos, Ev, World, job};
 
@@ -48,9 +49,23 @@
     SlowLinks,
     /// The leader gives up the key in order, and is back within a second.
     InOrder,
+    /// Transactions are carried out at once and their answers lost, and an election's.
+    LostAnswers,
+    /// Users ask at all controllers after each piece of news, and some cancel.
+    CloseLooks,
+    /// Only direct calls reach a machine.
+    Mute,
+    /// Copies of reports reach every controller each time one begins to lead.
+    KeptReports,
+    /// Users call off several jobs at once, and their machines hang.
+    CancelMany,
+    /// Jobs are called off as their last task ends.
+    CancelAtEnd,
+    /// Submissions sent again, cancellations of what is done, bad input.
+    OddRequests,
 }
 
-const TROUBLES: [Trouble; 14] = [
+const TROUBLES: [Trouble; 21] = [
     Trouble::HandOver,
     Trouble::Machine,
     Trouble::Loss,
@@ -65,6 +80,13 @@
     Trouble::NewMachines,
     Trouble::SlowLinks,
     Trouble::InOrder,
+    Trouble::LostAnswers,
+    Trouble::CloseLooks,
+    Trouble::Mute,
+    Trouble::KeptReports,
+    Trouble::CancelMany,
+    Trouble::CancelAtEnd,
+    Trouble::OddRequests,
 ];
 
 /// A moment near one of the edges.
@@ -164,6 +186,32 @@
             let back = w.rng.random_range(0.02..1.0);
             w.at(at, Ev::HandOver(Act::Change(Change::InOrder, back)));
         }
+        Trouble::LostAnswers => {
+            let lost_answer = 0.4;
+            chances(
+                w,
+                Chaos {
+                    lost_answer,
+                    ..Chaos::default()
+                },
+            );
+            w.at(at, Ev::LostElection);
+        }
+        Trouble::CloseLooks => w.close_looks = Some(CloseLooks::new(n, 0.1)),
+        Trouble::Mute => {
+            w.at(at, Ev::Mute(host.clone(), true));
+            w.at(at + long, Ev::Mute(host, false));
+        }
+        Trouble::KeptReports => {
+            w.at(at, Ev::KeepReports(0.5));
+            w.at(at + long + 12.0, Ev::KeepReports(0.0));
+        }
+        Trouble::CancelMany => w.at(at, Ev::CancelNow(3, Some(long))),
+        Trouble::CancelAtEnd => w.submissions.cancel_at_end = 0.4,
+        Trouble::OddRequests => {
+            let until = w.now + ((at + 20.0) * 1e6) as u64;
+            w.at(at, Ev::OddRequests(until));
+        }
     }
 }
 
@@ -298,7 +346,8 @@
     let from = from.unwrap_or(0);
     let (mut ran, mut gangs, mut cancelled) = (0, 0, 0);
     let mut faults = vec![];
-    for seed in from..from + more.unwrap_or(7 * TROUBLES.len() as u64) {
+    let pairs = (TROUBLES.len() * TROUBLES.len()) as u64;
+    for seed in from..from + more.unwrap_or(pairs) {
         let pair = pair(seed);
         let w = meeting(seed, pair, |_| {});
         let i = w.leader().expect("a leader after the troubles");
--- a/tests/world/steps.rs
+++ b/tests/world/steps.rs
@@ -1,5 +1,6 @@
 //! What controllers and workers do by themselves: elections and reports.
 
+use super::followers::label;
 use super::worker::LEASE;
 use super::{Ev, S, Term, World, flavor, settings};
 use hookworks::ids::*;
@@ -29,7 +30,13 @@
                     proven,
                 } => self.won(i, epoch, stamp, proven),
                 Elect::Proven(t) => self.event(i, Event::Proven(t)),
-                Elect::Seen(_) | Elect::Lost => self.ctls[i].term = None,
+                Elect::Seen(l) => {
+                    self.ctls[i].term = None;
+                    // Our own earlier process leads no more, whatever the key says yet.
+                    let other = l.filter(|l| l.label != label(i));
+                    self.sees(i, other.map(|l| (l.label, l.epoch)));
+                }
+                Elect::Lost => self.steps_down(i),
                 Elect::NoAnswer => {}
             }
         }
@@ -54,6 +61,7 @@
         }
         sched.load(now, l.jobs, l.unreadable);
         self.log.push(format!("{} c{i} leads {epoch}", self.now));
+        self.sees(i, Some((label(i), epoch)));
         self.ctls[i].term = Some(Term {
             epoch,
             sched,
@@ -62,6 +70,7 @@
         let mut f = flavor();
         f.zones = self.zones.clone();
         self.event(i, Event::Flavors(vec![f]));
+        self.hand_over_copies();
     }
 
     /// What controller `i` is told.
@@ -76,9 +85,7 @@
             }
         }
         let others = (0..self.ctls.len()).filter(|j| *j != i);
-        cfg.controllers = others
-            .map(|j| (Label::from(format!("c{j}").as_str()), self.zone_of(j)))
-            .collect();
+        cfg.controllers = others.map(|j| (label(j), self.zone_of(j))).collect();
         cfg
     }
 
@@ -91,16 +98,26 @@
         w.up = true;
         self.handover.first_report(&h, now);
         // What it is about to tell has happened.
-        self.done_tasks.extend(w.take_done());
+        let ended = w.take_done();
+        self.tasks_end(&h, ended);
+        let Some(w) = self.workers.get_mut(&h) else {
+            return;
+        };
+        if w.hangs {
+            // It reports once it goes on.
+            let again = self.rng.random_range(2.3..3.6);
+            return self.at(again, Ev::Beat(h));
+        }
         if now < w.next_beat {
             return;
         }
         w.next_beat = now + S / 2;
-        let (cut, home) = (w.cut || w.hangs, w.home);
+        let (cut, home) = (w.cut || w.mute, w.home);
         let body = serde_json::to_vec(&w.report()).unwrap();
         w.sent_at = now;
         let again = self.rng.random_range(2.3..3.6);
         if !cut {
+            self.keep_copy(&h, &body);
             let d = self.delay();
             for i in 0..self.ctls.len() {
                 // Whoever leads, or believes to, gets it: forwarding done.
