--- a/tests/machines.rs
+++ b/tests/machines.rs
@@ -72,13 +72,13 @@
     d.submit(&job(1, 1));
     let mut seq = 1;
     answers_calls(&mut d, &mut seq, &[]);
-    let first = d.attempt(JOB, 0).unwrap();
     d.wait(4.0);
     d.stores = false;
     d.submit(&job(2, 1));
     assert!(d.attempt("job-000002", 0).is_some(), "placed");
     d.ask(Ask::Cancel(JOB.into()));
-    answers_calls(&mut d, &mut seq, &[(JOB, first)]);
+    answers_calls(&mut d, &mut seq, &[]);
+    assert_eq!(d.attempt(JOB, 0), None, "a call ended it");
     d.wait(2.0);
     d.store();
     d.event(Event::Wake);
@@ -100,9 +100,13 @@
     d.submit(&job(1, 1));
     answers_calls(&mut d, &mut seq, &[]);
     let first = d.attempt(JOB, 0).unwrap();
+    d.wait(3.0);
+    d.submit(&job(2, 1));
+    assert!(d.attempt("job-000002", 0).is_some());
+    let before = seq;
+    answers_calls(&mut d, &mut seq, &[(JOB, first)]);
+    assert!(seq > before, "it answered a call");
     while d.attempt(JOB, 0) == Some(first) {
-        d.ask(Ask::Cancel("job-000009".into()));
-        answers_calls(&mut d, &mut seq, &[(JOB, first)]);
         assert_eq!(d.s.machines[&host(1)].answered, answered);
         d.wait(1.0);
         assert!(d.now < 4_030_000_000, "its lease seemed to be renewed");
@@ -184,8 +188,13 @@
     let mut r = report(1, 7, old);
     r.session = Session(2);
     r.tasks = vec![task(JOB, 0, a, TaskState::Running)];
-    assert!(d.beat(&r).is_some());
-    assert!(d.s.machines[&host(1)].deaf_since.is_none());
+    // The answer to the first of its own is lost on top of that.
+    for seq in [7, 8] {
+        r.seq = Seq(seq);
+        assert!(d.beat(&r).is_some());
+        assert!(d.s.machines[&host(1)].deaf_since.is_none());
+        d.wait(3.0);
+    }
     assert_eq!(d.attempt(JOB, 0), Some(a));
 }
 
@@ -265,43 +274,62 @@
     }
 }
 
+/// Small jobs come until then, and are called off soon after they began.
+fn small_jobs(w: &mut World, from_s: f64, until_s: f64) -> Vec<JobId> {
+    let mut ids = vec![];
+    let mut at = from_s;
+    while at < until_s {
+        let j = job(100 + ids.len() as u64, 1);
+        let body = serde_json::to_vec(&j).unwrap();
+        w.specs.insert(j.id.clone(), j.clone());
+        for k in 0..3 {
+            w.at(at + 0.3 * k as f64, Ev::User(Ask::Submit(body.clone())));
+            let ask = Ask::Cancel(j.id.to_string());
+            w.at(at + 1.5 + 0.3 * k as f64, Ev::User(ask));
+        }
+        ids.push(j.id);
+        at += 2.0;
+    }
+    ids
+}
+
 /// Machines reach no controller, for less and for more than a lease, around a change of
 /// leader. What runs there goes on elsewhere once it is proven gone, and nothing is
-/// tried there again and again.
+/// started there that would end with the lease.
 #[test]
 fn what_is_on_machines_that_only_calls_reach_moves_and_runs_once() {
-    let mut moved = 0;
     for seed in 0..24 {
         let mute_s = [8.0, 19.0, 23.0, 70.0][seed as usize % 4];
-        let mut w = at_work(seed, |w| w.refuses_releases = seed % 3 == 1);
-        let all: Vec<Host> = w.workers.keys().cloned().collect();
+        let changes = seed % 3 != 0;
+        let mut w = at_work(seed, |w| {
+            (w.wealth, w.refuses_releases) = (2.0, seed % 3 != 1);
+        });
+        // The last one has room.
+        let all: Vec<Host> = w.workers.keys().rev().cloned().collect();
         let many = if seed % 2 == 0 { 1 } else { all.len() };
-        let runs = |w: &World, h: &Host| w.workers.get(h).map_or(0, |m| m.runs.len());
-        let before: Vec<usize> = all.iter().map(|h| runs(&w, h)).collect();
         for h in all.iter().take(many) {
             w.at(0.0, Ev::Mute(h.clone(), true));
             w.at(mute_s, Ev::Mute(h.clone(), false));
         }
-        if seed % 3 != 0 {
-            leader_changes(&mut w, 1.0 + seed as f64 / 3.0);
+        if changes {
+            leader_changes(&mut w, seed as f64 / 3.0);
         }
-        w.submit_of(5, 3, "red", Kind::Array);
+        let ids = small_jobs(&mut w, 1.0, mute_s);
         w.run(mute_s);
-        let tried = all.iter().zip(&before).take(many);
-        for (h, n) in tried {
-            let more = runs(&w, h).saturating_sub(*n);
-            assert!(more <= 8, "seed {seed}: {more} starts on {h}");
-            moved += (more == 0) as usize;
-        }
+        // Those that came once its last report was too old; a new leader meets it anew.
+        let late = &ids[3..];
+        let started = |h: &Host| late.iter().map(|id| w.runs_on(id, h)).sum::<usize>();
+        let died: usize = all.iter().take(many).map(started).sum();
+        let most = if changes { 4 } else { 0 };
+        assert!(died <= most, "seed {seed}: {died} starts without reports");
         w.run(150.0);
         w.assert_rules();
-        for n in [2, 3, 5] {
+        for n in [2, 3] {
             let on = w.hosts_of(&job(n, 1).id).len();
             let done = w.done_tasks.iter().any(|t| t.job == job(n, 1).id);
             assert!(on > 0 || done, "seed {seed}: job {n} runs nowhere");
         }
     }
-    assert!(moved > 4, "hardly any machine was left alone: {moved}");
 }
 
 /// Every team is at its limit and more waits; what runs is called off within 0.2 s, its
