--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -6,7 +6,9 @@
 use crate::ids::{Attempt, Host, JobId, ReqId, Seq, TaskIx};
 use crate::time::{Time, Wall};
 use crate::wire::user::{JobSpec, JobState, Kind};
-use hookworks_life::{At, Attempts, History, Holds, What};
+use hookworks_job_lifecycle::{
+    FailureCounts as Attempts, History, Holds, JobEvent as What, WallMillis as At,
+};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -100,6 +102,8 @@
     /// Of the runtimes; kept, since every pass asks for it.
     pub median: Option<f64>,
     pub backoff_until: Time,
+    /// Since when some of it has waited to start, without a break.
+    pub waiting_since: Option<Time>,
     pub errors: u32,
     pub error_hosts: BTreeSet<Host>,
     /// Tasks that failed under earlier leaders, wherever that was.
@@ -225,6 +229,7 @@
             runtimes: vec![],
             median: None,
             backoff_until: Time::default(),
+            waiting_since: None,
             errors: 0,
             error_hosts: BTreeSet::new(),
             failed_before: 0,
@@ -479,7 +484,7 @@
         // from ever being stored again.
         let most = (HEADER + PER_TASK * self.part_size as f64) as usize;
         if part == 0 && !self.holds.is_empty() && value.to_string().len() > most {
-            value["holds"] = serde_json::to_value(self.holds.brief()).unwrap_or_default();
+            value["holds"] = serde_json::to_value(self.holds.abbreviated()).unwrap_or_default();
         }
         value
     }
--- a/tests/world/links.rs
+++ b/tests/world/links.rs
@@ -3,6 +3,7 @@
 //! passes, or hold it back until it is open again; each direction by itself.
 
 use super::followers::Leg;
+use super::handover::Act;
 use super::worker::Worker;
 use super::{Ev, World};
 use hookworks::ids::*;
@@ -253,6 +254,7 @@
             // What is on its way to the user goes on.
             Ev::Question(_, _, Leg::Told(_)) => return Some(e),
             Ev::Question(i, ..) => *i,
+            Ev::HandOver(Act::Resign(i, _) | Act::Load(i, ..)) => *i,
             _ => return Some(e),
         };
         let until = self.ctls[i].frozen_until;
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -10,6 +10,8 @@
 pub mod desk;
 pub mod followers;
 pub mod given;
+pub mod handover;
+mod idle_room;
 pub mod links;
 pub mod lost_answers;
 mod rules;
@@ -30,7 +32,7 @@
 use hookworks::wire::state::{Item, Txn};
 use hookworks::wire::user::JobSpec;
 use hookworks::wire::worker::{Orders, ReportAnswer};
-use hookworks_life::HoldKind;
+use hookworks_job_lifecycle::HoldKind;
 pub use links::Chaos;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -97,6 +99,7 @@
     Question(usize, ReqId, followers::Leg),
     /// The next election is carried out at once, without an answer.
     LostElection,
+    HandOver(handover::Act),
 }
 
 struct Term {
@@ -179,6 +182,7 @@
     on: BTreeMap<TaskId, BTreeSet<Host>>,
     /// All troubles are over since then.
     quiet_since: Option<u64>,
+    idle_room: idle_room::IdleRoom,
     /// A fault put in: of one job in so many no question is answered.
     pub ignores_one_in: Option<u64>,
     /// Gangs that have begun, and until when those that still run will.
@@ -186,6 +190,7 @@
     /// Gangs that began to run, all members at once.
     pub gangs_begun: usize,
     pub done_tasks: BTreeSet<TaskId>,
+    pub handover: handover::HandOver,
 }
 
 const S: u64 = 1_000_000;
@@ -249,10 +254,12 @@
             run_s: 15.0,
             on: BTreeMap::new(),
             quiet_since: None,
+            idle_room: idle_room::IdleRoom::default(),
             ignores_one_in: None,
             gangs: BTreeMap::new(),
             gangs_begun: 0,
             done_tasks: BTreeSet::new(),
+            handover: Default::default(),
         };
         for i in 0..controllers {
             let c = w.new_ctl(i, 1);
@@ -322,6 +329,7 @@
             if touches || t - self.checked >= LOOK_EVERY {
                 self.checked = t;
                 self.check();
+                self.check_idle_room();
             }
         }
         true
@@ -329,6 +337,9 @@
 
     /// A network delay; now and then a long one.
     fn delay(&mut self) -> f64 {
+        if let Some(slow) = self.slow_link() {
+            return slow;
+        }
         if self.rng.random_bool(self.chaos.late) {
             self.rng.random_range(1.0..40.0)
         } else {
@@ -577,6 +588,7 @@
             }
             Ev::StepDown(i) => self.steps_down(i),
             Ev::Chances(c) => self.chaos = c,
+            Ev::HandOver(a) => self.act(a),
             Ev::LateElection(i, by_s) => self.store.of(i).delay_next((by_s * 1e6) as u64),
         }
     }
