--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -41,10 +41,6 @@
     Copies,
     /// The leader stands still, its clocks running on.
     Freeze,
-    /// Transactions are carried out at once and their answers lost, and an election's.
-    LostAnswers,
-    /// Users ask at all controllers after each piece of news, and some cancel.
-    CloseLooks,
     /// Leaders change ten times in two minutes.
     TenLeaders,
     /// Machines are up within two seconds of being rented, and writes lag.
@@ -53,9 +49,23 @@
     SlowLinks,
     /// The leader gives up the key in order, and is back within a second.
     InOrder,
+    /// Transactions are carried out at once and their answers lost, and an election's.
+    LostAnswers,
+    /// Users ask at all controllers after each piece of news, and some cancel.
+    CloseLooks,
+    /// Only direct calls reach a machine.
+    Mute,
+    /// Copies of reports reach every controller each time one begins to lead.
+    KeptReports,
+    /// Users call off several jobs at once, and their machines hang.
+    CancelMany,
+    /// Jobs are called off as their last task ends.
+    CancelAtEnd,
+    /// Submissions sent again, cancellations of what is done, bad input.
+    OddRequests,
 }
 
-const TROUBLES: [Trouble; 16] = [
+const TROUBLES: [Trouble; 21] = [
     Trouble::HandOver,
     Trouble::Machine,
     Trouble::Loss,
@@ -66,12 +76,17 @@
     Trouble::Outage,
     Trouble::Copies,
     Trouble::Freeze,
-    Trouble::LostAnswers,
-    Trouble::CloseLooks,
     Trouble::TenLeaders,
     Trouble::NewMachines,
     Trouble::SlowLinks,
     Trouble::InOrder,
+    Trouble::LostAnswers,
+    Trouble::CloseLooks,
+    Trouble::Mute,
+    Trouble::KeptReports,
+    Trouble::CancelMany,
+    Trouble::CancelAtEnd,
+    Trouble::OddRequests,
 ];
 
 /// A moment near one of the edges.
@@ -158,6 +173,19 @@
             );
         }
         Trouble::Freeze => w.at(at, Ev::Freeze(leader, long)),
+        Trouble::TenLeaders => w.change_leaders(at, 10, 120.0),
+        Trouble::NewMachines => {
+            w.at(at + 0.5, Ev::Preempt(host));
+            w.conditions(at, long.max(20.0), |c| {
+                (c.boot, c.cloud) = (Some((0.02, 2.0)), Some((0.05, 1.5)));
+                (c.list_lag_s, c.writes) = (3.0, Some((0.3, 4.0)));
+            })
+        }
+        Trouble::SlowLinks => w.conditions(at, long, |c| c.links = Some((0.2, 2.0))),
+        Trouble::InOrder => {
+            let back = w.rng.random_range(0.02..1.0);
+            w.at(at, Ev::HandOver(Act::Change(Change::InOrder, back)));
+        }
         Trouble::LostAnswers => {
             let lost_answer = 0.4;
             chances(
@@ -170,18 +198,19 @@
             w.at(at, Ev::LostElection);
         }
         Trouble::CloseLooks => w.close_looks = Some(CloseLooks::new(n, 0.1)),
-        Trouble::TenLeaders => w.change_leaders(at, 10, 120.0),
-        Trouble::NewMachines => {
-            w.at(at + 0.5, Ev::Preempt(host));
-            w.conditions(at, long.max(20.0), |c| {
-                (c.boot, c.cloud) = (Some((0.02, 2.0)), Some((0.05, 1.5)));
-                (c.list_lag_s, c.writes) = (3.0, Some((0.3, 4.0)));
-            })
+        Trouble::Mute => {
+            w.at(at, Ev::Mute(host.clone(), true));
+            w.at(at + long, Ev::Mute(host, false));
         }
-        Trouble::SlowLinks => w.conditions(at, long, |c| c.links = Some((0.2, 2.0))),
-        Trouble::InOrder => {
-            let back = w.rng.random_range(0.02..1.0);
-            w.at(at, Ev::HandOver(Act::Change(Change::InOrder, back)));
+        Trouble::KeptReports => {
+            w.at(at, Ev::KeepReports(0.5));
+            w.at(at + long + 12.0, Ev::KeepReports(0.0));
+        }
+        Trouble::CancelMany => w.at(at, Ev::CancelNow(3, Some(long))),
+        Trouble::CancelAtEnd => w.submissions.cancel_at_end = 0.4,
+        Trouble::OddRequests => {
+            let until = w.now + ((at + 20.0) * 1e6) as u64;
+            w.at(at, Ev::OddRequests(until));
         }
     }
 }
@@ -317,7 +346,8 @@
     let from = from.unwrap_or(0);
     let (mut ran, mut gangs, mut cancelled) = (0, 0, 0);
     let mut faults = vec![];
-    for seed in from..from + more.unwrap_or(7 * TROUBLES.len() as u64) {
+    let pairs = (TROUBLES.len() * TROUBLES.len()) as u64;
+    for seed in from..from + more.unwrap_or(pairs) {
         let pair = pair(seed);
         let w = meeting(seed, pair, |_| {});
         let i = w.leader().expect("a leader after the troubles");
--- a/tests/world/acts.rs
+++ b/tests/world/acts.rs
@@ -27,10 +27,10 @@
             if let Some((_, by)) = self.late_one.filter(|l| l.0 == self.transactions) {
                 d = by;
             }
-            self.note_sent(i, epoch, id);
             if let Some(lags) = self.slow_write() {
                 d = lags;
             }
+            self.note_sent(i, epoch, id);
             if let Some(after) = self.gives_up(d, 1.0) {
                 // Given up by the sender, carried out later all the same.
                 self.at(after, Ev::TxnDone(i, epoch, id, Outcome::Unclear));
@@ -54,6 +54,7 @@
                 {
                     if let Ok(a) = serde_json::from_str::<ReportAnswer>(&a.body) {
                         self.check_held(&a.orders);
+                        self.commands_leave(&host, &a.orders);
                     }
                     self.at(d, Ev::ToWorker(host, sent, a, i));
                 }
@@ -64,6 +65,7 @@
                 call, host, orders, ..
             } => {
                 self.check_held(&orders.orders);
+                self.commands_leave(&host, &orders.orders);
                 if let Some(after) = self.gives_up(d, 2.5) {
                     let e = Ev::Direct(i, epoch, call, host.clone(), DirectResult::Unclear);
                     self.at(after, e);
--- a/tests/world/links.rs
+++ b/tests/world/links.rs
@@ -251,10 +251,10 @@
             Ev::ToCtl(i, ..) | Ev::Direct(i, ..) | Ev::TxnDone(i, ..) | Ev::Copy(i, ..) => *i,
             Ev::ReadDone(i, ..) | Ev::Final(i, ..) | Ev::Record(i, ..) => *i,
             Ev::CloudDone(i, ..) | Ev::UserVia(i, ..) => *i,
+            Ev::HandOver(Act::Resign(i, _) | Act::Load(i, ..)) => *i,
             // What is on its way to the user goes on.
             Ev::Question(_, _, Leg::Told(_)) => return Some(e),
             Ev::Question(i, ..) => *i,
-            Ev::HandOver(Act::Resign(i, _) | Act::Load(i, ..)) => *i,
             _ => return Some(e),
         };
         let until = self.ctls[i].frozen_until;
