A scale run: real controllers beside hollow workers, cloud, state service and users

The wire types of the cloud, the state service and redirects can now be read as well as written, for the stand-ins.

Gangs, services, checkpoints, spot machines and regions that lose each other are not played; the delay between regions holds for reports, links between controllers and the services, not for commands that go straight to workers.

--- /dev/null
+++ b/crates/scale/src/lib.rs
@@ -0,0 +1,26 @@
+//! A scale run: real controllers as processes on loopback, and beside them, in
+//! this program, hollow workers, a cloud, a state service and users that speak
+//! the real protocol over real sockets.
+//!
+//! [`run::run`] carries out one run of [`options::RunOptions`] and gives
+//! [`figures::Figures`]; [`judge::Judge`] checks the rules from the stand-ins'
+//! own record. `slopes` runs several sizes and fits lines; `capacity` works
+//! the capacity page out from them.
+
+pub mod controllers;
+pub mod faults;
+pub mod figures;
+pub mod fit;
+pub mod http;
+pub mod judge;
+pub mod layout;
+pub mod links;
+pub mod machine;
+pub mod measure;
+pub mod options;
+pub mod plot;
+pub mod process;
+pub mod run;
+pub mod standin;
+pub mod tally;
+pub mod workload;
--- /dev/null
+++ b/crates/scale/src/machine.rs
@@ -0,0 +1,324 @@
+//! A hollow worker's state: its lease, its token and its tasks, without any I/O.
+//! It does what the protocol says a worker does; running is waiting.
+
+use crate::judge::Judge;
+use hookworks::ids::{Attempt, Build, Host, Image, Seq, Session, TaskId, Token, Zone};
+use hookworks::wire::worker::{Cause, Order, Orders, Report, ReportAnswer, TaskReport, TaskState};
+use std::collections::HashSet;
+use std::time::{Duration, Instant};
+
+/// Rate at which images are fetched.
+pub const FETCH_GB_PER_S: f64 = 1.0;
+/// Reports are never closer together.
+const LEAST_GAP: Duration = Duration::from_millis(500);
+
+/// A task on the machine.
+#[derive(Clone, Debug)]
+struct Held {
+    report: TaskReport,
+    cpus: f64,
+    run: Duration,
+    image: Image,
+    /// When its state changes by itself.
+    until: Option<Instant>,
+}
+
+/// Where a machine stands and what it has.
+#[derive(Clone, Debug)]
+pub struct Place {
+    pub host: Host,
+    pub address: String,
+    pub build: Build,
+    pub zone: Zone,
+    pub zone_number: usize,
+    pub spot: bool,
+    pub cpus: f64,
+}
+
+/// How often a worker reports, and for how long it may act without an answer.
+#[derive(Clone, Copy, Debug)]
+pub struct Rhythm {
+    pub report: Duration,
+    pub lease: Duration,
+}
+
+/// What a command is checked against, and told of.
+pub struct World<'a> {
+    pub now: Instant,
+    pub judge: &'a mut Judge,
+}
+
+/// A report that was sent and has no answer yet.
+#[derive(Clone, Copy, Debug)]
+pub struct InFlight {
+    pub sent: Instant,
+    pub session: Session,
+}
+
+/// A machine with its worker.
+pub struct Machine {
+    pub place: Place,
+    rhythm: Rhythm,
+    session: Session,
+    seq: Seq,
+    token: Token,
+    tasks: Vec<Held>,
+    images: HashSet<Image>,
+    answered: Instant,
+    last_report: Option<Instant>,
+    next_report: Instant,
+    changed: bool,
+    /// Tasks that ended otherwise than by completion or command.
+    pub lost: u64,
+    pub lease_ends: u64,
+}
+
+impl Machine {
+    /// A machine whose worker begins at `now`; its first report is due at `first`.
+    pub fn new(place: Place, rhythm: Rhythm, now: Instant, first: Instant) -> Machine {
+        Machine {
+            place,
+            rhythm,
+            session: Session(1),
+            seq: Seq(0),
+            token: Token(0),
+            tasks: vec![],
+            images: HashSet::new(),
+            answered: now,
+            last_report: None,
+            next_report: first,
+            changed: false,
+            lost: 0,
+            lease_ends: 0,
+        }
+    }
+
+    /// When the next report is due.
+    pub fn report_due(&self) -> Instant {
+        let Some(last) = self.last_report else {
+            return self.next_report;
+        };
+        match self.changed {
+            true => self.next_report.min(last + LEAST_GAP),
+            false => self.next_report,
+        }
+    }
+
+    /// When the machine changes by itself: a task, or the lease's end.
+    pub fn change_due(&self) -> Instant {
+        let tasks = self.tasks.iter().filter_map(|t| t.until).min();
+        let lease = self.answered + self.rhythm.lease;
+        tasks.map_or(lease, |t| t.min(lease))
+    }
+
+    /// The report as of now. `spread` (0 to 1) draws when the next one is due.
+    pub fn begin_report(&mut self, now: Instant, spread: f64) -> (Report, InFlight) {
+        self.changed = false;
+        self.last_report = Some(now);
+        self.next_report = now + self.rhythm.report.mul_f64(0.75 + 0.5 * spread);
+        let sent = InFlight {
+            sent: now,
+            session: self.session,
+        };
+        (self.report(), sent)
+    }
+
+    /// The present report; each has a larger number.
+    pub fn report(&mut self) -> Report {
+        self.seq.0 += 1;
+        Report {
+            host: self.place.host.clone(),
+            addr: Some(self.place.address.clone()),
+            build: self.place.build.clone(),
+            zone: self.place.zone.clone(),
+            spot: self.place.spot,
+            session: self.session,
+            seq: self.seq,
+            token: self.token,
+            notice_s: None,
+            tasks: self.tasks.iter().map(|t| t.report.clone()).collect(),
+        }
+    }
+
+    /// The answer to a report. One of an earlier session, or with a lower token,
+    /// is dropped.
+    pub fn answered(&mut self, w: &mut World, to: InFlight, answer: &ReportAnswer) {
+        if to.session != self.session || answer.token < self.token {
+            return;
+        }
+        self.answered = self.answered.max(to.sent);
+        self.see_token(answer.token);
+        self.execute(w, &answer.orders);
+    }
+
+    /// Commands that came straight; false: nothing was carried out.
+    pub fn commanded(&mut self, w: &mut World, orders: &Orders) -> bool {
+        if orders.session != self.session || orders.token < self.token {
+            return false;
+        }
+        self.see_token(orders.token);
+        self.execute(w, &orders.orders);
+        true
+    }
+
+    fn see_token(&mut self, token: Token) {
+        if token > self.token {
+            self.token = token;
+            self.changed = true;
+        }
+    }
+
+    fn execute(&mut self, w: &mut World, orders: &[Order]) {
+        for order in orders {
+            match order {
+                Order::Run { task, attempt } => self.run(w, task, *attempt),
+                Order::Kill { task, attempt, .. } => self.kill(w, task, *attempt),
+                Order::Clear { task, attempt } => self.clear(task, *attempt),
+            }
+        }
+    }
+
+    fn position(&self, task: &TaskId, attempt: Attempt) -> Option<usize> {
+        let is_it = |t: &Held| t.report.task == *task && t.report.attempt == attempt;
+        self.tasks.iter().position(is_it)
+    }
+
+    fn run(&mut self, w: &mut World, task: &TaskId, attempt: Attempt) {
+        if self.position(task, attempt).is_some() {
+            return;
+        }
+        self.changed = true;
+        let report = TaskReport {
+            task: task.clone(),
+            attempt,
+            state: TaskState::Fetching,
+            cause: None,
+            kept: false,
+        };
+        let mut held = Held {
+            report,
+            cpus: 0.0,
+            run: Duration::ZERO,
+            image: Image::from(""),
+            until: None,
+        };
+        match self.admit(w, task, &mut held) {
+            Ok(()) => {}
+            Err(cause) => {
+                held.report.state = TaskState::Ended;
+                held.report.cause = Some(cause);
+                self.lost += 1;
+            }
+        }
+        self.tasks.push(held);
+        self.pass_time(w);
+    }
+
+    /// Makes room for a task, or says why there is none.
+    fn admit(&self, w: &World, task: &TaskId, held: &mut Held) -> Result<(), Cause> {
+        let plan = w.judge.plan(&task.job).ok_or(Cause::Unknown)?;
+        if task.ix.0 >= plan.spec.tasks {
+            return Err(Cause::Unknown);
+        }
+        let here = |t: &&Held| t.report.state != TaskState::Ended;
+        if self
+            .tasks
+            .iter()
+            .filter(here)
+            .any(|t| t.report.task == *task)
+        {
+            return Err(Cause::InUse);
+        }
+        let used: f64 = self.tasks.iter().filter(here).map(|t| t.cpus).sum();
+        if used + plan.spec.cpus > self.place.cpus + 1e-6 {
+            return Err(Cause::NoRoom);
+        }
+        let fetch_s = match self.images.contains(&plan.spec.image) {
+            true => 0.0,
+            false => plan.spec.image_gb / FETCH_GB_PER_S,
+        };
+        held.cpus = plan.spec.cpus;
+        held.image = plan.spec.image.clone();
+        held.run = match w.judge.is_done(task) {
+            true => Duration::ZERO,
+            false => plan.run,
+        };
+        held.until = Some(w.now + Duration::from_secs_f64(fetch_s));
+        Ok(())
+    }
+
+    fn kill(&mut self, w: &mut World, task: &TaskId, attempt: Attempt) {
+        let Some(i) = self.position(task, attempt) else {
+            return;
+        };
+        if self.tasks[i].report.state != TaskState::Ended {
+            self.end(w, i, Cause::Stopped);
+        }
+    }
+
+    fn clear(&mut self, task: &TaskId, attempt: Attempt) {
+        let found = self.position(task, attempt);
+        let ended = found.filter(|i| self.tasks[*i].report.state == TaskState::Ended);
+        if let Some(i) = ended {
+            self.tasks.remove(i);
+            self.changed = true;
+        }
+    }
+
+    fn end(&mut self, w: &mut World, i: usize, cause: Cause) {
+        let held = &mut self.tasks[i];
+        if held.report.state == TaskState::Running {
+            let done = cause == Cause::Done;
+            w.judge
+                .gone(w.now, &held.report.task, &self.place.host, done);
+        }
+        held.report.state = TaskState::Ended;
+        held.report.cause = Some(cause);
+        held.until = None;
+        self.changed = true;
+    }
+
+    /// Carries out what is due by now.
+    pub fn pass_time(&mut self, w: &mut World) {
+        for i in 0..self.tasks.len() {
+            while self.tasks[i].until.is_some_and(|t| t <= w.now) {
+                self.step(w, i);
+            }
+        }
+        if w.now > self.answered + self.rhythm.lease {
+            self.lease_ended(w);
+        }
+    }
+
+    fn step(&mut self, w: &mut World, i: usize) {
+        let held = &mut self.tasks[i];
+        if held.report.state == TaskState::Running {
+            return self.end(w, i, Cause::Done);
+        }
+        held.report.state = TaskState::Running;
+        held.until = Some(w.now + held.run);
+        self.images.insert(held.image.clone());
+        self.changed = true;
+        let (task, place) = (&held.report.task, &self.place);
+        w.judge.started(w.now, task, &place.host, &place.zone);
+    }
+
+    fn lease_ended(&mut self, w: &mut World) {
+        self.lease_ends += 1;
+        self.forget_all(w);
+        self.session.0 += 1;
+        self.answered = w.now;
+        self.changed = true;
+    }
+
+    /// All tasks are gone: the lease has ended, or the machine.
+    pub fn forget_all(&mut self, w: &mut World) {
+        for held in std::mem::take(&mut self.tasks) {
+            if held.report.state == TaskState::Running {
+                self.lost += 1;
+                w.judge
+                    .gone(w.now, &held.report.task, &self.place.host, false);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/scale/src/measure.rs
@@ -0,0 +1,204 @@
+//! What a run notes while it goes on, and the figures worked out at its end.
+
+use crate::figures::{ControllerFigures, Figures, Sample, Times};
+use crate::process::Usage;
+use crate::run::Site;
+use crate::tally::{Amounts, Asked};
+use std::collections::BTreeMap;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+/// An urgent job should start within this.
+const URGENT_WITHIN: Duration = Duration::from_millis(2200);
+const SUBMITTED_WITHIN_MS: u64 = 200;
+/// Seconds over which the peak is taken.
+const PEAK_OVER: usize = 5;
+
+/// What the counters show at one moment.
+pub(crate) struct Snapshot {
+    pub at: Instant,
+    pub usages: Vec<Usage>,
+    pub traffic: Vec<Amounts>,
+    pub state: BTreeMap<String, Asked>,
+    pub starts: u64,
+}
+
+/// What the run noted while it watched.
+#[derive(Default)]
+pub(crate) struct Log {
+    pub samples: Vec<Sample>,
+    pub faults: Vec<String>,
+    pub ended: Vec<String>,
+    pub last_usage: Vec<Usage>,
+    pub last_starts: u64,
+}
+
+impl Site {
+    pub fn figures(&self, first: Snapshot, last: Snapshot, log: Log, load: [f64; 2]) -> Figures {
+        let now = Instant::now();
+        let o = &self.options;
+        let seconds = (last.at - first.at).as_secs_f64();
+        let mut state = last.state.clone();
+        for (purpose, before) in &first.state {
+            let now = state.entry(purpose.clone()).or_default();
+            now.requests -= before.requests;
+            now.changes -= before.changes;
+            now.refused -= before.refused;
+        }
+        let samples = &log.samples;
+        let mean = |f: fn(&Sample) -> f64| {
+            samples.iter().map(f).sum::<f64>() / samples.len().max(1) as f64
+        };
+        let peak = samples.windows(PEAK_OVER.min(samples.len()).max(1));
+        let peak = peak.map(|w| w.iter().map(|s| s.starts).sum::<u64>() as f64 / w.len() as f64);
+        let controllers = (0..o.controllers).map(|c| self.of_controller(c, &first, &last, samples));
+        let controllers = controllers.collect();
+        let (running_mean, unfinished_mean) = (
+            mean(|s| s.running as f64),
+            mean(|s| s.unfinished_jobs as f64),
+        );
+        let peak_starts_per_s = peak.fold(0.0, f64::max);
+        let (urgent, submissions) = (self.urgent(now), self.submissions());
+        let seen = self.users.seen();
+        let mut judge = self.shared.judge();
+        let tally = &self.shared.tally;
+        Figures {
+            options: o.clone(),
+            load_average: load,
+            measured_s: seconds,
+            arrivals_per_s: o.starts,
+            starts_per_s: (last.starts - first.starts) as f64 / seconds,
+            peak_starts_per_s,
+            running_mean,
+            unfinished_mean,
+            finished_jobs: judge.finished(),
+            urgent,
+            submissions,
+            given_up: seen.given_up,
+            polls: seen.polls,
+            polls_failed: seen.polls_failed,
+            cancelled: seen.cancelled,
+            refusals: tally.refusals.load(Ordering::Relaxed),
+            lost_tasks: tally.lost_tasks.load(Ordering::Relaxed),
+            lease_ends: tally.lease_ends.load(Ordering::Relaxed),
+            controllers,
+            state,
+            faults: log.faults,
+            ended_by_themselves: log.ended,
+            verdict: judge.verdict(now),
+            samples: log.samples,
+        }
+    }
+
+    fn of_controller(
+        &self,
+        c: usize,
+        first: &Snapshot,
+        last: &Snapshot,
+        samples: &[Sample],
+    ) -> ControllerFigures {
+        let (before, after) = (&first.usages[c], &last.usages[c]);
+        let seconds = (last.at - first.at).as_secs_f64();
+        let cores = || samples.iter().filter_map(|s| s.cores.get(c).copied());
+        let led = samples.iter().filter(|s| s.leader == c).count();
+        let thread = |(name, now): (&String, &f64)| {
+            let was = before.by_thread.get(name).copied().unwrap_or(0.0);
+            (name.clone(), (now - was).max(0.0) / seconds)
+        };
+        let traffic = last.traffic[c].iter();
+        let traffic = traffic.map(|(with, a)| (*with, a.since(first.traffic[c][with])));
+        ControllerFigures {
+            label: self.shared.layout.label(c).to_string(),
+            led: led as f64 / samples.len().max(1) as f64,
+            cores_mean: cores().sum::<f64>() / samples.len().max(1) as f64,
+            cores_peak: cores().fold(0.0, f64::max),
+            cores_by_thread: after.by_thread.iter().map(thread).collect(),
+            memory_mb: after.memory_mb,
+            most_memory_mb: after.most_memory_mb,
+            threads: after.threads,
+            sockets: after.sockets,
+            traffic: traffic.collect(),
+        }
+    }
+
+    /// How soon urgent jobs started; those submitted just before the end are
+    /// left out.
+    fn urgent(&self, now: Instant) -> Times {
+        let seen = self.users.seen();
+        let judge = self.shared.judge();
+        let old_enough = seen
+            .urgent
+            .iter()
+            .filter(|(_, at)| *at + URGENT_WITHIN < now);
+        let waits: Vec<Option<Duration>> =
+            old_enough.map(|(job, _)| judge.first_start(job)).collect();
+        let mut started: Vec<Duration> = waits.iter().flatten().copied().collect();
+        started.sort_unstable();
+        let in_time = started.iter().filter(|w| **w <= URGENT_WITHIN).count();
+        let quantile = |q: f64| {
+            let i = ((waits.len() as f64 * q).ceil() as usize).saturating_sub(1);
+            // One that never started counts as longer than all.
+            started.get(i).map_or(f64::INFINITY, Duration::as_secs_f64)
+        };
+        Times {
+            count: waits.len() as u64,
+            share_in_time: in_time as f64 / waits.len().max(1) as f64,
+            median_s: quantile(0.5),
+            p99_s: quantile(0.99),
+            never: (waits.len() - started.len()) as u64,
+        }
+    }
+
+    fn submissions(&self) -> Times {
+        let seen = self.users.seen();
+        let taken = &seen.submissions;
+        let in_time = taken.count_between(0, SUBMITTED_WITHIN_MS);
+        Times {
+            count: seen.submitted,
+            share_in_time: in_time as f64 / seen.submitted.max(1) as f64,
+            median_s: taken.value_at_quantile(0.5) as f64 / 1e3,
+            p99_s: taken.value_at_quantile(0.99) as f64 / 1e3,
+            never: seen.submitted - taken.len(),
+        }
+    }
+}
+
+impl Log {
+    pub fn take(&mut self, site: &Site, at: Duration) {
+        let leader = site.leader().unwrap_or(site.shared.leader());
+        site.shared.set_leader(leader);
+        let (starts, running, unfinished_jobs) = {
+            let judge = site.shared.judge();
+            (judge.starts(), judge.on_machines(), judge.unfinished())
+        };
+        let all = 0..site.options.controllers;
+        let usage = |c| site.controllers.usage(c, false).unwrap_or_default();
+        let usages: Vec<Usage> = all.map(usage).collect();
+        for c in site.controllers.ended() {
+            let label = site.shared.layout.label(c).to_string();
+            if !self.ended.contains(&label) {
+                self.ended.push(label);
+            }
+        }
+        let passed = at.as_secs_f64() - self.samples.last().map_or(0.0, |s| s.at_s);
+        let cores = usages.iter().enumerate().map(|(c, u)| {
+            let was = self
+                .last_usage
+                .get(c)
+                .map_or(u.processor_s, |l| l.processor_s);
+            // Less than before: it was started again.
+            (u.processor_s - was).max(0.0) / passed
+        });
+        self.samples.push(Sample {
+            at_s: at.as_secs_f64(),
+            starts: starts - self.last_starts,
+            running,
+            unfinished_jobs,
+            cores: cores.collect(),
+            memory_mb: usages.iter().map(|u| u.memory_mb).collect(),
+            leader,
+        });
+        self.last_usage = usages;
+        self.last_starts = starts;
+    }
+}
--- /dev/null
+++ b/crates/scale/src/run.rs
@@ -0,0 +1,315 @@
+//! One run: everything is checked, started, measured, judged and ended.
+
+use crate::controllers::{Controllers, team_cpus};
+use crate::faults::Faults;
+use crate::figures::Figures;
+use crate::http::{Client, serve};
+use crate::judge::Judge;
+use crate::layout::Layout;
+use crate::links::Link;
+use crate::machine::Rhythm;
+use crate::measure::{Log, Snapshot};
+use crate::options::{BadInput, RunOptions};
+use crate::standin::Shared;
+use crate::standin::cloud::Cloud;
+use crate::standin::state::{Limits, StateService};
+use crate::standin::users::Users;
+use crate::standin::workers::Workers;
+use crate::tally::Counterpart;
+use crate::workload;
+use std::net::{SocketAddr, TcpListener};
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+/// Threads that hold the workers' sockets.
+const WORKER_THREADS: usize = 2;
+/// By then every controller answers health checks, or the run fails.
+const HEALTHY_WITHIN: Duration = Duration::from_secs(20);
+const SAMPLE_EVERY: Duration = Duration::from_secs(1);
+const TURN: Duration = Duration::from_millis(20);
+const LEADER_KEY: &str = hookworks::store::LEADER;
+
+/// Why a run gave no figures.
+#[derive(Debug, thiserror::Error)]
+pub enum RunError {
+    #[error(transparent)]
+    Input(#[from] BadInput),
+    #[error("{0}: {1}")]
+    Start(String, std::io::Error),
+    #[error("controller-{0} did not become healthy within {HEALTHY_WITHIN:?}, see its log")]
+    NotHealthy(usize),
+    #[error("interrupted")]
+    Interrupted,
+}
+
+fn start_error(what: &str) -> impl Fn(std::io::Error) -> RunError {
+    move |e| RunError::Start(what.into(), e)
+}
+
+fn bind(address: SocketAddr) -> Result<TcpListener, BadInput> {
+    TcpListener::bind(address).map_err(|why| BadInput::Port { address, why })
+}
+
+/// Ends all that a run started, however the run ends.
+struct Ending {
+    stop: Arc<AtomicBool>,
+    controllers: Controllers,
+}
+
+impl Drop for Ending {
+    fn drop(&mut self) {
+        self.controllers.kill_all();
+        self.stop.store(true, Ordering::SeqCst);
+    }
+}
+
+/// Everything at work.
+pub(crate) struct Site {
+    pub options: RunOptions,
+    pub shared: Arc<Shared>,
+    pub state: Arc<StateService>,
+    pub cloud: Arc<Cloud>,
+    pub workers: Arc<Workers>,
+    pub users: Arc<Users>,
+    pub controllers: Controllers,
+    _ending: Ending,
+}
+
+/// Carries out a run. `interrupted` ends it early.
+///
+/// # Errors
+/// When it can't start; nothing is left running.
+pub fn run(o: &RunOptions, interrupted: &Arc<AtomicBool>) -> Result<Figures, RunError> {
+    o.check()?;
+    let before = load_average();
+    let site = Site::start(o)?;
+    site.wait_until_healthy(interrupted)?;
+    site.wait(Duration::from_secs_f64(o.warm_up_s), interrupted)?;
+    let first = site.snapshot();
+    let from = Instant::now();
+    let plans = workload::plans(o);
+    site.users
+        .start(from, plans)
+        .map_err(start_error("users"))?;
+    let mut log = Log {
+        last_usage: first.usages.clone(),
+        last_starts: first.starts,
+        ..Log::default()
+    };
+    site.watch(from, &mut log, interrupted)?;
+    let last = site.snapshot();
+    Ok(site.figures(first, last, log, [before, load_average()]))
+}
+
+impl Site {
+    fn start(o: &RunOptions) -> Result<Site, RunError> {
+        let layout = Layout::new(o);
+        let now = Instant::now();
+        let (_, most) = team_cpus(o);
+        let limits = (0..o.teams).map(|t| (workload::team(t), most)).collect();
+        let judge = Judge::new(now, Duration::from_secs_f64(o.cancel_s), limits);
+        let stop = Arc::new(AtomicBool::new(false));
+        let shared = Arc::new(Shared::new(layout.clone(), judge, stop.clone()));
+        for c in 0..o.controllers {
+            // Tried only: the controllers themselves take them.
+            bind(layout.controller(c))?;
+            bind(layout.cluster(c))?;
+        }
+        let controllers = Controllers::prepare(o, &layout, &o.out);
+        let controllers = controllers.map_err(start_error("settings"))?;
+        let ending = Ending {
+            stop,
+            controllers: controllers.clone(),
+        };
+        let rhythm = Rhythm {
+            report: Duration::from_secs_f64(o.report_s),
+            lease: Duration::from_secs_f64(o.lease_s),
+        };
+        let workers = Workers::start(&shared, rhythm, WORKER_THREADS, o.seed);
+        let workers = Arc::new(workers.map_err(start_error("workers"))?);
+        let remover = workers.clone();
+        let remove = Box::new(move |numbers: &[usize]| remover.remove(numbers));
+        let site = Site {
+            options: o.clone(),
+            state: Arc::new(StateService::new(Limits {
+                requests: o.state_rps,
+                changes: o.state_write_rps,
+                txn_ops: o.txn_ops,
+                value_bytes: (o.value_kb * 1024.0) as usize,
+            })),
+            cloud: Arc::new(Cloud::new(&layout, o.workers, remove)),
+            users: Arc::new(Users::new(shared.clone())),
+            shared,
+            workers,
+            controllers,
+            _ending: ending,
+        };
+        site.serve()?;
+        site.add_workers(site.cloud.places())?;
+        hook_panics(&site.controllers);
+        for c in 0..o.controllers {
+            site.controllers
+                .start(c)
+                .map_err(start_error("controller"))?;
+        }
+        Ok(site)
+    }
+
+    /// The services and links begin to serve.
+    fn serve(&self) -> Result<(), RunError> {
+        let layout = &self.shared.layout;
+        for c in 0..layout.controllers {
+            let (state, tally) = (self.state.clone(), self.shared.tally.clone());
+            let answer = move |r: &crate::http::Request| state.answer(r, &tally);
+            self.serve_one(layout.state(c), c, Counterpart::State, answer)?;
+            let cloud = self.cloud.clone();
+            let answer = move |r: &crate::http::Request| cloud.answer(r);
+            self.serve_one(layout.cloud(c), c, Counterpart::Cloud, answer)?;
+            for to in (0..layout.controllers).filter(|to| *to != c) {
+                let listener = bind(layout.link(c, to))?;
+                let (tally, stop) = (self.shared.tally.clone(), self.shared.stop.clone());
+                let link = Link::new(layout, c, to, tally, stop);
+                link.serve(listener).map_err(start_error("link"))?;
+            }
+        }
+        Ok(())
+    }
+
+    fn serve_one(
+        &self,
+        address: SocketAddr,
+        controller: usize,
+        with: Counterpart,
+        answer: impl Fn(&crate::http::Request) -> crate::http::Response + Send + Sync + 'static,
+    ) -> Result<(), RunError> {
+        let listener = bind(address)?;
+        let delay = self.shared.layout.service_delay(controller);
+        let handler = move |r: &crate::http::Request| {
+            std::thread::sleep(delay);
+            let response = answer(r);
+            std::thread::sleep(delay);
+            response
+        };
+        let tally = self.shared.tally.clone();
+        // For the controller a request goes out and a response comes in.
+        let count = move |request, response| tally.add(controller, with, response, request);
+        let stop = self.shared.stop.clone();
+        let served = serve(listener, stop, Arc::new(handler), Arc::new(count));
+        served.map(drop).map_err(start_error("service"))
+    }
+
+    fn add_workers(&self, places: Vec<(usize, crate::machine::Place)>) -> Result<(), BadInput> {
+        for (number, place) in places {
+            let address = self.shared.layout.worker(number);
+            let added = self.workers.add(number, place);
+            added.map_err(|why| BadInput::Port { address, why })?;
+        }
+        Ok(())
+    }
+
+    fn wait(&self, time: Duration, interrupted: &AtomicBool) -> Result<(), RunError> {
+        let until = Instant::now() + time;
+        while Instant::now() < until {
+            if interrupted.load(Ordering::Relaxed) {
+                return Err(RunError::Interrupted);
+            }
+            std::thread::sleep(TURN);
+        }
+        Ok(())
+    }
+
+    fn wait_until_healthy(&self, interrupted: &AtomicBool) -> Result<(), RunError> {
+        let until = Instant::now() + HEALTHY_WITHIN;
+        for c in 0..self.options.controllers {
+            while !self.is_healthy(c) {
+                if Instant::now() > until {
+                    return Err(RunError::NotHealthy(c));
+                }
+                self.wait(5 * TURN, interrupted)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn is_healthy(&self, controller: usize) -> bool {
+        let timeout = Duration::from_secs(1);
+        let address = self.shared.layout.controller(controller);
+        let client = Client::connect(address, timeout);
+        let exchange = client.and_then(|mut c| c.call("GET", "/healthz", b"", timeout));
+        exchange.is_ok_and(|e| e.response.status == 200)
+    }
+
+    /// The controller that the leader's key names.
+    pub fn leader(&self) -> Option<usize> {
+        let value = self.state.peek(LEADER_KEY)?.to_string();
+        let layout = &self.shared.layout;
+        let named = |c: &usize| value.contains(&format!("\"{}\"", layout.label(*c)));
+        (0..layout.controllers).find(named)
+    }
+
+    fn snapshot(&self) -> Snapshot {
+        let all = 0..self.options.controllers;
+        let usage = |c| self.controllers.usage(c, true).unwrap_or_default();
+        Snapshot {
+            at: Instant::now(),
+            usages: all.clone().map(usage).collect(),
+            traffic: all.map(|c| self.shared.tally.amounts(c)).collect(),
+            state: self.shared.tally.state(),
+            starts: self.shared.judge().starts(),
+        }
+    }
+
+    /// Samples every second, and carries the faults out, until the run's length
+    /// is over.
+    fn watch(
+        &self,
+        from: Instant,
+        log: &mut Log,
+        interrupted: &AtomicBool,
+    ) -> Result<(), RunError> {
+        let mut next = from + SAMPLE_EVERY;
+        let mut faults = Faults::new(&self.options, from);
+        while from.elapsed() < self.options.length() {
+            if interrupted.load(Ordering::Relaxed) {
+                return Err(RunError::Interrupted);
+            }
+            std::thread::sleep(TURN);
+            let now = Instant::now();
+            self.add_workers(self.cloud.come_up(now))?;
+            faults.carry_out(self, now, log);
+            if now >= next {
+                next += SAMPLE_EVERY;
+                log.take(self, now - from);
+                self.shared.judge().sweep(now);
+            }
+        }
+        Ok(())
+    }
+}
+
+/// A panic anywhere ends the controllers too.
+fn hook_panics(controllers: &Controllers) {
+    let controllers = controllers.clone();
+    let before = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |info| {
+        controllers.kill_all();
+        before(info);
+    }));
+}
+
+fn load_average() -> f64 {
+    let text = std::fs::read_to_string("/proc/loadavg").unwrap_or_default();
+    let first = text.split_whitespace().next();
+    first.and_then(|t| t.parse().ok()).unwrap_or(0.0)
+}
+
+/// Writes a run's figures and plot into its folder.
+///
+/// # Errors
+/// When a file can't be written.
+pub fn write(f: &Figures, out: &Path) -> Result<(), Box<dyn std::error::Error>> {
+    std::fs::write(out.join("figures.json"), serde_json::to_vec_pretty(f)?)?;
+    crate::plot::write(f, &out.join("run.svg"))
+}
--- /dev/null
+++ b/crates/scale/src/standin/state.rs
@@ -0,0 +1,355 @@
+//! The state service: a small store with stamps, leases, a watch and limits.
+
+use crate::http::{Request, Response};
+use crate::tally::Tally;
+use hookworks::ids::Stamp;
+use hookworks::store::budget::Budget;
+use hookworks::time::Clock;
+use hookworks::wire::state::{Applied, Change, Failed, Item, Lease, LeaseRequest, Page, Txn};
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::ops::Bound;
+use std::sync::{Condvar, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+/// Changes that the watch remembers.
+const REMEMBERED: usize = 10_000;
+/// Items and bytes of a page.
+const PAGE_ITEMS: usize = 1000;
+const PAGE_BYTES: usize = 512 * 1024;
+const TXN_BYTES: usize = 64 * 1024;
+const LONGEST_WATCH_MS: u64 = 60_000;
+
+/// What the service takes.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    pub requests: f64,
+    pub changes: f64,
+    pub txn_ops: usize,
+    pub value_bytes: usize,
+}
+
+struct LeaseEntry {
+    life: Duration,
+    ends: Instant,
+}
+
+struct Store {
+    revision: u64,
+    items: BTreeMap<String, Item>,
+    leases: HashMap<u64, LeaseEntry>,
+    next_lease: u64,
+    history: VecDeque<(u64, String, Option<Value>)>,
+    requests: Budget,
+    changes: Budget,
+}
+
+/// The service; shared by all its connections.
+pub struct StateService {
+    limits: Limits,
+    clock: Clock,
+    store: Mutex<Store>,
+    changed: Condvar,
+}
+
+/// What a key is for: the part behind the project's name.
+pub fn purpose(key: &str) -> String {
+    let part = key.split('/').nth(1);
+    part.unwrap_or(key).to_string()
+}
+
+impl StateService {
+    pub fn new(limits: Limits) -> StateService {
+        let store = Store {
+            revision: 1,
+            items: BTreeMap::new(),
+            leases: HashMap::new(),
+            next_lease: 1,
+            history: VecDeque::new(),
+            requests: Budget::new(limits.requests, limits.requests),
+            changes: Budget::new(limits.changes, limits.changes),
+        };
+        StateService {
+            limits,
+            clock: Clock::start(),
+            store: Mutex::new(store),
+            changed: Condvar::new(),
+        }
+    }
+
+    fn store(&self) -> MutexGuard<'_, Store> {
+        let mut store = self.store.lock().unwrap_or_else(|e| e.into_inner());
+        store.expire(Instant::now());
+        store
+    }
+
+    /// The value of a key, for who looks from outside.
+    pub fn peek(&self, key: &str) -> Option<Value> {
+        self.store().items.get(key).map(|i| i.value.clone())
+    }
+
+    /// Answers a request and counts it by its purpose.
+    pub fn answer(&self, r: &Request, tally: &Tally) -> Response {
+        let allowed = {
+            let mut store = self.store();
+            let now = self.clock.now();
+            let allowed = store.requests.has(now, 1.0);
+            if allowed {
+                store.requests.take(now, 1.0);
+            }
+            allowed
+        };
+        let path = r.path.trim_start_matches('/');
+        if !allowed {
+            tally.asked_state(path.split('/').next().unwrap_or(""), &[], true);
+            return Response::error(429, "too many requests");
+        }
+        let (head, rest) = path.split_once('/').unwrap_or((path, ""));
+        if (r.method.as_str(), head) == ("POST", "txn") {
+            return self.txn(&r.body, tally);
+        }
+        let name = match (r.method.as_str(), head) {
+            ("GET", "store") if rest.is_empty() => "page",
+            ("GET", "store") => "read",
+            ("POST", "grants") if rest.is_empty() => "grant",
+            ("POST", "grants") => "renew",
+            ("DELETE", "grants") => "revoke",
+            ("GET", "watch") => "watch",
+            _ => return Response::error(400, "no such request"),
+        };
+        tally.asked_state(name, &[], false);
+        match name {
+            "page" => self.page(r),
+            "read" => self.read(rest),
+            "grant" => self.grant(&r.body),
+            "renew" => self.renew(rest.trim_end_matches("/renew")),
+            "revoke" => self.revoke(rest),
+            _ => self.watch(r),
+        }
+    }
+
+    fn read(&self, key: &str) -> Response {
+        let store = self.store();
+        match store.items.get(key) {
+            Some(item) => Response::json(200, item),
+            None => Response::json(404, &json!({ "Ledger": store.revision })),
+        }
+    }
+
+    fn page(&self, r: &Request) -> Response {
+        let prefix = r.parameter("Under").unwrap_or_default();
+        let after = r.parameter("Since");
+        let most = r.parameter("Page").and_then(|p| p.parse().ok());
+        let most = most.unwrap_or(PAGE_ITEMS).min(PAGE_ITEMS);
+        let from = match &after {
+            Some(key) => Bound::Excluded(key.clone()),
+            None => Bound::Included(prefix.clone()),
+        };
+        let store = self.store();
+        let mut page = Page {
+            items: vec![],
+            more: false,
+        };
+        let mut bytes = 0;
+        for (key, item) in store.items.range((from, Bound::Unbounded)) {
+            if !key.starts_with(&prefix) {
+                break;
+            }
+            bytes += key.len() + item.value.to_string().len();
+            if page.items.len() >= most || bytes > PAGE_BYTES {
+                page.more = true;
+                break;
+            }
+            page.items.push(item.clone());
+        }
+        let mut body = json!(page);
+        body["Ledger"] = json!(store.revision);
+        Response::json(200, &body)
+    }
+
+    fn txn(&self, body: &[u8], tally: &Tally) -> Response {
+        let parsed = serde_json::from_slice::<Txn>(body);
+        let Some(txn) = parsed.ok().filter(|t| self.is_within(t, body.len())) else {
+            tally.asked_state("malformed", &[], true);
+            return Response::error(400, "malformed");
+        };
+        let purposes: Vec<String> = txn.changes.iter().map(|c| purpose(c.key())).collect();
+        let name = purposes
+            .first()
+            .map_or("compare", String::as_str)
+            .to_string();
+        let mut store = self.store();
+        let now = self.clock.now();
+        let cost = txn.changes.len() as f64;
+        if !store.changes.has(now, cost) {
+            tally.asked_state(&name, &purposes, true);
+            return Response::error(429, "too many changes");
+        }
+        store.changes.take(now, cost);
+        tally.asked_state(&name, &purposes, false);
+        let response = store.apply(&txn);
+        drop(store);
+        self.changed.notify_all();
+        response
+    }
+
+    fn is_within(&self, txn: &Txn, bytes: usize) -> bool {
+        let value_fits = |c: &Change| match c {
+            Change::Put { value, .. } => value.to_string().len() <= self.limits.value_bytes,
+            Change::Delete { .. } => true,
+        };
+        txn.changes.len() <= self.limits.txn_ops
+            && txn.conditions.len() <= 4 * self.limits.txn_ops
+            && bytes <= TXN_BYTES
+            && txn.changes.iter().all(value_fits)
+    }
+
+    fn grant(&self, body: &[u8]) -> Response {
+        let Ok(request) = serde_json::from_slice::<LeaseRequest>(body) else {
+            return Response::error(400, "malformed");
+        };
+        let life = Duration::from_millis(request.ttl_ms);
+        let mut store = self.store();
+        let lease = store.next_lease;
+        store.next_lease += 1;
+        let ends = Instant::now() + life;
+        store.leases.insert(lease, LeaseEntry { life, ends });
+        Response::json(200, &Lease { lease })
+    }
+
+    fn renew(&self, id: &str) -> Response {
+        let mut store = self.store();
+        let entry = id
+            .parse()
+            .ok()
+            .and_then(|id: u64| store.leases.get_mut(&id));
+        match entry {
+            Some(entry) => {
+                entry.ends = Instant::now() + entry.life;
+                Response::json(200, &json!({}))
+            }
+            None => Response::error(404, "no such lease"),
+        }
+    }
+
+    fn revoke(&self, id: &str) -> Response {
+        let mut store = self.store();
+        if let Ok(id) = id.parse::<u64>() {
+            store.end_lease(id);
+        }
+        Response::json(200, &json!({}))
+    }
+
+    fn watch(&self, r: &Request) -> Response {
+        let prefix = r.parameter("Under").unwrap_or_default();
+        let number = |name| r.parameter(name).and_then(|v| v.parse::<u64>().ok());
+        let since = number("Since").unwrap_or(0);
+        let hold = number("HoldMs").unwrap_or(0).min(LONGEST_WATCH_MS);
+        let until = Instant::now() + Duration::from_millis(hold);
+        let mut store = self.store();
+        loop {
+            let oldest = store.history.front().map_or(0, |h| h.0);
+            if store.history.len() >= REMEMBERED && since + 1 < oldest {
+                return Response::error(410, "too old");
+            }
+            let news = store.news(&prefix, since);
+            let left = until.saturating_duration_since(Instant::now());
+            if !news.is_empty() || left.is_zero() {
+                return Response::json(200, &json!({"Ledger": store.revision, "Events": news}));
+            }
+            let waited = self
+                .changed
+                .wait_timeout(store, left.min(Duration::from_millis(100)));
+            store = waited.unwrap_or_else(|e| e.into_inner()).0;
+            store.expire(Instant::now());
+        }
+    }
+}
+
+impl Store {
+    fn expire(&mut self, now: Instant) {
+        let over = self.leases.iter().filter(|(_, l)| l.ends < now);
+        let over: Vec<u64> = over.map(|(id, _)| *id).collect();
+        for id in over {
+            self.end_lease(id);
+        }
+    }
+
+    fn end_lease(&mut self, id: u64) {
+        self.leases.remove(&id);
+        let with = self.items.values().filter(|i| i.lease == Some(id));
+        let keys: Vec<String> = with.map(|i| i.key.clone()).collect();
+        if keys.is_empty() {
+            return;
+        }
+        self.revision += 1;
+        for key in keys {
+            self.items.remove(&key);
+            self.remember(key, None);
+        }
+    }
+
+    fn remember(&mut self, key: String, value: Option<Value>) {
+        self.history.push_back((self.revision, key, value));
+        while self.history.len() > REMEMBERED {
+            self.history.pop_front();
+        }
+    }
+
+    fn news(&self, prefix: &str, since: u64) -> Vec<Value> {
+        let new = self.history.iter();
+        let new = new.filter(|(at, key, _)| *at > since && key.starts_with(prefix));
+        new.map(|(at, key, value)| match value {
+            Some(v) => json!({"Put": key, "V": v, "Stamp": at}),
+            None => json!({"Delete": key, "Stamp": at}),
+        })
+        .collect()
+    }
+
+    fn apply(&mut self, txn: &Txn) -> Response {
+        let no_lease = |c: &Change| match c {
+            Change::Put { lease: Some(l), .. } => !self.leases.contains_key(l),
+            _ => false,
+        };
+        if txn.changes.iter().any(no_lease) {
+            return Response::error(400, "no such lease");
+        }
+        let stamp_of = |key: &str| self.items.get(key).map_or(Stamp(0), |i| i.stamp);
+        let differs = txn
+            .conditions
+            .iter()
+            .filter(|c| stamp_of(&c.key) != c.stamp);
+        let failed: Vec<String> = differs.map(|c| c.key.clone()).collect();
+        if !failed.is_empty() {
+            return Response::json(409, &Failed { failed });
+        }
+        if !txn.changes.is_empty() {
+            self.revision += 1;
+        }
+        for change in &txn.changes {
+            self.change(change);
+        }
+        let revision = Stamp(self.revision);
+        Response::json(200, &Applied { revision })
+    }
+
+    fn change(&mut self, change: &Change) {
+        let stamp = Stamp(self.revision);
+        match change.clone() {
+            Change::Put { key, value, lease } => {
+                self.remember(key.clone(), Some(value.clone()));
+                let item = Item {
+                    key: key.clone(),
+                    value,
+                    stamp,
+                    lease,
+                };
+                self.items.insert(key, item);
+            }
+            Change::Delete { key } => {
+                self.items.remove(&key);
+                self.remember(key, None);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/scale/src/tally.rs
@@ -0,0 +1,129 @@
+//! Bytes and messages of each controller by counterpart, and what the state
+//! service was asked for, counted at the stand-ins.
+
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Whom a controller exchanges messages with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Counterpart {
+    /// Reports and their responses.
+    Reports,
+    /// Commands that go straight to workers.
+    Commands,
+    Users,
+    State,
+    Cloud,
+    /// Other controllers; messages are pieces of the stream here.
+    Peers,
+}
+
+impl Counterpart {
+    pub const ALL: [Counterpart; 6] = [
+        Counterpart::Reports,
+        Counterpart::Commands,
+        Counterpart::Users,
+        Counterpart::State,
+        Counterpart::Cloud,
+        Counterpart::Peers,
+    ];
+}
+
+#[derive(Default)]
+struct Traffic {
+    messages: AtomicU64,
+    to_controller: AtomicU64,
+    from_controller: AtomicU64,
+}
+
+/// Messages and bytes so far.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Amount {
+    pub messages: u64,
+    pub to_controller: u64,
+    pub from_controller: u64,
+}
+
+impl Amount {
+    pub fn since(self, before: Amount) -> Amount {
+        Amount {
+            messages: self.messages - before.messages,
+            to_controller: self.to_controller - before.to_controller,
+            from_controller: self.from_controller - before.from_controller,
+        }
+    }
+}
+
+/// What the state service was asked for under one purpose.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Asked {
+    pub requests: u64,
+    pub changes: u64,
+    pub refused: u64,
+}
+
+/// Amounts by counterpart.
+pub type Amounts = BTreeMap<Counterpart, Amount>;
+
+/// All counters of a run.
+pub struct Tally {
+    controllers: Vec<[Traffic; Counterpart::ALL.len()]>,
+    state: Mutex<BTreeMap<String, Asked>>,
+    pub refusals: AtomicU64,
+    pub lost_tasks: AtomicU64,
+    pub lease_ends: AtomicU64,
+}
+
+impl Tally {
+    pub fn new(controllers: usize) -> Tally {
+        Tally {
+            controllers: (0..controllers).map(|_| Default::default()).collect(),
+            state: Mutex::default(),
+            refusals: AtomicU64::new(0),
+            lost_tasks: AtomicU64::new(0),
+            lease_ends: AtomicU64::new(0),
+        }
+    }
+
+    /// A message, or a request with its response.
+    pub fn add(&self, controller: usize, with: Counterpart, to: usize, from: usize) {
+        let t = &self.controllers[controller][with as usize];
+        t.messages.fetch_add(1, Ordering::Relaxed);
+        t.to_controller.fetch_add(to as u64, Ordering::Relaxed);
+        t.from_controller.fetch_add(from as u64, Ordering::Relaxed);
+    }
+
+    pub fn amounts(&self, controller: usize) -> Amounts {
+        let one = |c: Counterpart| {
+            let t = &self.controllers[controller][c as usize];
+            let amount = Amount {
+                messages: t.messages.load(Ordering::Relaxed),
+                to_controller: t.to_controller.load(Ordering::Relaxed),
+                from_controller: t.from_controller.load(Ordering::Relaxed),
+            };
+            (c, amount)
+        };
+        Counterpart::ALL.into_iter().map(one).collect()
+    }
+
+    /// A request to the state service, with the purpose of each of its changes.
+    pub fn asked_state(&self, purpose: &str, changes: &[String], refused: bool) {
+        let mut state = self.state.lock().unwrap_or_else(|e| e.into_inner());
+        let asked = state.entry(purpose.to_string()).or_default();
+        asked.requests += 1;
+        asked.refused += u64::from(refused);
+        if refused {
+            return;
+        }
+        for change in changes {
+            state.entry(change.clone()).or_default().changes += 1;
+        }
+    }
+
+    pub fn state(&self) -> BTreeMap<String, Asked> {
+        self.state.lock().unwrap_or_else(|e| e.into_inner()).clone()
+    }
+}
--- a/src/wire/cloud.rs
+++ b/src/wire/cloud.rs
@@ -3,13 +3,13 @@
 use crate::ids::{Build, Host, Zone};
 use serde::{Deserialize, Serialize};
 
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Flavors {
     #[serde(rename = "Builds")]
     pub builds: Vec<Flavor>,
 }
 
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Flavor {
     #[serde(rename = "Label")]
     pub build: Build,
@@ -33,7 +33,7 @@
     pub zones: Vec<Zone>,
 }
 
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Hire {
     #[serde(rename = "Hire")]
     pub name: String,
@@ -53,7 +53,7 @@
     pub hosts: Vec<Host>,
 }
 
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct HostList {
     #[serde(rename = "Hosts")]
     pub hosts: Vec<Listed>,
@@ -61,7 +61,7 @@
     pub more: bool,
 }
 
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Listed {
     #[serde(rename = "Id")]
     pub host: Host,
--- a/src/wire/state.rs
+++ b/src/wire/state.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Item {
     #[serde(rename = "K")]
     pub key: String,
@@ -13,11 +13,11 @@
     #[serde(rename = "Stamp")]
     pub stamp: Stamp,
     /// The lease that the key goes with, if any.
-    #[serde(rename = "Permit", default)]
+    #[serde(rename = "Permit", default, skip_serializing_if = "Option::is_none")]
     pub lease: Option<u64>,
 }
 
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Page {
     #[serde(rename = "Pairs")]
     pub items: Vec<Item>,
@@ -25,7 +25,7 @@
     pub more: bool,
 }
 
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Condition {
     #[serde(rename = "K")]
     pub key: String,
@@ -33,7 +33,7 @@
     pub stamp: Stamp,
 }
 
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(untagged)]
 pub enum Change {
     Put {
@@ -41,7 +41,7 @@
         key: String,
         #[serde(rename = "V")]
         value: Value,
-        #[serde(rename = "Permit", skip_serializing_if = "Option::is_none")]
+        #[serde(rename = "Permit", default, skip_serializing_if = "Option::is_none")]
         lease: Option<u64>,
     },
     Delete {
@@ -50,11 +50,11 @@
     },
 }
 
-#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Txn {
-    #[serde(rename = "When")]
+    #[serde(rename = "When", default)]
     pub conditions: Vec<Condition>,
-    #[serde(rename = "Apply", skip_serializing_if = "Vec::is_empty")]
+    #[serde(rename = "Apply", default, skip_serializing_if = "Vec::is_empty")]
     pub changes: Vec<Change>,
 }
 
@@ -66,24 +66,24 @@
     }
 }
 
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Applied {
     #[serde(rename = "Ledger")]
     pub revision: Stamp,
 }
 
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Failed {
     pub failed: Vec<String>,
 }
 
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct LeaseRequest {
     #[serde(rename = "LifeMs")]
     pub ttl_ms: u64,
 }
 
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Lease {
     #[serde(rename = "Permit")]
     pub lease: u64,
--- a/src/wire/worker.rs
+++ b/src/wire/worker.rs
@@ -116,8 +116,8 @@
 }
 
 /// Sends a worker to the leader.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Redirect {
-    #[serde(rename = "Foreman", skip_serializing_if = "Option::is_none")]
+    #[serde(rename = "Foreman", default, skip_serializing_if = "Option::is_none")]
     pub leader: Option<Label>,
 }
