A new leader gives machines rented long ago time to report

A machine that is listed as running but has not reported to this leader counts as booting. It was released as one that never came up as soon as its rental was older than a late boot, without regard to when the term began; only machines asked directly within the first moment escaped.

Such a machine is now given up only once the term has lasted as long as a silent machine is waited for.

--- a/src/sched/fleet.rs
+++ b/src/sched/fleet.rs
@@ -207,8 +207,9 @@
             match m.life {
                 Life::Booting => {
                     let boot = self.flavors.get(&m.build).map_or(60.0, |f| f.boot_s);
-                    let slept = now - awake < patience;
-                    if now - m.hired > late_boot(boot) && !zone_kept && !slept {
+                    // A new leader has not heard them yet: of 4,500 that were up it
+                    // released 1,957 in its first second.
+                    if now - m.hired > late_boot(boot) && !zone_kept && settled {
                         tracing::info!(host = %m.host, "never came up, released");
                         m.life = Life::Leaving { next: now };
                     }
--- a/tests/rentals.rs
+++ b/tests/rentals.rs
@@ -5,6 +5,7 @@
 
 use hookworks::ids::*;
 use hookworks::sched::{Effect, Event, HireResult};
+use hookworks::wire::cloud::Listed;
 use world::desk::{Desk, report};
 use world::job;
 
@@ -45,3 +46,24 @@
     }
     assert!(d.released().contains(&Host::from("n-000007")));
 }
+
+/// A new leader meets the whole fleet in the cloud's list before it has heard
+/// from it; one that never reports is given up all the same.
+#[test]
+fn a_machine_rented_long_ago_has_time_to_report_to_a_new_leader() {
+    let mut d = Desk::new(5);
+    d.refuses = true;
+    d.event(Event::Listed(vec![Listed {
+        host: "n-000007".into(),
+        addr: Some("10.1.0.7:9000".into()),
+        build: "small".into(),
+        zone: "a".into(),
+        spot: false,
+        status: "running".into(),
+        age_s: 600.0,
+    }]));
+    d.wait(5.0);
+    assert_eq!(d.released(), []);
+    d.wait(30.0);
+    assert!(d.released().contains(&Host::from("n-000007")));
+}
