Scale run: slopes from several sizes, and the capacity page worked out from them

hookworks-scale slopes runs at least four sizes along one axis, fits a line for each measure with its residual and range, names what is not linear, the largest size that held and what broke first. hookworks-scale capacity writes the page from slopes and kept runs: what ends first, each role today and at the target, predictions beside measurements.

Runs in one process wait until the addresses of the one before are free; two series had ended at their second and third size because they were still taken. The first thread of a controller is called main, whatever its program's name.

--- /dev/null
+++ b/crates/scale/src/capacity.rs
@@ -0,0 +1,415 @@
+//! The capacity page, worked out from the slopes and from recorded runs. No
+//! figure of it is written by hand.
+
+use crate::bounds::{Demand, JOBS_A_DAY, LINES, NOT_MEASURED, TARGET, TASKS_OF_A_JOB};
+use crate::figures::Figures;
+use crate::slopes::{Axis, MEASURES, Series, Size, Slopes};
+use clap::Args;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::path::{Path, PathBuf};
+
+/// A difference between prediction and measurement above this is marked.
+const MARKED: f64 = 0.25;
+/// A run kept for the page.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Recorded {
+    pub name: String,
+    pub workers: usize,
+    pub starts: f64,
+    pub teams: usize,
+    pub zones: usize,
+    pub regions: usize,
+    pub run_s: f64,
+    pub measured_s: f64,
+    pub faults: Vec<String>,
+    pub lost_tasks: u64,
+    pub lease_ends: u64,
+    pub urgent_p99_s: Option<f64>,
+    pub submissions_p99_s: f64,
+    pub rules_broken: Vec<String>,
+    pub size: Size,
+}
+
+impl Recorded {
+    pub fn of(name: &str, f: &Figures) -> Recorded {
+        let o = &f.options;
+        let broken = f.verdict.broken.keys().map(|r| format!("{r:?}"));
+        Recorded {
+            name: name.into(),
+            workers: o.workers,
+            starts: o.starts,
+            teams: o.teams,
+            zones: o.zones,
+            regions: o.regions,
+            run_s: o.run_s,
+            measured_s: f.measured_s,
+            faults: f.faults.clone(),
+            lost_tasks: f.lost_tasks,
+            lease_ends: f.lease_ends,
+            urgent_p99_s: Some(f.urgent.p99_s).filter(|s| s.is_finite()),
+            submissions_p99_s: f.submissions.p99_s,
+            rules_broken: broken.collect(),
+            size: Size::of(Axis::Workers, o.workers as f64, f),
+        }
+    }
+
+    /// Adds the run to a file, in place of one of the same name.
+    ///
+    /// # Errors
+    /// When the file can't be read or written.
+    pub fn keep(self, file: &Path) -> std::io::Result<()> {
+        let mut all = read_runs(file)?;
+        all.insert(self.name.clone(), self);
+        if let Some(folder) = file.parent() {
+            std::fs::create_dir_all(folder)?;
+        }
+        let mut text = serde_json::to_vec_pretty(&all)?;
+        text.push(b'\n');
+        std::fs::write(file, text)
+    }
+}
+
+fn read_runs(file: &Path) -> std::io::Result<BTreeMap<String, Recorded>> {
+    match std::fs::read(file) {
+        Ok(text) => Ok(serde_json::from_slice(&text)?),
+        Err(e) if e.kind() == std::io::ErrorKind::NotFound => Ok(BTreeMap::new()),
+        Err(e) => Err(e),
+    }
+}
+
+/// Files of the page.
+#[derive(Args, Clone, Debug)]
+pub struct CapacityOptions {
+    #[arg(long, default_value = "docs/capacity/slopes.json")]
+    pub slopes: PathBuf,
+    #[arg(long, default_value = "docs/capacity/runs.json")]
+    pub runs: PathBuf,
+    #[arg(long, default_value = "docs/CAPACITY.md")]
+    pub into: PathBuf,
+}
+
+/// The slopes as a prediction: the line along the workers' axis, and along each
+/// other axis what it adds or takes against that axis's base.
+pub struct Model<'s> {
+    slopes: &'s Slopes,
+}
+
+impl<'s> Model<'s> {
+    pub fn new(slopes: &'s Slopes) -> Model<'s> {
+        Model { slopes }
+    }
+
+    /// What the series were run with besides their own axis.
+    fn base(series: &Series, axis: Axis) -> f64 {
+        match axis {
+            Axis::Workers => series.workers as f64,
+            Axis::Starts => series.starts,
+            Axis::Teams => series.teams as f64,
+            Axis::Zones => series.zones as f64,
+        }
+    }
+
+    /// The measure under this demand; none without a line along the workers' axis.
+    pub fn at(&self, measure: &str, d: &Demand) -> Option<f64> {
+        let main = self.slopes.series.get(&Axis::Workers)?;
+        let mut value = main.fits.get(measure)?.at(d.workers);
+        let others = [
+            (Axis::Starts, d.starts),
+            (Axis::Teams, d.teams),
+            (Axis::Zones, d.zones),
+        ];
+        for (axis, wanted) in others {
+            let fit = self
+                .slopes
+                .series
+                .get(&axis)
+                .and_then(|s| s.fits.get(measure));
+            if let Some(fit) = fit {
+                value += fit.slope * (wanted - Model::base(main, axis));
+            }
+        }
+        Some(value.max(0.0))
+    }
+
+    /// At how many machines, starts in proportion, the measure reaches `bound`.
+    pub fn ends_at(&self, measure: &str, bound: f64) -> Option<f64> {
+        let (low, high) = (1000.0, 2000.0);
+        let (a, b) = (
+            self.at(measure, &Demand::at(low))?,
+            self.at(measure, &Demand::at(high))?,
+        );
+        let slope = (b - a) / (high - low);
+        (slope > 0.0).then(|| low + (bound - a) / slope)
+    }
+}
+
+fn short(value: f64) -> String {
+    match value.abs() {
+        v if v >= 100.0 => format!("{value:.0}"),
+        v if v >= 1.0 => format!("{value:.1}"),
+        _ => format!("{value:.3}"),
+    }
+}
+
+/// The page.
+pub fn page(slopes: &Slopes, runs: &BTreeMap<String, Recorded>) -> String {
+    let mut page = String::new();
+    // Writing into a string can't fail.
+    let _ = write_page(&mut page, slopes, runs);
+    page
+}
+
+/// Reads, works out and writes the page.
+///
+/// # Errors
+/// When a file can't be read or written.
+pub fn write(o: &CapacityOptions) -> std::io::Result<()> {
+    let slopes = Slopes::read(&o.slopes)?;
+    let runs = read_runs(&o.runs)?;
+    std::fs::write(&o.into, page(&slopes, &runs))
+}
+
+type Runs = BTreeMap<String, Recorded>;
+
+fn write_page(p: &mut String, slopes: &Slopes, runs: &Runs) -> std::fmt::Result {
+    let model = Model::new(slopes);
+    writeln!(p, "# Capacity\n")?;
+    writeln!(
+        p,
+        "Written by `hookworks-scale capacity` from `docs/capacity/slopes.json` and\n\
+         `docs/capacity/runs.json`; not to be edited. Measured by `hookworks-scale` with three\n\
+         controllers on loopback ({}).\n",
+        slopes.machine
+    )?;
+    write_ends(p, &model, slopes, runs)?;
+    write_roles(p, &model)?;
+    write_runs(p, &model, runs)?;
+    write_slopes(p, slopes)?;
+    writeln!(p, "## Not measured\n")?;
+    for what in NOT_MEASURED {
+        writeln!(p, "- {what}")?;
+    }
+    Ok(())
+}
+
+fn write_ends(p: &mut String, model: &Model, slopes: &Slopes, runs: &Runs) -> std::fmt::Result {
+    writeln!(p, "## What ends first\n")?;
+    writeln!(
+        p,
+        "Each bound with the number of machines at which the lines reach it, in the peak\n\
+         second, starts in proportion to machines ({} at {}). With one of three controllers\n\
+         ended the others hold half as many workers again, worked out, not measured:\n",
+        TARGET.starts, TARGET.workers
+    )?;
+    let reached = LINES.iter().filter_map(|l| {
+        let (bound, of) = l.bound?;
+        Some((model.ends_at(l.measure, bound)?, "", l, bound, of))
+    });
+    let with_one_less = LINES.iter().filter(|l| l.on_one_less > 1.0);
+    let with_one_less = with_one_less.filter_map(|l| {
+        let (bound, of) = l.bound?;
+        let machines = model.ends_at(l.measure, bound / l.on_one_less)?;
+        Some((machines, ", one controller ended", l, bound, of))
+    });
+    let reached = reached.chain(with_one_less);
+    let mut reached: Vec<_> = reached.collect();
+    reached.sort_by(|a, b| a.0.total_cmp(&b.0));
+    writeln!(p, "| machines | what ends | bound | mechanism |")?;
+    writeln!(p, "| ---: | --- | --- | --- |")?;
+    for (machines, when, line, bound, of) in reached {
+        let machines = match machines {
+            m if m <= 0.0 => "always".to_string(),
+            m if m > 10.0 * TARGET.workers => "beyond 45,000".to_string(),
+            m => format!("{:.0}", (m / 10.0).round() * 10.0),
+        };
+        let (measure, bound, how) = (line.measure, short(bound), line.mechanism);
+        writeln!(
+            p,
+            "| {machines} | {measure}{when} | {bound} ({of}) | {how} |"
+        )?;
+    }
+    writeln!(p, "\nSeen in runs of several sizes:\n")?;
+    for series in slopes.series.values() {
+        let held = series.largest_that_held.map_or("none".into(), short);
+        let first = series.broke_first.as_deref().unwrap_or("nothing broke");
+        writeln!(
+            p,
+            "- {:?}: the largest size that held is {held}; {first}",
+            series.axis
+        )?;
+    }
+    for run in runs.values().filter(|r| r.size.broke.is_some()) {
+        let broke = run.size.broke.as_deref().unwrap_or_default();
+        writeln!(
+            p,
+            "- run \"{}\" ({} workers): {broke}",
+            run.name, run.workers
+        )?;
+    }
+    writeln!(p)
+}
+
+fn write_roles(p: &mut String, model: &Model) -> std::fmt::Result {
+    let demands = Demand::all();
+    writeln!(p, "## By role\n")?;
+    for d in &demands {
+        writeln!(
+            p,
+            "- {}: {:.0} workers, {:.0} starts a second, {:.0} teams, {:.0} zones",
+            d.name, d.workers, d.starts, d.teams, d.zones
+        )?;
+    }
+    writeln!(
+        p,
+        "\nAn ordinary second is {JOBS_A_DAY:.0} jobs a day of {TASKS_OF_A_JOB:.0} tasks. The last but one column\n\
+         is the peak of the target over the bound.\n"
+    )?;
+    write!(p, "| role | measure |")?;
+    for d in &demands {
+        write!(p, " {} |", d.name)?;
+    }
+    writeln!(p, " bound | of the bound | carried by |")?;
+    writeln!(
+        p,
+        "| --- | --- | ---: | ---: | ---: | ---: | ---: | ---: | --- |"
+    )?;
+    for line in &LINES {
+        write!(p, "| {} | {} |", line.role, line.measure)?;
+        for d in &demands {
+            let value = model.at(line.measure, d);
+            write!(p, " {} |", value.map_or("not measured".into(), short))?;
+        }
+        let peak = model.at(line.measure, &TARGET);
+        let bound = line.bound.map(|b| b.0);
+        let over = peak.zip(bound).map(|(v, b)| format!("{:.2}", v / b));
+        let bound = bound.map_or("none".into(), short);
+        writeln!(
+            p,
+            " {bound} | {} | {} |",
+            over.unwrap_or_default(),
+            line.mechanism
+        )?;
+    }
+    writeln!(p)
+}
+
+fn write_runs(p: &mut String, model: &Model, runs: &Runs) -> std::fmt::Result {
+    writeln!(p, "## Runs beside their predictions\n")?;
+    if runs.is_empty() {
+        return writeln!(p, "None recorded.\n");
+    }
+    for run in runs.values() {
+        write_run(p, model, run)?;
+    }
+    Ok(())
+}
+
+fn write_run(p: &mut String, model: &Model, run: &Recorded) -> std::fmt::Result {
+    let s = &run.size;
+    writeln!(p, "### {}\n", run.name)?;
+    writeln!(
+        p,
+        "{} workers, {} teams, {} zones in {} regions, {} starts a second arriving, tasks of {} s,\n\
+         {:.0} s measured, load average {:.1} to {:.1}.\n",
+        run.workers,
+        run.teams,
+        run.zones,
+        run.regions,
+        run.starts,
+        run.run_s,
+        run.measured_s,
+        s.load_average[0],
+        s.load_average[1]
+    )?;
+    let rules = match run.rules_broken.is_empty() {
+        true => "all rules held".to_string(),
+        false => format!("broken: {}", run.rules_broken.join(", ")),
+    };
+    writeln!(
+        p,
+        "Judged: {rules}. {:.1} starts a second; {:.0} tasks running; urgent within 2.2 s {:.3}, 99% {};\n\
+         submissions within 200 ms {:.3}, 99% {:.2} s; refusals {}; tasks lost {}; leases ended {}.\n",
+        s.starts_per_s,
+        s.running_mean,
+        s.urgent_in_time,
+        run.urgent_p99_s
+            .map_or("never".into(), |v| format!("{v:.2} s")),
+        s.submissions_in_time,
+        run.submissions_p99_s,
+        s.refusals,
+        run.lost_tasks,
+        run.lease_ends
+    )?;
+    for fault in run.faults.iter().take(6) {
+        writeln!(p, "- {fault}")?;
+    }
+    if run.faults.len() > 6 {
+        writeln!(p, "- and {} more", run.faults.len() - 6)?;
+    }
+    if !run.faults.is_empty() {
+        writeln!(p)?;
+    }
+    writeln!(p, "| measure | predicted | measured | difference |")?;
+    writeln!(p, "| --- | ---: | ---: | ---: |")?;
+    let d = Demand {
+        name: "",
+        workers: run.workers as f64,
+        // What was asked of it, not what came of it.
+        starts: run.starts,
+        teams: run.teams as f64,
+        zones: run.zones as f64,
+    };
+    for m in &MEASURES {
+        let (Some(seen), Some(said)) = (s.values.get(m.name), model.at(m.name, &d)) else {
+            continue;
+        };
+        let off = if said > 0.0 {
+            (seen - said) / said
+        } else {
+            0.0
+        };
+        let mark = if off.abs() > MARKED { " (!)" } else { "" };
+        let (said, seen, off) = (short(said), short(*seen), off * 100.0);
+        writeln!(p, "| {} | {said} | {seen} | {off:+.0}%{mark} |", m.name)?;
+    }
+    writeln!(p)
+}
+
+fn write_slopes(p: &mut String, slopes: &Slopes) -> std::fmt::Result {
+    writeln!(p, "## Slopes\n")?;
+    for series in slopes.series.values() {
+        let sizes = series.sizes.iter().map(|s| short(s.asked));
+        writeln!(
+            p,
+            "Along {:?} ({}); the others at {} workers, {} starts a second, {} teams, {} zones:\n",
+            series.axis,
+            sizes.collect::<Vec<_>>().join(", "),
+            series.workers,
+            series.starts,
+            series.teams,
+            series.zones
+        )?;
+        writeln!(
+            p,
+            "| measure | at zero | for each 1,000 | residual | slopes between sizes, for each 1,000 | linear |"
+        )?;
+        writeln!(p, "| --- | ---: | ---: | ---: | ---: | --- |")?;
+        for (name, fit) in &series.fits {
+            let linear = if fit.linear { "yes" } else { "no" };
+            let (low, high) = fit.slope_range;
+            writeln!(
+                p,
+                "| {name} | {} | {} | {} | {} to {} | {linear} |",
+                short(fit.at_zero),
+                short(fit.slope * 1e3),
+                short(fit.residual),
+                short(low * 1e3),
+                short(high * 1e3)
+            )?;
+        }
+        writeln!(p)?;
+    }
+    Ok(())
+}
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -4,9 +4,11 @@
 //!
 //! [`run::run`] carries out one run of [`options::RunOptions`] and gives
 //! [`figures::Figures`]; [`judge::Judge`] checks the rules from the stand-ins'
-//! own record. `slopes` runs several sizes and fits lines; `capacity` works
+//! own record. [`slopes`] runs several sizes and fits lines; [`capacity`] works
 //! the capacity page out from them.
 
+pub mod bounds;
+pub mod capacity;
 pub mod controllers;
 pub mod faults;
 pub mod figures;
@@ -21,6 +23,7 @@
 pub mod plot;
 pub mod process;
 pub mod run;
+pub mod slopes;
 pub mod standin;
 pub mod tally;
 pub mod workload;
--- a/crates/scale/src/links.rs
+++ b/crates/scale/src/links.rs
@@ -8,6 +8,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 /// Pieces of a stream that may be on their way.
@@ -45,7 +46,10 @@
     }
 
     /// Passes on what comes at `listener` until told to stop.
-    pub fn serve(self, listener: TcpListener) -> std::io::Result<()> {
+    ///
+    /// # Errors
+    /// When the system gives no thread.
+    pub fn serve(self, listener: TcpListener) -> std::io::Result<JoinHandle<()>> {
         listener.set_nonblocking(true)?;
         named("link", move || {
             while !self.stop.load(Ordering::Relaxed) {
@@ -113,7 +117,7 @@
     let _ = to.shutdown(Shutdown::Both);
 }
 
-fn named(name: &str, work: impl FnOnce() + Send + 'static) -> std::io::Result<()> {
+fn named(name: &str, work: impl FnOnce() + Send + 'static) -> std::io::Result<JoinHandle<()>> {
     let thread = std::thread::Builder::new().name(name.into());
-    thread.spawn(work).map(drop)
+    thread.spawn(work)
 }
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -1,6 +1,9 @@
 use clap::{Parser, Subcommand};
+use hookworks_scale::capacity::{self, CapacityOptions, Recorded};
 use hookworks_scale::options::RunOptions;
 use hookworks_scale::run::{RunError, run, write};
+use hookworks_scale::slopes::{SlopeError, SlopeOptions, measure_series};
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -16,19 +19,36 @@
 #[derive(Subcommand)]
 enum Verb {
     /// One run; prints a page, and writes figures.json and run.svg.
-    Run(Box<RunOptions>),
+    Run {
+        #[command(flatten)]
+        options: Box<RunOptions>,
+        /// Keep the run under this name for the capacity page.
+        #[arg(long)]
+        name: Option<String>,
+        /// The file of kept runs.
+        #[arg(long, default_value = "docs/capacity/runs.json")]
+        keep: PathBuf,
+    },
+    /// Runs of several sizes, and lines fitted through them.
+    Slopes(Box<SlopeOptions>),
+    /// Write the capacity page from the slopes and the kept runs.
+    Capacity(CapacityOptions),
 }
 
 /// Ends with 0 if all held, 1 if something broke or failed, 2 for bad input.
-fn one(o: &RunOptions, interrupted: &Arc<AtomicBool>) -> ExitCode {
+fn one(o: &RunOptions, keep: Option<(&str, &Path)>, interrupted: &Arc<AtomicBool>) -> ExitCode {
     let figures = match run(o, interrupted) {
         Ok(figures) => figures,
-        Err(e) => return failed(&e),
+        Err(e) => return failed(&e, matches!(e, RunError::Input(_))),
     };
     print!("{}", figures.page());
     if let Err(e) = write(&figures, &o.out) {
-        eprintln!("hookworks-scale: {}: {e}", o.out.display());
-        return ExitCode::from(1);
+        return failed(&format!("{}: {e}", o.out.display()), false);
+    }
+    if let Some((name, file)) = keep
+        && let Err(e) = Recorded::of(name, &figures).keep(file)
+    {
+        return failed(&format!("{}: {e}", file.display()), false);
     }
     match figures.holds() {
         true => ExitCode::SUCCESS,
@@ -36,14 +56,32 @@
     }
 }
 
-fn failed(e: &RunError) -> ExitCode {
-    eprintln!("hookworks-scale: {e}");
-    match e {
-        RunError::Input(_) => ExitCode::from(2),
-        _ => ExitCode::from(1),
+fn several(o: &SlopeOptions, interrupted: &Arc<AtomicBool>) -> ExitCode {
+    match measure_series(o, interrupted, |f| println!("{}", f.page())) {
+        Ok(series) => {
+            let held = series.largest_that_held;
+            let first = series.broke_first.as_deref().unwrap_or("nothing broke");
+            println!(
+                "{:?}: the largest size that held: {held:?}; {first}",
+                series.axis
+            );
+            ExitCode::SUCCESS
+        }
+        Err(e) => {
+            let input = matches!(
+                e,
+                SlopeError::TooFew | SlopeError::Run(_, RunError::Input(_))
+            );
+            failed(&e, input)
+        }
     }
 }
 
+fn failed(why: &impl std::fmt::Display, input: bool) -> ExitCode {
+    eprintln!("hookworks-scale: {why}");
+    ExitCode::from(if input { 2 } else { 1 })
+}
+
 fn main() -> ExitCode {
     let cli = Cli::parse();
     let interrupted = Arc::new(AtomicBool::new(false));
@@ -53,6 +91,18 @@
         return ExitCode::from(1);
     }
     match cli.verb {
-        Verb::Run(o) => one(&o, &interrupted),
+        Verb::Run {
+            options,
+            name,
+            keep,
+        } => {
+            let keep = name.as_deref().map(|n| (n, keep.as_path()));
+            one(&options, keep, &interrupted)
+        }
+        Verb::Slopes(o) => several(&o, &interrupted),
+        Verb::Capacity(o) => match capacity::write(&o) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(e) => failed(&e, false),
+        },
     }
 }
--- a/crates/scale/src/process.rs
+++ b/crates/scale/src/process.rs
@@ -6,6 +6,8 @@
 
 /// Clock ticks a second in `/proc`, fixed on Linux.
 const TICKS: f64 = 100.0;
+/// What the first thread is called here; the system names it after the program.
+pub const MAIN_THREAD: &str = "main";
 
 /// What a process has used so far, and holds now.
 #[derive(Clone, Debug, Default, Serialize)]
@@ -67,7 +69,10 @@
     fn read_threads(&mut self, folder: &str) {
         let tasks = std::fs::read_dir(format!("{folder}/task"));
         for task in tasks.into_iter().flatten().flatten() {
-            if let Some((name, seconds)) = read_thread(&task.path()) {
+            if let Some((mut name, seconds)) = read_thread(&task.path()) {
+                if Some(task.file_name().as_os_str()) == Path::new(folder).file_name() {
+                    name = MAIN_THREAD.into();
+                }
                 *self.by_thread.entry(name).or_default() += seconds;
             }
         }
--- a/crates/scale/src/run.rs
+++ b/crates/scale/src/run.rs
@@ -19,8 +19,9 @@
 use crate::workload;
 use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 /// Threads that hold the workers' sockets.
@@ -56,12 +57,24 @@
 struct Ending {
     stop: Arc<AtomicBool>,
     controllers: Controllers,
+    /// Threads that listen; their addresses are free once they have ended.
+    listening: Mutex<Vec<JoinHandle<()>>>,
 }
 
 impl Drop for Ending {
     fn drop(&mut self) {
         self.controllers.kill_all();
         self.stop.store(true, Ordering::SeqCst);
+        let listening = std::mem::take(&mut *self.listening());
+        for thread in listening {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Ending {
+    fn listening(&self) -> MutexGuard<'_, Vec<JoinHandle<()>>> {
+        self.listening.lock().unwrap_or_else(|e| e.into_inner())
     }
 }
 
@@ -74,7 +87,7 @@
     pub workers: Arc<Workers>,
     pub users: Arc<Users>,
     pub controllers: Controllers,
-    _ending: Ending,
+    ending: Ending,
 }
 
 /// Carries out a run. `interrupted` ends it early.
@@ -122,13 +135,16 @@
         let ending = Ending {
             stop,
             controllers: controllers.clone(),
+            listening: Mutex::default(),
         };
         let rhythm = Rhythm {
             report: Duration::from_secs_f64(o.report_s),
             lease: Duration::from_secs_f64(o.lease_s),
         };
         let workers = Workers::start(&shared, rhythm, WORKER_THREADS, o.seed);
-        let workers = Arc::new(workers.map_err(start_error("workers"))?);
+        let (workers, running) = workers.map_err(start_error("workers"))?;
+        ending.listening().extend(running);
+        let workers = Arc::new(workers);
         let remover = workers.clone();
         let remove = Box::new(move |numbers: &[usize]| remover.remove(numbers));
         let site = Site {
@@ -144,7 +160,7 @@
             shared,
             workers,
             controllers,
-            _ending: ending,
+            ending,
         };
         site.serve()?;
         site.add_workers(site.cloud.places())?;
@@ -171,7 +187,8 @@
                 let listener = bind(layout.link(c, to))?;
                 let (tally, stop) = (self.shared.tally.clone(), self.shared.stop.clone());
                 let link = Link::new(layout, c, to, tally, stop);
-                link.serve(listener).map_err(start_error("link"))?;
+                let thread = link.serve(listener).map_err(start_error("link"))?;
+                self.ending.listening().push(thread);
             }
         }
         Ok(())
@@ -197,7 +214,9 @@
         let count = move |request, response| tally.add(controller, with, response, request);
         let stop = self.shared.stop.clone();
         let served = serve(listener, stop, Arc::new(handler), Arc::new(count));
-        served.map(drop).map_err(start_error("service"))
+        let thread = served.map_err(start_error("service"))?;
+        self.ending.listening().push(thread);
+        Ok(())
     }
 
     fn add_workers(&self, places: Vec<(usize, crate::machine::Place)>) -> Result<(), BadInput> {
--- a/crates/scale/src/standin/workers.rs
+++ b/crates/scale/src/standin/workers.rs
@@ -15,6 +15,7 @@
 use std::io::{ErrorKind, Read, Write};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 /// A thread that nothing happens to looks so often whether it is to end.
@@ -56,7 +57,7 @@
 }
 
 impl Workers {
-    /// Starts `threads` threads without workers.
+    /// Starts `threads` threads without workers; they end once told to stop.
     ///
     /// # Errors
     /// When the system gives no thread or no poll.
@@ -65,8 +66,9 @@
         rhythm: Rhythm,
         threads: usize,
         seed: u64,
-    ) -> std::io::Result<Workers> {
+    ) -> std::io::Result<(Workers, Vec<JoinHandle<()>>)> {
         let mut shards = vec![];
+        let mut running = vec![];
         for number in 0..threads {
             let poll = Poll::new()?;
             let waker = Waker::new(poll.registry(), WAKE)?;
@@ -84,16 +86,14 @@
                 commands,
             };
             let thread = std::thread::Builder::new().name("workers".into());
-            thread.spawn(move || shard.run())?;
+            running.push(thread.spawn(move || shard.run())?);
             shards.push(Handle {
                 commands: send,
                 waker,
             });
         }
-        Ok(Workers {
-            shared: shared.clone(),
-            shards,
-        })
+        let shared = shared.clone();
+        Ok((Workers { shared, shards }, running))
     }
 
     fn shard(&self, number: usize) -> &Handle {
