--- a/crates/scale/src/bounds.rs
+++ b/crates/scale/src/bounds.rs
@@ -21,10 +21,15 @@
 /// What the system has to carry.
 #[derive(Clone, Copy, Debug)]
 pub struct Demand {
+    /// What it is called.
     pub name: &'static str,
+    /// Workers.
     pub workers: f64,
+    /// Task starts a second that arrive.
     pub starts: f64,
+    /// Teams.
     pub teams: f64,
+    /// Zones.
     pub zones: f64,
 }
 
--- a/crates/scale/src/capacity.rs
+++ b/crates/scale/src/capacity.rs
@@ -15,24 +15,40 @@
 /// A run kept for the page.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Recorded {
+    /// What it is called.
     pub name: String,
+    /// Workers.
     pub workers: usize,
+    /// Task starts a second that arrive.
     pub starts: f64,
+    /// Teams.
     pub teams: usize,
+    /// Zones.
     pub zones: usize,
+    /// Regions.
     pub regions: usize,
+    /// Run time of a task.
     pub run_s: f64,
+    /// Seconds between the first arrival and the end.
     pub measured_s: f64,
+    /// The faults that were carried out.
     pub faults: Vec<String>,
+    /// Tasks that ended otherwise than by completion or command.
     pub lost_tasks: u64,
+    /// Workers' leases that ended.
     pub lease_ends: u64,
+    /// 99% of urgent jobs started within this; none if not so many did.
     pub urgent_p99_s: Option<f64>,
+    /// 99% of submissions were answered within this.
     pub submissions_p99_s: f64,
+    /// The rules that broke.
     pub rules_broken: Vec<String>,
+    /// The run as a size of a series.
     pub size: Size,
 }
 
 impl Recorded {
+    /// Made from a run's figures.
     pub fn of(name: &str, f: &Figures) -> Recorded {
         let o = &f.options;
         let broken = f.verdict.broken.keys().map(|r| format!("{r:?}"));
@@ -83,10 +99,13 @@
 #[derive(Args, Clone, Debug)]
 pub struct CapacityOptions {
     #[arg(long, default_value = "docs/capacity/slopes.json")]
+    /// The file of slopes.
     pub slopes: PathBuf,
     #[arg(long, default_value = "docs/capacity/runs.json")]
+    /// The file of kept runs.
     pub runs: PathBuf,
     #[arg(long, default_value = "docs/CAPACITY.md")]
+    /// The page.
     pub into: PathBuf,
 }
 
@@ -97,6 +116,7 @@
 }
 
 impl<'s> Model<'s> {
+    /// Made from the options or the parts given.
     pub fn new(slopes: &'s Slopes) -> Model<'s> {
         Model { slopes }
     }
--- a/crates/scale/src/fit.rs
+++ b/crates/scale/src/fit.rs
@@ -9,7 +9,9 @@
 /// `y = at_zero + slope * x`, fitted by least squares.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Fit {
+    /// What y grows by with each x.
     pub slope: f64,
+    /// y where x is 0.
     pub at_zero: f64,
     /// Root of the mean of the squared residuals.
     pub residual: f64,
@@ -19,6 +21,7 @@
     pub slope_range: (f64, f64),
     /// The residuals are small against the range of y.
     pub linear: bool,
+    /// What was measured, by x.
     pub points: Vec<(f64, f64)>,
 }
 
--- a/crates/scale/src/judge.rs
+++ b/crates/scale/src/judge.rs
@@ -19,28 +19,41 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Rule {
+    /// A task started on one machine while it was on another.
     RanTwice,
+    /// A team used more than its limit.
     Quota,
+    /// A task started where its job does not allow it.
     WrongPlace,
+    /// A task was on a machine, or started, too long after its job was cancelled.
     RanCancelled,
+    /// An accepted job was not found, refused, or never answered for.
     Forgotten,
+    /// A job that nobody submitted was answered for.
     Invented,
+    /// A job was called done before all of its tasks were.
     NotDone,
+    /// A final state changed, or a job was cancelled that nobody cancelled.
     WentBack,
+    /// No task was started.
     NothingRan,
 }
 
 /// A rule that was broken.
 #[derive(Clone, Debug, Serialize)]
 pub struct Breach {
+    /// The rule.
     pub rule: Rule,
+    /// Seconds since the start of the run.
     pub at_s: f64,
+    /// What happened.
     pub what: String,
 }
 
 /// What a controller said of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Told {
+    /// This state.
     State(JobState),
     /// 404.
     NotFound,
@@ -343,11 +356,14 @@
 /// Which rules broke, how often, and the first of the breaches.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Verdict {
+    /// How often each rule broke.
     pub broken: BTreeMap<Rule, u64>,
+    /// The first breaches, one by one.
     pub breaches: Vec<Breach>,
 }
 
 impl Verdict {
+    /// No rule broke.
     pub fn holds(&self) -> bool {
         self.broken.is_empty()
     }
--- a/crates/scale/src/layout.rs
+++ b/crates/scale/src/layout.rs
@@ -18,13 +18,17 @@
 pub struct Layout {
     network: u8,
     port: u16,
+    /// Controllers.
     pub controllers: usize,
+    /// Zones.
     pub zones: usize,
+    /// Regions.
     pub regions: usize,
     region_delay: Duration,
 }
 
 impl Layout {
+    /// Made from the options or the parts given.
     pub fn new(o: &RunOptions) -> Layout {
         Layout {
             network: o.network,
@@ -77,14 +81,17 @@
         (256 - FIRST_WORKER_BYTE) * HOSTS_PER_BYTE
     }
 
+    /// The label of a controller.
     pub fn label(&self, number: usize) -> Label {
         Label::from(format!("controller-{number}").as_str())
     }
 
+    /// The name of a machine.
     pub fn host(&self, number: usize) -> Host {
         Host::from(format!("n-{number:06}").as_str())
     }
 
+    /// The zone of this number.
     pub fn zone(&self, number: usize) -> Zone {
         Zone::from(format!("zone-{:02}", number % self.zones).as_str())
     }
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -3,27 +3,29 @@
 //! the real protocol over real sockets.
 //!
 //! [`run::run`] carries out one run of [`options::RunOptions`] and gives
-//! [`figures::Figures`]; [`judge::Judge`] checks the rules from the stand-ins'
+//! figures; [`judge::Judge`] checks the rules from the stand-ins'
 //! own record. [`slopes`] runs several sizes and fits lines; [`capacity`] works
 //! the capacity page out from them.
 
 pub mod bounds;
 pub mod capacity;
-pub mod controllers;
-pub mod faults;
-pub mod figures;
+mod controllers;
+mod faults;
+mod figures;
 pub mod fit;
-pub mod http;
+mod http;
 pub mod judge;
 pub mod layout;
-pub mod links;
+mod links;
 pub mod machine;
-pub mod measure;
+mod measure;
 pub mod options;
-pub mod plot;
-pub mod process;
+mod plot;
+mod process;
 pub mod run;
 pub mod slopes;
-pub mod standin;
-pub mod tally;
+mod standin;
+mod tally;
 pub mod workload;
+
+pub use standin::cloud::place;
--- a/crates/scale/src/machine.rs
+++ b/crates/scale/src/machine.rs
@@ -26,37 +26,51 @@
 /// Where a machine stands and what it has.
 #[derive(Clone, Debug)]
 pub struct Place {
+    /// The name of a machine.
     pub host: Host,
+    /// The address.
     pub address: String,
+    /// Its type.
     pub build: Build,
+    /// The zone of this number.
     pub zone: Zone,
+    /// The number of its zone.
     pub zone_number: usize,
+    /// It may be taken back.
     pub spot: bool,
+    /// Its processors.
     pub cpus: f64,
 }
 
 /// How often a worker reports, and for how long it may act without an answer.
 #[derive(Clone, Copy, Debug)]
 pub struct Rhythm {
+    /// Time between two reports.
     pub report: Duration,
+    /// How long a worker acts without an answer.
     pub lease: Duration,
 }
 
 /// What a command is checked against, and told of.
 pub struct World<'a> {
+    /// The moment.
     pub now: Instant,
+    /// The record.
     pub judge: &'a mut Judge,
 }
 
 /// A report that was sent and has no answer yet.
 #[derive(Clone, Copy, Debug)]
 pub struct InFlight {
+    /// When it was sent.
     pub sent: Instant,
+    /// The session it belongs to.
     pub session: Session,
 }
 
 /// A machine with its worker.
 pub struct Machine {
+    /// Where it stands and what it has.
     pub place: Place,
     rhythm: Rhythm,
     session: Session,
@@ -70,6 +84,7 @@
     changed: bool,
     /// Tasks that ended otherwise than by completion or command.
     pub lost: u64,
+    /// Workers' leases that ended.
     pub lease_ends: u64,
 }
 
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -1,3 +1,5 @@
+//! The program of the scale run: one run, several for slopes, or the capacity page.
+
 use clap::{Parser, Subcommand};
 use hookworks_scale::capacity::{self, CapacityOptions, Recorded};
 use hookworks_scale::options::RunOptions;
--- a/crates/scale/src/options.rs
+++ b/crates/scale/src/options.rs
@@ -126,29 +126,48 @@
 #[derive(Debug, thiserror::Error)]
 pub enum BadInput {
     #[error("--{option}: must be {range}, is {value}")]
+    /// An option is out of its range.
     Range {
+        /// The option.
         option: &'static str,
+        /// What it may be.
         range: String,
+        /// What it was.
         value: f64,
     },
     #[error("{0}: {1}")]
+    /// A file can't be used.
     File(String, std::io::Error),
     #[error("{address} can't be listened at: {why}")]
+    /// An address can't be listened at.
     Port {
+        /// The address.
         address: std::net::SocketAddr,
+        /// The cause.
         why: std::io::Error,
     },
     #[error(
         "too little memory: the run needs {needed_mb:.0} MB, {have_mb:.0} MB may be used (half of what is there)"
     )]
-    Memory { needed_mb: f64, have_mb: f64 },
+    /// There is too little memory.
+    Memory {
+        /// What the run needs.
+        needed_mb: f64,
+        /// What it may use.
+        have_mb: f64,
+    },
     #[error("too few file descriptors: {who} needs {needed}, the limit is {limit}")]
+    /// There are too few file descriptors.
     Descriptors {
+        /// Who needs them.
         who: &'static str,
+        /// How many are needed.
         needed: u64,
+        /// How many there may be.
         limit: u64,
     },
     #[error("--zone-away-after-s and --kill-leader-after-s: must lie within the run's length")]
+    /// A fault would come after the end.
     LateFault,
 }
 
@@ -244,6 +263,7 @@
         self.check_machine(memory, descriptors)
     }
 
+    /// How long users submit.
     pub fn length(&self) -> Duration {
         Duration::from_secs_f64(self.length_s)
     }
@@ -252,7 +272,9 @@
 /// What the machine has.
 #[derive(Clone, Copy, Debug)]
 pub struct Memory {
+    /// Memory of the machine.
     pub total_mb: f64,
+    /// What of it is free.
     pub available_mb: f64,
 }
 
--- a/crates/scale/src/run.rs
+++ b/crates/scale/src/run.rs
@@ -36,12 +36,16 @@
 #[derive(Debug, thiserror::Error)]
 pub enum RunError {
     #[error(transparent)]
+    /// What was asked for can't be done.
     Input(#[from] BadInput),
     #[error("{0}: {1}")]
+    /// Something could not be started.
     Start(String, std::io::Error),
     #[error("controller-{0} did not become healthy within {HEALTHY_WITHIN:?}, see its log")]
+    /// A controller did not become healthy.
     NotHealthy(usize),
     #[error("interrupted")]
+    /// Somebody interrupted the run.
     Interrupted,
 }
 
--- a/crates/scale/src/slopes.rs
+++ b/crates/scale/src/slopes.rs
@@ -29,10 +29,13 @@
 )]
 #[serde(rename_all = "snake_case")]
 pub enum Axis {
+    /// Workers.
     Workers,
     /// Task starts a second.
     Starts,
+    /// Teams.
     Teams,
+    /// Zones.
     Zones,
 }
 
@@ -88,6 +91,7 @@
 
 /// A figure of a run, by its name.
 pub struct Measure {
+    /// What it is called.
     pub name: &'static str,
     of: fn(&Figures) -> Option<f64>,
 }
@@ -118,43 +122,65 @@
 /// One run of a series.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Size {
+    /// The size that was asked for.
     pub asked: f64,
+    /// The size that came of it.
     pub reached: f64,
     /// What broke at this size, or the first bound that was passed.
     pub broke: Option<String>,
+    /// Load average of the machine before and after.
     pub load_average: [f64; 2],
+    /// Tasks on machines, the mean.
     pub running_mean: f64,
+    /// Task starts a second.
     pub starts_per_s: f64,
+    /// Share of urgent jobs that started within 2.2 s.
     pub urgent_in_time: f64,
+    /// Share of submissions answered within 200 ms.
     pub submissions_in_time: f64,
+    /// Requests of users and workers that failed or were refused.
     pub refusals: u64,
+    /// What was measured, by the measure's name.
     pub values: BTreeMap<String, f64>,
 }
 
 /// All sizes along one axis, and a line for each measure.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Series {
+    /// What the sizes differ in.
     pub axis: Axis,
     /// The options that all sizes share.
     pub workers: usize,
+    /// Task starts a second that arrive.
     pub starts: f64,
+    /// Teams.
     pub teams: usize,
+    /// Zones.
     pub zones: usize,
+    /// Regions.
     pub regions: usize,
+    /// Run time of a task.
     pub run_s: f64,
+    /// How long users submitted.
     pub length_s: f64,
+    /// The sizes, from the smallest.
     pub sizes: Vec<Size>,
+    /// A line for each measure.
     pub fits: BTreeMap<String, Fit>,
     /// Measures whose points stray from their lines.
     pub not_linear: Vec<String>,
+    /// The largest size up to which all held.
     pub largest_that_held: Option<f64>,
+    /// What broke at the first size that did not hold.
     pub broke_first: Option<String>,
 }
 
 /// The file of all series.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Slopes {
+    /// The machine, and what else it did.
     pub machine: String,
+    /// The series by their axes.
     pub series: BTreeMap<Axis, Series>,
 }
 
@@ -171,6 +197,7 @@
     #[arg(long, default_value = "docs/capacity/slopes.json")]
     pub into: PathBuf,
     #[command(flatten)]
+    /// The options that all sizes share.
     pub run: RunOptions,
 }
 
@@ -178,10 +205,13 @@
 #[derive(Debug, thiserror::Error)]
 pub enum SlopeError {
     #[error("--sizes: at least {FEWEST_SIZES} different sizes are needed")]
+    /// Too few sizes.
     TooFew,
     #[error("size {0}: {1}")]
+    /// A size could not be run.
     Run(f64, RunError),
     #[error("{0}: {1}")]
+    /// A file can't be used.
     File(String, std::io::Error),
 }
 
@@ -215,6 +245,7 @@
 }
 
 impl Size {
+    /// Made from a run's figures.
     pub fn of(axis: Axis, asked: f64, f: &Figures) -> Size {
         let value = |m: &Measure| Some((m.name.to_string(), (m.of)(f)?));
         Size {
--- a/crates/scale/src/workload.rs
+++ b/crates/scale/src/workload.rs
@@ -21,6 +21,7 @@
 /// A job, and what its user and its tasks will do.
 #[derive(Clone, Debug)]
 pub struct Plan {
+    /// What its user submits.
     pub spec: JobSpec,
     /// When its user submits it first, counted from the first arrival.
     pub at: Duration,
@@ -33,6 +34,7 @@
 }
 
 impl Plan {
+    /// It is to start at once.
     pub fn is_urgent(&self) -> bool {
         self.spec.class.as_str() == URGENT
     }
--- a/crates/scale/tests/machine.rs
+++ b/crates/scale/tests/machine.rs
@@ -7,7 +7,7 @@
 use hookworks_scale::layout::Layout;
 use hookworks_scale::machine::{Machine, Rhythm, World};
 use hookworks_scale::options::RunOptions;
-use hookworks_scale::standin::cloud::place;
+use hookworks_scale::place;
 use hookworks_scale::workload;
 use std::collections::HashMap;
 use std::sync::Arc;
