--- a/tests/world/acts.rs
+++ b/tests/world/acts.rs
@@ -30,6 +30,7 @@
             if let Some(lags) = self.slow_write() {
                 d = lags;
             }
+            self.note_sent(i, epoch, id);
             if let Some(after) = self.gives_up(d, 1.0) {
                 // Given up by the sender, carried out later all the same.
                 self.at(after, Ev::TxnDone(i, epoch, id, Outcome::Unclear));
@@ -42,6 +43,9 @@
         let d = self.delay();
         match f {
             Effect::Answer(req, a) => {
+                if self.answers_question(i, req, &a) {
+                    return;
+                }
                 if let Some(ask) = self.asks.remove(&req) {
                     self.note_hold(req, &ask, &a);
                     self.heard(ask, a);
@@ -50,6 +54,7 @@
                 {
                     if let Ok(a) = serde_json::from_str::<ReportAnswer>(&a.body) {
                         self.check_held(&a.orders);
+                        self.commands_leave(&host, &a.orders);
                     }
                     self.at(d, Ev::ToWorker(host, sent, a, i));
                 }
@@ -60,6 +65,7 @@
                 call, host, orders, ..
             } => {
                 self.check_held(&orders.orders);
+                self.commands_leave(&host, &orders.orders);
                 if let Some(after) = self.gives_up(d, 2.5) {
                     let e = Ev::Direct(i, epoch, call, host.clone(), DirectResult::Unclear);
                     self.at(after, e);
@@ -77,6 +83,11 @@
         }
     }
 
+    pub(super) fn steps_down(&mut self, i: usize) {
+        self.ctls[i].term = None;
+        self.ctls[i].sees = None;
+    }
+
     pub(super) fn leads(&self, i: usize, epoch: Epoch) -> bool {
         self.ctls[i].up && self.ctls[i].term.as_ref().is_some_and(|t| t.epoch == epoch)
     }
@@ -94,7 +105,7 @@
         for s in steps {
             match s {
                 Step::Read(k) => self.at(0.003, Ev::Read(i, epoch, k)),
-                Step::Deposed => self.ctls[i].term = None,
+                Step::Deposed => self.steps_down(i),
             }
         }
         self.flush(i);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -5,15 +5,20 @@
 #![allow(dead_code)]
 
 mod acts;
+pub mod close_looks;
 mod cloud;
 pub mod desk;
+pub mod followers;
 pub mod given;
 pub mod handover;
 mod idle_room;
 pub mod links;
+pub mod lost_answers;
+mod machines;
 mod rules;
 mod steps;
 pub mod store;
+pub mod submissions;
 mod users;
 pub mod worker;
 
@@ -92,7 +97,20 @@
     StepDown(usize),
     /// From now on these chances.
     Chances(Chaos),
+    /// Users send what is odd, until then.
+    OddRequests(u64),
+    /// It reaches no controller, while direct commands reach it.
+    Mute(Host, bool),
+    /// Of this share of reports a copy is kept, and reaches every controller each time
+    /// one begins to lead.
+    KeepReports(f64),
+    /// Users call off so many jobs that run; machines of theirs hang for so long.
+    CancelNow(usize, Option<f64>),
     HandOver(handover::Act),
+    /// A question whose way takes time, at this controller.
+    Question(usize, ReqId, followers::Leg),
+    /// The next election is carried out at once, without an answer.
+    LostElection,
 }
 
 struct Term {
@@ -110,6 +128,8 @@
     wakes: bool,
     frozen_until: u64,
     lonely: bool,
+    /// Who leads, as it has last seen by itself.
+    sees: Option<(usize, Epoch)>,
 }
 
 pub struct World {
@@ -149,6 +169,9 @@
     /// Zones; controllers are in one after the other.
     pub zones: Vec<Zone>,
     links: links::Links,
+    kept: machines::Kept,
+    /// The cloud takes no machine back.
+    pub refuses_releases: bool,
     /// Limits of teams, in times of the usual.
     pub wealth: f64,
     /// Share of the fleet that is set aside for who is hardly served.
@@ -159,6 +182,9 @@
     /// many seconds later.
     pub transactions: u64,
     pub late_one: Option<(u64, f64)>,
+    pub lost_answers: lost_answers::LostAnswers,
+    pub questions: followers::Questions,
+    pub close_looks: Option<close_looks::CloseLooks>,
     /// Seconds that a cancellation has, and what controllers are told of it: another
     /// number is a fault put in.
     pub cancel_s: f64,
@@ -178,6 +204,7 @@
     /// Gangs that began to run, all members at once.
     pub gangs_begun: usize,
     pub done_tasks: BTreeSet<TaskId>,
+    pub submissions: submissions::Submissions,
     pub handover: handover::HandOver,
 }
 
@@ -227,11 +254,16 @@
             capacity: 4,
             zones: vec!["a".into(), "b".into()],
             links: links::Links::default(),
+            kept: machines::Kept::default(),
+            refuses_releases: false,
             wealth: 1.0,
             floor: 0.0,
             overtaken: None,
             transactions: 0,
             late_one: None,
+            lost_answers: Default::default(),
+            questions: followers::Questions::new(seed),
+            close_looks: None,
             cancel_s: 42.0,
             believed_s: None,
             rentals: vec![],
@@ -244,6 +276,7 @@
             gangs: BTreeMap::new(),
             gangs_begun: 0,
             done_tasks: BTreeSet::new(),
+            submissions: submissions::Submissions::default(),
             handover: Default::default(),
         };
         for i in 0..controllers {
@@ -257,7 +290,7 @@
     }
 
     fn new_ctl(&self, i: usize, life: u64) -> Ctl {
-        let label = Label::from(format!("c{i}").as_str());
+        let label = followers::label(i);
         let ttl = Span::secs(settings("x").tuning.leader_lease_s);
         let me = Candidate {
             label,
@@ -272,6 +305,7 @@
             wakes: false,
             frozen_until: 0,
             lonely: false,
+            sees: None,
         }
     }
 
@@ -365,7 +399,8 @@
     }
 
     fn take(&mut self, e: Ev) {
-        let Some(e) = self.awake(e).and_then(|e| self.passes(e)) else {
+        let arrives = self.awake(e).and_then(|e| self.passes(e));
+        let Some(e) = arrives.and_then(|e| self.machine_takes(e)) else {
             return;
         };
         match e {
@@ -414,10 +449,7 @@
                     return;
                 };
                 // Dropped once the worker has given up on that report.
-                if a.status == 200
-                    && w.sent_at == sent
-                    && now - sent < 4 * S
-                    && !(w.cut || w.hangs || w.deaf)
+                if a.status == 200 && w.sent_at == sent && now - sent < 4 * S && !(w.cut || w.deaf)
                 {
                     let a: ReportAnswer = serde_json::from_str(&a.body).unwrap();
                     if w.answered(now, sent, a, &self.specs, self.run_s) {
@@ -438,10 +470,6 @@
                     let r = DirectResult::Unclear;
                     return self.at(1.0, Ev::Direct(i, epoch, call, h, r));
                 }
-                if w.cut || w.hangs {
-                    // Held back until the cut is over.
-                    return self.at(1.0, Ev::Orders(i, epoch, call, h, orders));
-                }
                 let r = match w.direct(now, orders, &self.specs, self.run_s) {
                     Ok(r) => DirectResult::Done(r),
                     Err(r) => DirectResult::Conflict(r),
@@ -457,10 +485,7 @@
                 } else {
                     self.store.of(i).apply(&txn)
                 };
-                let lost = self.rng.random_bool(self.chaos.lose_txn_answer);
-                let o = if lost { Outcome::Unclear } else { outcome };
-                let d = self.delay();
-                self.at(d, Ev::TxnDone(i, epoch, id, o));
+                self.answer_transaction(i, epoch, id, outcome);
             }
             Ev::TxnDone(i, epoch, id, o) => {
                 let now = self.time();
@@ -493,14 +518,7 @@
                 self.in_term(i, epoch, Event::RecordRead(req, id, r));
             }
             Ev::Hire(i, epoch, h) => self.hire(i, epoch, h),
-            Ev::Release(i, epoch, hosts) => {
-                for h in &hosts {
-                    self.workers.remove(h);
-                    self.releases_of.push((self.now, h.clone()));
-                }
-                let e = Event::Released(hosts, true);
-                self.at(0.1, Ev::CloudDone(i, epoch, Box::new(e)));
-            }
+            Ev::Release(i, epoch, hosts) => self.release(i, epoch, hosts),
             Ev::CloudDone(i, epoch, e) => self.in_term(i, epoch, *e),
             Ev::User(ask) => self.user(ask),
             Ev::Kill(i) => {
@@ -515,26 +533,29 @@
                 self.at(0.1, Ev::ListOnce(i));
             }
             Ev::Cut(h, cut) => {
-                if let Some(w) = self.workers.get_mut(&h) {
-                    w.cut = cut;
-                }
+                self.cut(&h, cut);
             }
             Ev::CutZone(z, cut) => {
-                for w in self.workers.values_mut().filter(|w| w.zone == z) {
-                    w.cut = cut;
+                for h in self.machines_in(z.as_str()) {
+                    self.cut(&h, cut);
                 }
             }
-            Ev::Hang(h, hangs) => {
+            Ev::Hang(h, hangs) => self.hang(h, hangs),
+            Ev::Mute(h, on) => {
                 if let Some(w) = self.workers.get_mut(&h) {
-                    w.hangs = hangs;
+                    w.mute = on;
                 }
             }
+            Ev::KeepReports(share) => self.keep_reports(share),
+            Ev::CancelNow(jobs, hang_s) => self.cancel_now(jobs, hang_s),
             Ev::Sick(h, sick) => {
                 if let Some(w) = self.workers.get_mut(&h) {
                     w.sick = sick;
                 }
             }
-            Ev::UserVia(i, ask) => self.ask(i, ask),
+            Ev::UserVia(i, ask) => self.ask_via(i, ask),
+            Ev::Question(i, q, leg) => self.question(i, q, leg),
+            Ev::LostElection => self.store.lose_next_answer(),
             Ev::StoreDown(d) => self.store.down(d),
             Ev::Preempt(h) => {
                 self.workers.remove(&h);
@@ -550,14 +571,7 @@
                     self.at(0.05, Ev::Beat(h));
                 }
             }
-            Ev::Copy(i, body) => {
-                // Nobody waits for an answer to it.
-                let req = ReqId(self.next_req);
-                self.next_req += 1;
-                if self.ctls[i].up {
-                    self.event(i, Event::Ask(req, Ask::Report(body)));
-                }
-            }
+            Ev::Copy(i, body) => self.copy_arrives(i, body),
             Ev::Freeze(i, s) => self.ctls[i].frozen_until = self.now + (s * 1e6) as u64,
             Ev::Lonely(i, lonely) => self.ctls[i].lonely = lonely,
             Ev::Refuse(i, refused) => self.store.refuse(i, refused),
@@ -571,8 +585,9 @@
                     w.no_calls = on;
                 }
             }
-            Ev::StepDown(i) => self.ctls[i].term = None,
+            Ev::StepDown(i) => self.steps_down(i),
             Ev::Chances(c) => self.chaos = c,
+            Ev::OddRequests(until) => self.odd_requests(until),
             Ev::HandOver(a) => self.act(a),
             Ev::LateElection(i, by_s) => self.store.of(i).delay_next((by_s * 1e6) as u64),
         }
--- a/tests/world/users.rs
+++ b/tests/world/users.rs
@@ -1,6 +1,7 @@
 //! What users ask for, and what they are told.
 
 use super::World;
+use super::submissions::submitted_id;
 use hookworks::ids::*;
 use hookworks::sched::Event;
 use hookworks::wire::peer::{Answer, Ask};
@@ -27,12 +28,18 @@
         self.ask(i, ask);
     }
 
-    /// To a given controller, leader or not.
+    /// To a controller that leads, or believes to; answered without delay.
     pub fn ask(&mut self, i: usize, ask: Ask) {
+        let req = self.note_asked(&ask);
+        self.event(i, Event::Ask(req, ask));
+    }
+
+    /// A user asks this now.
+    pub(super) fn note_asked(&mut self, ask: &Ask) -> ReqId {
         let req = ReqId(self.next_req);
         self.next_req += 1;
         self.asks.insert(req, ask.clone());
-        match &ask {
+        match ask {
             Ask::Cancel(id) => {
                 let told = self.told.entry(id.as_str().into()).or_default();
                 told.cancel_asked = true;
@@ -52,12 +59,12 @@
             }
             _ => {}
         }
-        self.event(i, Event::Ask(req, ask));
+        req
     }
 
     pub fn answers_to(&self, id: &str) -> Vec<u16> {
         let of = |a: &Ask| match a {
-            Ask::Submit(b) => JobSpec::parse(b).unwrap().id.to_string(),
+            Ask::Submit(b) => submitted_id(b).map_or(String::new(), |id| id.to_string()),
             Ask::Poll(i) | Ask::Cancel(i) | Ask::Show(i) => i.clone(),
             Ask::Hold(i, _) | Ask::Release(i, _) => i.clone(),
             Ask::Report(_) | Ask::List(_) | Ask::Events(_) => String::new(),
