--- /dev/null
+++ b/crates/scale/src/lib.rs
@@ -0,0 +1,31 @@
+//! A scale run: real controllers as processes on loopback, and beside them, in
+//! this program, hollow workers, a cloud, a state service and users that speak
+//! the real protocol over real sockets.
+//!
+//! [`run::run`] carries out one run of [`options::RunOptions`] and gives
+//! figures; [`judge::Judge`] checks the rules from the stand-ins'
+//! own record. [`slopes`] runs several sizes and fits lines; [`capacity`] works
+//! the capacity page out from them.
+
+pub mod bounds;
+pub mod capacity;
+mod controllers;
+mod faults;
+mod figures;
+pub mod fit;
+mod http;
+pub mod judge;
+pub mod layout;
+mod links;
+pub mod machine;
+mod measure;
+pub mod options;
+mod plot;
+mod process;
+pub mod run;
+pub mod slopes;
+mod standin;
+mod tally;
+pub mod workload;
+
+pub use standin::cloud::place;
