Scheduler: arrays bound to one zone are placed within the bound of a pass

Each task of such an array was placed by itself, and each machine was judged for it against all of the job's other tasks, uncounted: tasks times machines times tasks in one pass.

The zones that are open are now worked out once for a job. Where its zone is settled, the rest is placed as any other array is, and a pass stops within a job that takes more than it may judge. Tests: two stories in tests/size.rs; each of three faults (tasks placed one by one, no stop within a job, zones not looked at) is noticed by one of them.

--- a/src/sched/fleet/rent.rs
+++ b/src/sched/fleet/rent.rs
@@ -2,6 +2,7 @@
 
 use super::{Flavoured, MAX_HIRE, Pending, REFUSED_REST, Short};
 use crate::ids::{Build, Zone};
+use crate::sched::allowed_zones::AllowedZones;
 use crate::sched::job::Job;
 use crate::sched::machine::{Life, Machine};
 use crate::sched::{Effect, HireResult, Room, Sched};
@@ -54,6 +55,7 @@
         in_zone: &BTreeMap<Zone, usize>,
     ) -> Vec<(f64, Flavoured)> {
         let mut v = vec![];
+        let j = j.map(|(j, zone)| (j, AllowedZones::of(self, j), zone));
         for f in self.flavors.values() {
             let per = Room::of_flavor(f).times(need);
             if per == 0 {
@@ -70,7 +72,8 @@
                         continue;
                     };
                     let kind = (f.build.clone(), z.clone(), spot);
-                    let fits = j.is_none_or(|(j, zone)| self.suits(j, &kind, zone));
+                    let fits = j.as_ref();
+                    let fits = fits.is_none_or(|(j, zones, zone)| suits(j, zones, &kind, *zone));
                     let rests = self.fleet.refused.get(&kind);
                     if fits && rests.is_none_or(|t| now - *t > REFUSED_REST) {
                         v.push((price / per as f64, kind));
@@ -125,8 +128,9 @@
             let mut n = n as f64;
             // Nor does lendable work count on plain machines if it can rent others.
             let only_spot = j.spec.spot && plain_wanted && self.spot_rentable(now, j);
+            let allowed = AllowedZones::of(self, j);
             for (kind, c) in coming.iter_mut() {
-                if n > 0.0 && (kind.2 || !only_spot) && self.suits(j, kind, zone) {
+                if n > 0.0 && (kind.2 || !only_spot) && suits(j, &allowed, kind, zone) {
                     n -= c.serve(n, self.per_machine(kind, &j.need));
                 }
             }
@@ -244,17 +248,6 @@
         f.map_or(0.0, |f| Room::of_flavor(f).times(need) as f64)
     }
 
-    /// The job may run on machines of that kind, in that zone if any.
-    fn suits(&self, j: &Job, kind: &Flavoured, zone: Option<&Zone>) -> bool {
-        let s = &j.spec;
-        let alone = s.one_zone || s.spread;
-        s.builds.as_ref().is_none_or(|b| b.contains(&kind.0))
-            && s.zone.as_ref().is_none_or(|w| *w == kind.1)
-            && zone.is_none_or(|w| *w == kind.1)
-            && (s.spot || !kind.2)
-            && (!alone || self.zone_suits(j, &kind.1))
-    }
-
     /// Machines for the job were not refused lately in that zone.
     pub(in crate::sched) fn rentable(&self, now: Time, j: &Job, zone: Option<&Zone>) -> bool {
         let none = BTreeMap::new();
@@ -349,3 +342,13 @@
         }
     }
 }
+
+/// The job may run on machines of that kind, in that zone if any.
+fn suits(j: &Job, zones: &AllowedZones, kind: &Flavoured, zone: Option<&Zone>) -> bool {
+    let s = &j.spec;
+    s.builds.as_ref().is_none_or(|b| b.contains(&kind.0))
+        && s.zone.as_ref().is_none_or(|w| *w == kind.1)
+        && zone.is_none_or(|w| *w == kind.1)
+        && (s.spot || !kind.2)
+        && zones.contains(&kind.1)
+}
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -2,6 +2,7 @@
 //! in as an event with its time; what is to be done goes out as effects.
 
 mod after;
+mod allowed_zones;
 mod audit;
 mod beats;
 mod catchup;
--- a/src/sched/place.rs
+++ b/src/sched/place.rs
@@ -7,6 +7,7 @@
 //! decision for a single task, made from scratch: it serves jobs whose tasks
 //! bear on each other's zones, and the tests hold the pass against it.
 
+use super::allowed_zones::AllowedZones;
 use super::fleet::Short;
 use super::job::{Job, Live, Phase};
 use super::machine::{ENDLESS, Machine, Slot};
@@ -15,7 +16,7 @@
 use super::records::Purpose;
 use super::spare::Spare;
 use super::{Room, Sched, estimate};
-use crate::ids::{Attempt, Host, JobId, TaskId, TaskIx, Team, Zone};
+use crate::ids::{Attempt, Host, JobId, TaskId, TaskIx, Team};
 use crate::time::{Span, Time};
 use crate::wire::user::{JobSpec, Kind};
 use std::cell::Cell;
@@ -61,7 +62,12 @@
                 break;
             }
             if let Some(t) = rest.get(n) {
-                short.extend(self.place_alone(now, &t.job, &mut held, &order));
+                let (lack, done) = self.place_alone(now, &t.job, &mut held, &order, until);
+                short.extend(lack);
+                if !done {
+                    rest = &rest[n..];
+                    break;
+                }
             }
             rest = rest.get(n + 1..).unwrap_or(&[]);
         }
@@ -84,29 +90,60 @@
         }
     }
 
-    /// Gangs, and jobs whose tasks bear on each other's zones.
+    /// Gangs, and jobs whose tasks bear on each other's zones. The second value is
+    /// false where the pass had to stop within the job.
     fn place_alone(
         &mut self,
         now: Time,
         id: &JobId,
         held: &mut BTreeSet<Host>,
         order: &Order,
-    ) -> Option<Short> {
+        until: u64,
+    ) -> (Option<Short>, bool) {
         let gang = |j: &Job| j.spec.kind == Kind::Gang;
         if self.jobs.get(id).is_some_and(gang) {
-            return self.place_gang(now, id, held, order);
+            return (self.place_gang(now, id, held, order), true);
         }
         while let Some(j) = self.jobs.get(id) {
             let left = (j.pending() as i64).min(self.teams.left(&j.spec.team).times(&j.need));
             if left == 0 {
                 break;
             }
+            if self.judged.get() >= until {
+                return (None, false);
+            }
+            // Where the first of its tasks is, all others have to be, and what one
+            // of them takes closes no zone for the next.
+            if j.spec.one_zone && !j.spec.spread && !j.live.is_empty() {
+                return self.place_beside_others(now, id, held, order, until);
+            }
             let Some(host) = self.choose(now, id, held, order) else {
-                return Some(Short::anywhere(id, left));
+                return (Some(Short::anywhere(id, left)), true);
             };
             self.start(now, id, &host, None);
         }
-        None
+        (None, true)
+    }
+
+    /// A job whose zone is settled by the tasks that it has there.
+    fn place_beside_others(
+        &mut self,
+        now: Time,
+        id: &JobId,
+        held: &BTreeSet<Host>,
+        order: &Order,
+        until: u64,
+    ) -> (Option<Short>, bool) {
+        let turn = Turn {
+            job: id.clone(),
+            most: None,
+            lifted: false,
+        };
+        let (starts, mut lack, done) = self.plan(now, &[turn], held, order, until);
+        for (id, host) in starts {
+            self.start(now, &id, &host, None);
+        }
+        (lack.pop(), done > 0)
     }
 
     /// Serves the jobs in this order, as far as room and quota go.
@@ -170,12 +207,14 @@
             let want = (j.pending() as i64 - *given).min(left.times(&j.need));
             let want = most.map_or(want, |m| want.min(m));
             let mut view = View::of(self, now, j, order, can_rent);
+            let zones = AllowedZones::of(self, j);
             view.by_image |= crowded;
             let mut heap: BinaryHeap<Reverse<(Score, usize)>> = BinaryHeap::new();
             // Room kept for quick classes is for them, and for who is below the floor.
             let may_take = |spare: &Spare, spot, got| *lifted || view.may_take(spare, spot, got);
             if want > 0 && may_take(&spare, true, 0) {
                 let scores = room.iter().enumerate();
+                let scores = scores.filter(|(_, c)| zones.contains(&c.m.zone));
                 let scores = scores.filter_map(|(i, c)| Some(Reverse((view.score(c)?, i))));
                 heap = scores.collect::<Vec<_>>().into();
             }
@@ -243,6 +282,7 @@
         let j = self.jobs.get(id)?;
         let fresh = self.heard_within();
         let view = View::of(self, now, j, order, self.fleet.can_rent(now));
+        let zones = AllowedZones::of(self, j);
         let spare = self.spare(now);
         let mut best: Option<(Score, &Machine)> = None;
         for m in self.machines.values() {
@@ -252,7 +292,7 @@
             if !view.may_take(&spare, m.spot, 0) {
                 continue;
             }
-            if (j.spec.one_zone || j.spec.spread) && !self.zone_suits(j, &m.zone) {
+            if !zones.contains(&m.zone) {
                 continue;
             }
             let (free, span) = (m.free(), m.remaining(now));
@@ -273,26 +313,6 @@
         best.map(|(_, m)| m.host.clone())
     }
 
-    /// Judged against all tasks that may still be somewhere.
-    pub(super) fn zone_suits(&self, j: &Job, zone: &Zone) -> bool {
-        let zone_of = |l: &Live| self.machines.get(&l.host).map(|m| m.zone.clone());
-        let mut here = 0;
-        for l in j.live.values() {
-            match zone_of(l) {
-                Some(z) if z == *zone => here += 1,
-                // Known to be elsewhere.
-                Some(z) if !z.as_str().is_empty() => {
-                    if j.spec.one_zone {
-                        return false;
-                    }
-                }
-                // It could be anywhere.
-                _ => return false,
-            }
-        }
-        !j.spec.spread || here < j.spec.tasks.div_ceil(2)
-    }
-
     /// A machine that has been silent for longer takes nothing new.
     pub(super) fn heard_within(&self) -> Span {
         Span::secs(self.cfg.workers.report_s * 1.25 + 2.0)
--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -1,5 +1,6 @@
 //! Who has to make room, in the cases that the protocol allows.
 
+use super::allowed_zones::AllowedZones;
 use super::fleet::Short;
 use super::job::{Job, Phase};
 use super::machine::Machine;
@@ -132,8 +133,8 @@
             let gang = job.spec.kind == Kind::Gang;
             let may = (job.spec.priority != Priority::Low || within) && !gang;
             let rank = order.rank(id)?;
-            let alone = job.spec.one_zone || job.spec.spread;
-            let shut = |z: &&Zone| alone && !self.zone_suits(job, z);
+            let allowed = AllowedZones::of(self, job);
+            let shut = |z: &&Zone| !allowed.contains(z);
             let closed = zones.iter().copied().filter(shut).collect();
             (may && (quick || spare.holds(&job.need, job.spec.spot))).then_some(Claim {
                 now,
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -314,3 +314,47 @@
     assert!(d.s.judged() > judged, "passed over");
     assert!(!d.s.jobs[&urgent.id].live.is_empty());
 }
+
+/// Its tasks were placed one by one, each machine was judged for each of them against all
+/// of the job's other tasks, and nothing else was done meanwhile.
+#[test]
+fn a_large_array_within_one_zone_is_placed_within_the_bound_of_a_pass() {
+    let mut d = roomy();
+    fleet(&mut d);
+    let tasks = 500;
+    let mut array = job(1, tasks);
+    array.one_zone = true;
+    d.submit(&array);
+    let judged = d.s.judged();
+    let bound = (2 * MACHINES + 3 * tasks) as u64;
+    assert!(judged <= bound, "{judged} > {bound}");
+    let job = d.s.jobs.values().next().unwrap();
+    assert_eq!(job.live.len() as u32, tasks);
+    let zones = job.live.values().map(|l| &d.s.machines[&l.host].zone);
+    assert_eq!(zones.collect::<std::collections::BTreeSet<_>>().len(), 1);
+}
+
+/// A pass that has judged as many machines as it may goes on with the same job later.
+#[test]
+fn a_large_array_spread_over_zones_is_placed_in_several_passes() {
+    let mut d = roomy();
+    fleet(&mut d);
+    let tasks = 500;
+    let mut array = job(1, tasks);
+    array.spread = true;
+    let mut judged = d.s.judged();
+    d.submit(&array);
+    for _ in 0..120 {
+        let now = d.s.judged();
+        // The proof before it, the event, and what it stored: a pass each.
+        assert!(now - judged < 3 * 45_000, "{} judged at once", now - judged);
+        judged = now;
+        d.wait(0.25);
+    }
+    let job = d.s.jobs.values().next().unwrap();
+    let in_zone = |zone: &str| {
+        let hosts = job.live.values().map(|l| &d.s.machines[&l.host].zone);
+        hosts.filter(|z| z.as_str() == zone).count() as u32
+    };
+    assert_eq!((in_zone("a"), in_zone("b")), (tasks / 2, tasks / 2));
+}
