--- a/src/sched/place.rs
+++ b/src/sched/place.rs
@@ -7,6 +7,7 @@
 //! decision for a single task, made from scratch: it serves jobs whose tasks
 //! bear on each other's zones, and the tests hold the pass against it.
 
+use super::allowed_zones::AllowedZones;
 use super::fleet::Short;
 use super::job::{Job, Live, Phase};
 use super::machine::{ENDLESS, Machine, Slot};
@@ -15,7 +16,7 @@
 use super::records::Purpose;
 use super::spare::Spare;
 use super::{Room, Sched, estimate};
-use crate::ids::{Attempt, Host, JobId, TaskId, TaskIx, Team, Zone};
+use crate::ids::{Attempt, Host, JobId, TaskId, TaskIx, Team};
 use crate::time::{Span, Time};
 use crate::wire::user::{JobSpec, Kind};
 use std::cell::Cell;
@@ -32,6 +33,8 @@
     pub free: Room,
     /// Remaining runtimes on it, the smallest and the largest.
     pub span: Option<(Span, Span)>,
+    /// Kept free for a gang.
+    pub kept: bool,
 }
 
 impl Sched {
@@ -40,7 +43,7 @@
     /// next one goes on where this one stopped, after the urgent.
     pub(super) fn place(&mut self, now: Time) {
         let order = self.order(now);
-        let served: Vec<Turn> = order.served(self, now);
+        let (served, ahead) = order.served(self, now);
         let mut short = vec![];
         let mut held = BTreeSet::new();
         let mut rest = &served[..];
@@ -59,7 +62,12 @@
                 break;
             }
             if let Some(t) = rest.get(n) {
-                short.extend(self.place_alone(now, &t.job, &mut held, &order));
+                let (lack, done) = self.place_alone(now, &t.job, &mut held, &order, until);
+                short.extend(lack);
+                if !done {
+                    rest = &rest[n..];
+                    break;
+                }
             }
             rest = rest.get(n + 1..).unwrap_or(&[]);
         }
@@ -67,36 +75,75 @@
         let left: BTreeSet<&JobId> = rest.iter().map(|t| &t.job).collect();
         short.extend(self.fleet.short.drain(..).filter(|s| left.contains(&s.job)));
         self.fleet.short = short;
-        self.goes_on_at = rest.first().map(|t| t.job.clone());
+        // Where those ahead take the whole pass, the next one does without them.
+        self.stuck = !rest.is_empty() && ahead > 0 && rest.len() + ahead >= served.len();
+        if !self.stuck {
+            self.goes_on_at = rest.first().map(|t| t.job.clone());
+        }
+        for m in self.machines.values_mut() {
+            let kept = held.contains(&m.host);
+            m.kept_since = kept.then(|| m.kept_since.unwrap_or(now));
+        }
         if now >= self.preempt_at {
             self.preempt_at = now + PREEMPT_EVERY;
             self.preempt(now, &order);
         }
     }
 
-    /// Gangs, and jobs whose tasks bear on each other's zones.
+    /// Gangs, and jobs whose tasks bear on each other's zones. The second value is
+    /// false where the pass had to stop within the job.
     fn place_alone(
         &mut self,
         now: Time,
         id: &JobId,
         held: &mut BTreeSet<Host>,
         order: &Order,
-    ) -> Option<Short> {
+        until: u64,
+    ) -> (Option<Short>, bool) {
         let gang = |j: &Job| j.spec.kind == Kind::Gang;
         if self.jobs.get(id).is_some_and(gang) {
-            return self.place_gang(now, id, held, order);
+            return (self.place_gang(now, id, held, order), true);
         }
         while let Some(j) = self.jobs.get(id) {
             let left = (j.pending() as i64).min(self.teams.left(&j.spec.team).times(&j.need));
             if left == 0 {
                 break;
             }
+            if self.judged.get() >= until {
+                return (None, false);
+            }
+            // Where the first of its tasks is, all others have to be, and what one
+            // of them takes closes no zone for the next.
+            if j.spec.one_zone && !j.spec.spread && !j.live.is_empty() {
+                return self.place_beside_others(now, id, held, order, until);
+            }
             let Some(host) = self.choose(now, id, held, order) else {
-                return Some(Short::anywhere(id, left));
+                return (Some(Short::anywhere(id, left)), true);
             };
             self.start(now, id, &host, None);
         }
-        None
+        (None, true)
+    }
+
+    /// A job whose zone is settled by the tasks that it has there.
+    fn place_beside_others(
+        &mut self,
+        now: Time,
+        id: &JobId,
+        held: &BTreeSet<Host>,
+        order: &Order,
+        until: u64,
+    ) -> (Option<Short>, bool) {
+        let turn = Turn {
+            job: id.clone(),
+            most: None,
+            lifted: false,
+        };
+        let (starts, mut lack, done) = self.plan(now, &[turn], held, order, until);
+        for (id, host) in starts {
+            self.start(now, &id, &host, None);
+        }
+        (lack.pop(), done > 0)
     }
 
     /// Serves the jobs in this order, as far as room and quota go.
@@ -116,12 +163,20 @@
         let mut spare = self.spare(now);
         let mut open = Room::default();
         for m in self.machines.values().filter(|m| m.open(now, fresh)) {
-            let free = m.free();
-            if free.cpu > 0 && !held.contains(&m.host) {
+            let (free, kept) = (m.free(), held.contains(&m.host));
+            if free.cpu <= 0 || kept && !m.kept_long(now) {
+                continue;
+            }
+            if !kept {
                 open += free;
-                let span = m.remaining(now);
-                room.push(Candidate { m, free, span });
             }
+            let span = m.remaining(now);
+            room.push(Candidate {
+                m,
+                free,
+                span,
+                kept,
+            });
         }
         let can_rent = self.fleet.can_rent(now);
         // With more waiting than there is room for, all of it fills up, and
@@ -152,21 +207,23 @@
             let want = (j.pending() as i64 - *given).min(left.times(&j.need));
             let want = most.map_or(want, |m| want.min(m));
             let mut view = View::of(self, now, j, order, can_rent);
+            let zones = AllowedZones::of(self, j);
             view.by_image |= crowded;
             let mut heap: BinaryHeap<Reverse<(Score, usize)>> = BinaryHeap::new();
             // Room kept for quick classes is for them, and for who is below the floor.
-            let may_take = |spare: &Spare, spot| *lifted || view.may_take(spare, spot);
-            if want > 0 && may_take(&spare, true) {
+            let may_take = |spare: &Spare, spot, got| *lifted || view.may_take(spare, spot, got);
+            if want > 0 && may_take(&spare, true, 0) {
                 let scores = room.iter().enumerate();
+                let scores = scores.filter(|(_, c)| zones.contains(&c.m.zone));
                 let scores = scores.filter_map(|(i, c)| Some(Reverse((view.score(c)?, i))));
                 heap = scores.collect::<Vec<_>>().into();
             }
             let mut got = 0;
-            while got < want && may_take(&spare, true) {
+            while got < want && may_take(&spare, true, got) {
                 let Some(Reverse((_, i))) = heap.pop() else {
                     break;
                 };
-                if !may_take(&spare, room[i].m.spot) {
+                if !may_take(&spare, room[i].m.spot, got) {
                     continue;
                 }
                 debug_assert!(
@@ -225,20 +282,28 @@
         let j = self.jobs.get(id)?;
         let fresh = self.heard_within();
         let view = View::of(self, now, j, order, self.fleet.can_rent(now));
+        let zones = AllowedZones::of(self, j);
         let spare = self.spare(now);
         let mut best: Option<(Score, &Machine)> = None;
         for m in self.machines.values() {
-            if !m.open(now, fresh) || held.contains(&m.host) {
+            if !m.open(now, fresh) {
                 continue;
             }
-            if !view.may_take(&spare, m.spot) {
+            if !view.may_take(&spare, m.spot, 0) {
                 continue;
             }
-            if (j.spec.one_zone || j.spec.spread) && !self.zone_suits(j, &m.zone) {
+            if !zones.contains(&m.zone) {
                 continue;
             }
             let (free, span) = (m.free(), m.remaining(now));
-            let Some(score) = view.score(&Candidate { m, free, span }) else {
+            let kept = held.contains(&m.host);
+            let c = Candidate {
+                m,
+                free,
+                span,
+                kept,
+            };
+            let Some(score) = view.score(&c) else {
                 continue;
             };
             if best.as_ref().is_none_or(|(b, _)| score < *b) {
@@ -248,26 +313,6 @@
         best.map(|(_, m)| m.host.clone())
     }
 
-    /// Judged against all tasks that may still be somewhere.
-    pub(super) fn zone_suits(&self, j: &Job, zone: &Zone) -> bool {
-        let zone_of = |l: &Live| self.machines.get(&l.host).map(|m| m.zone.clone());
-        let mut here = 0;
-        for l in j.live.values() {
-            match zone_of(l) {
-                Some(z) if z == *zone => here += 1,
-                // Known to be elsewhere.
-                Some(z) if !z.as_str().is_empty() => {
-                    if j.spec.one_zone {
-                        return false;
-                    }
-                }
-                // It could be anywhere.
-                _ => return false,
-            }
-        }
-        !j.spec.spread || here < j.spec.tasks.div_ceil(2)
-    }
-
     /// A machine that has been silent for longer takes nothing new.
     pub(super) fn heard_within(&self) -> Span {
         Span::secs(self.cfg.workers.report_s * 1.25 + 2.0)
@@ -343,6 +388,10 @@
     est: Span,
     delta: Span,
     quick: bool,
+    /// It has waited for as long as any of these rules may make it wait.
+    overdue: bool,
+    /// And nothing of it has started meanwhile.
+    stalled: bool,
     /// A machine that holds the image comes before a better fit.
     by_image: bool,
     judged: &'a Cell<u64>,
@@ -377,10 +426,12 @@
             est,
             delta: estimate::delta(est, t.delta_factor, t.delta_floor_s),
             quick,
+            overdue: j.overdue(now),
+            stalled: j.stalled(now),
             by_image: quick,
             judged: &s.judged,
             // What can't wait for a machine to boot does not rent one.
-            can_rent: can_rent && !quick,
+            can_rent: can_rent && !quick && !j.overdue(now),
             failed_all: j.error_hosts.len() >= s.machines.len(),
             begin_by: s.begin_by(now, j, order.within(j.id())),
             spares_plain,
@@ -389,9 +440,10 @@
         }
     }
 
-    /// Room that is kept for quick classes is not for others.
-    fn may_take(&self, spare: &Spare, spot: bool) -> bool {
-        self.quick || spare.allows(&self.j.need, spot)
+    /// Room that is kept for quick classes is not for others, but for a single task
+    /// of who is stalled; `got`: tasks that this pass has placed.
+    fn may_take(&self, spare: &Spare, spot: bool, got: i64) -> bool {
+        self.quick || self.stalled && got == 0 || spare.allows(&self.j.need, spot)
     }
 
     /// How well the machine suits, if it may be taken at all.
@@ -401,14 +453,18 @@
         if !c.free.fits(&j.need) || !allowed(&j.spec, c.m) {
             return None;
         }
+        if c.kept && !(self.overdue && c.m.kept_long(self.now)) {
+            return None;
+        }
         // A machine that failed this job is not tried again soon.
-        if !self.failed_all && j.error_hosts.contains(&c.m.host) {
+        if !(self.failed_all || self.overdue) && j.error_hosts.contains(&c.m.host) {
             return None;
         }
         let mut class = class_of(c.span, self.est, self.delta);
         // One that services hold open will not empty for a gang, but others do,
         // unless what is lendable fills them up again and again.
-        if self.gang_waits && !c.m.spot && c.span.is_none_or(|(_, high)| high < ENDLESS) {
+        let empties = c.span.is_none_or(|(_, high)| high < ENDLESS);
+        if self.gang_waits && !self.overdue && !c.m.spot && empties {
             return None;
         }
         // An empty plain machine costs several times what a spot one does, be
