--- a/src/sched/users.rs
+++ b/src/sched/users.rs
@@ -1,12 +1,11 @@
 //! What users ask: submissions, polls and cancellations.
 
+use super::Sched;
 use super::after::Came;
-use super::job::{Final, Job, LATER, Waiting, part_size};
+use super::job::{Final, Job, Waiting};
 use super::records::Purpose;
-use super::{Room, Sched};
-use crate::ids::{JobId, ReqId, Zone};
+use crate::ids::{JobId, ReqId};
 use crate::time::{Span, Time};
-use crate::wire::cloud::Flavor;
 use crate::wire::peer::{Answer, Ask};
 use crate::wire::user::{JobSpec, JobState, JobView, Kind};
 use hookworks_fairness::JobEvent as What;
@@ -58,60 +57,6 @@
         self.answer(req, Answer::later(text, 1));
     }
 
-    /// Why a job can never run, if so; `Err` when that can't be told yet.
-    fn never_runs(&self, s: &JobSpec) -> Result<Option<String>, String> {
-        let Some(limit) = self.teams.limit(&s.team) else {
-            return Ok(Some(format!("Crew: no team {}", s.team)));
-        };
-        let need = Room::of_task(s);
-        let at_once = match s.kind {
-            Kind::Array => 1,
-            Kind::Gang | Kind::Service => s.tasks as i64,
-        };
-        if let Some(part) = limit.lacks(&need.scaled(at_once)) {
-            return Ok(Some(format!("{part}: more than the team's limit")));
-        }
-        if self.flavors.is_empty() {
-            return Err("machine types are not known yet".into());
-        }
-        let allowed = |f: &&Flavor| s.builds.as_ref().is_none_or(|b| b.contains(&f.build));
-        let types: Vec<&Flavor> = self.flavors.values().filter(allowed).collect();
-        if types.is_empty() {
-            return Ok(Some("Builds: no such machine type".into()));
-        }
-        let lacks: Vec<_> = types
-            .iter()
-            .map(|f| Room::of_flavor(f).lacks(&need))
-            .collect();
-        if lacks.iter().all(Option::is_some) {
-            let part = lacks.into_iter().flatten().next().unwrap_or("Vcpus");
-            return Ok(Some(format!("{part}: more than any allowed machine has")));
-        }
-        let fitting = types.iter().filter(|f| Room::of_flavor(f).fits(&need));
-        let mut zones: Vec<Option<&Zone>> = vec![];
-        for f in fitting {
-            match f.zones.is_empty() {
-                // Not told: it could be any.
-                true => zones.extend([None, None]),
-                false => zones.extend(f.zones.iter().map(Some)),
-            }
-        }
-        let wanted = |z: &&Option<&Zone>| match (z, &s.zone) {
-            (Some(z), Some(only)) => *z == only,
-            _ => true,
-        };
-        let zones: Vec<_> = zones.iter().filter(wanted).collect();
-        if zones.is_empty() {
-            return Ok(Some("Yard: no machine there has room for a task".into()));
-        }
-        let distinct = zones.len() > 1 && zones.iter().any(|z| *z != zones[0] || z.is_none());
-        let one = s.one_zone || s.zone.is_some() || !distinct;
-        if s.spread && one && at_once > 1 {
-            return Ok(Some("Scatter: all tasks would be in one zone".into()));
-        }
-        Ok(None)
-    }
-
     fn submit(&mut self, now: Time, req: ReqId, spec: JobSpec, _body: Vec<u8>) {
         let id = spec.id.clone();
         if let Some(f) = self.finals.get(&id) {
@@ -160,13 +105,9 @@
             self.books.note(now, &spec.class, &spec.team, What::Refused);
             return self.answer(req, Answer::later("too many unfinished jobs", 10));
         }
-        let size = part_size(self.cfg.value_kb);
-        let mut job = Job::new(spec, self.next_seq, now, self.wall, size);
-        let room = (self.cfg.value_kb * 1024.0) as usize;
-        let first = job.encode(0).to_string().len() + LATER;
-        if first + size.min(job.spec.tasks) as usize * 42 > room {
-            let text = "Builds: the job's description is too large to be stored";
-            return self.answer(req, Answer::error(400, text));
+        let mut job = self.new_job(now, spec);
+        if self.too_large(&job) {
+            return self.look_up(now, req, id, Ask::Submit(_body));
         }
         self.next_seq += 1;
         if self.is_quick(&job.spec.class) && job.spec.kind != Kind::Gang {
@@ -189,7 +130,12 @@
     }
 
     fn tell_live(&mut self, req: ReqId, id: &JobId) {
-        if let Some(j) = self.jobs.get(id) {
+        if let Some(j) = self.jobs.get_mut(id) {
+            // Whoever reads the state service may have told the final state already:
+            // any other answer could be older. It is known in a moment.
+            if j.unresolved_final_writes > 0 {
+                return j.waiters.push((u64::MAX, req, Waiting::Known));
+            }
             // What is not stored is not told: it could go back.
             if j.cancelled && j.parts[0].stored < j.cancel_ver {
                 return self.answer(req, Answer::later("the job is being cancelled", 1));
@@ -326,13 +272,7 @@
                 (Ok(None), _) if self.jobs.contains_key(&id) => {
                     Answer::later("the job is being stored", 1)
                 }
-                (Ok(None), Ask::Submit(body)) => {
-                    let why = JobSpec::parse(body).map(|s| self.never_runs(&s));
-                    match why {
-                        Ok(Ok(Some(text))) => Answer::error(422, &text),
-                        _ => Answer::later("the machine types have changed", 1),
-                    }
-                }
+                (Ok(None), Ask::Submit(body)) => self.refusal(now, body),
                 (Ok(None), _) => Answer::error(404, "no such job"),
             };
             self.answer(req, a);
