--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -3,6 +3,7 @@
 
 mod admission;
 mod after;
+mod allowed_zones;
 mod audit;
 mod beats;
 mod catchup;
