--- a/crates/scale/src/bounds.rs
+++ b/crates/scale/src/bounds.rs
@@ -173,7 +173,9 @@
 ];
 
 /// What nothing was measured of; the page repeats it.
-pub(crate) const NOT_MEASURED: [&str; 11] = [
+pub(crate) const NOT_MEASURED: [&str; 13] = [
+    "a steady state: in runs this short fewer jobs end than come, so final states at the state service are too few",
+    "tasks of a job as an axis: the series have jobs of 20, and changes at the state service go with jobs, see the run with jobs of 10",
     "configuration: there is no way to change it while controllers run (missing)",
     "regions apart for minutes, all controllers ended at once, the state service down for a minute, a rack",
     "gangs, services, checkpoints, spot machines; cloud calls by size",
