--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -1,7 +1,9 @@
 //! The scheduler itself: no I/O, no clock, no threads. Whatever happens comes
 //! in as an event with its time; what is to be done goes out as effects.
 
+mod admission;
 mod after;
+mod allowed_zones;
 mod audit;
 mod beats;
 mod catchup;
