Zones: whatever a machine sends shows that its zone is there, answers to calls too

An answer to a call no longer counts as a report of its machine. The verdict on its zone asks for something else, whether anything comes from there, and went by the same time: a zone that was back was taken for gone until reports came.

--- a/src/sched/fences.rs
+++ b/src/sched/fences.rs
@@ -95,6 +95,7 @@
             m.answered = m.answered.min(t);
             // Nor was it heard: that would have lowered the fence.
             m.heard = m.heard.min(t);
+            m.reached = m.reached.min(t);
         }
     }
 }
--- a/src/sched/zones.rs
+++ b/src/sched/zones.rs
@@ -159,13 +159,13 @@
                     e.machines += 1;
                     e.heard += m.reported_at.is_some() as u32;
                     let gone = self.watch.zones.gone_since(&m.zone);
-                    e.back += gone.is_some_and(|t| m.heard > t) as u32;
+                    e.back += gone.is_some_and(|t| m.reached > t) as u32;
                     e.newest = e.newest.max(m.reported_at);
-                    if now - m.heard.max(self.awake) > late {
+                    if now - m.reached.max(self.awake) > late {
                         e.overdue += 1;
                         e.fell_silent = Some(match e.fell_silent {
-                            None => (m.heard, m.heard),
-                            Some((a, b)) => (a.min(m.heard), b.max(m.heard)),
+                            None => (m.reached, m.reached),
+                            Some((a, b)) => (a.min(m.reached), b.max(m.reached)),
                         });
                     }
                 }
@@ -196,7 +196,7 @@
             *n = (*n as f64 * zones.open(now, z)).ceil() as usize;
         }
         for m in self.machines.values() {
-            let back = zones.gone_since(&m.zone).is_none_or(|t| m.heard > t);
+            let back = zones.gone_since(&m.zone).is_none_or(|t| m.reached > t);
             if back
                 && !m.shut
                 && let Some(n) = most.get_mut(&m.zone)
@@ -206,7 +206,7 @@
         }
         let (mut closed, mut opened) = (vec![], vec![]);
         for m in self.machines.values() {
-            let back = zones.gone_since(&m.zone).is_none_or(|t| m.heard > t);
+            let back = zones.gone_since(&m.zone).is_none_or(|t| m.reached > t);
             match (m.shut, back) {
                 (false, false) => closed.push(m.host.clone()),
                 (true, true) => {
