--- a/tests/zones.rs
+++ b/tests/zones.rs
@@ -3,10 +3,14 @@
 
 mod world;
 
-use hookworks::ids::{Host, JobId, TaskId};
+use hookworks::ids::{Host, JobId, TaskId, Token};
+use hookworks::sched::{DirectResult, Event};
+use hookworks::time::Time;
 use hookworks::wire::peer::Ask;
 use hookworks::wire::user::{JobSpec, JobState, Kind, Priority};
+use hookworks::wire::worker::Report;
 use std::collections::BTreeSet;
+use world::desk::{Desk, report};
 use world::links::Link;
 use world::{Ev, World, job};
 
@@ -484,3 +488,42 @@
     assert!(waiting.iter().all(known), "they wait to be run once more");
     all_end(&mut w, 400.0);
 }
+
+/// Calls that were held up in the cut are answered before any report comes: the zone is
+/// there, though its machines take nothing until they report.
+#[test]
+fn answers_to_calls_show_that_a_zone_is_back() {
+    let mut d = Desk::new(5);
+    let from = |zone: &str, n: u32, seq: u64, token: Token| Report {
+        zone: zone.into(),
+        ..report(n, seq, token)
+    };
+    let state = |d: &Desk| {
+        let o = d.s.overview(Time(d.now));
+        let zones = o["zones"].as_array().unwrap().clone();
+        let a = zones.into_iter().find(|z| z["zone"] == "a").unwrap();
+        a["state"].as_str().unwrap().to_string()
+    };
+    for n in 1..=8 {
+        d.beat(&from(if n <= 4 { "a" } else { "b" }, n, 1, Token(0)));
+    }
+    d.submit(&job(1, 6));
+    d.submit(&job(2, 6));
+    let calls = d.direct();
+    for seq in 2..14 {
+        d.wait(1.0);
+        for n in 5..=8 {
+            d.beat(&from("b", n, seq, Token(0)));
+        }
+    }
+    assert_eq!(state(&d), "lost");
+    for (call, host, orders) in calls {
+        let n: u32 = host.as_str()[2..].parse().unwrap();
+        if n <= 4 {
+            let shown = Box::new(from("a", n, 2, orders.token));
+            d.event(Event::Direct(call, host, DirectResult::Done(shown)));
+        }
+    }
+    d.wait(0.5);
+    assert_ne!(state(&d), "lost");
+}
