--- a/tests/cut_off.rs
+++ b/tests/cut_off.rs
@@ -24,7 +24,7 @@
     w.run_s = 35.0;
     w.run(2.0);
     for n in 1..=jobs {
-        let mut j = job(n, 3);
+        let mut j = job(n, 8);
         change(n, &mut j);
         w.submit(j);
     }
@@ -92,6 +92,7 @@
                 false => (leader + 1) % CONTROLLERS,
             };
             let zone = w.zone_of(inside);
+            assert!(!w.machines_in(zone.as_str()).is_empty(), "no machine there");
             let cut_s = LEASE_S + w.rng.random_range(1.0..40.0);
             w.set_zone(zone.as_str(), link);
             cancel(&mut w, 1, 3.0);
