Incident: requests by outcome, ends of leaderships and loads of records in the log

At about 4,000 machines under faults questions about accepted jobs got no answer for over a minute after all troubles had ended, and no log told why. What would have told is logged now: every ten seconds one line at info with the answers by kind of request and the refusals by reason, the oldest unanswered question, the age of the proof of leadership, renewals, connections and look-ups of final states; each end of a leadership with its reason; each attempt to load the records. The overview has the same counts. No behaviour changes.

--- a/src/node/asks.rs
+++ b/src/node/asks.rs
@@ -2,6 +2,7 @@
 
 use super::follow::{self, KnownLeader, Route};
 use super::lists::Wanted;
+use super::request_log::RequestKind;
 use super::threads::state_service::StateRequest;
 use super::{Node, Origin, Pending, Role};
 use crate::api::redirect;
@@ -24,8 +25,7 @@
                 origin,
                 since,
                 limit: limit_of(ask),
-                submits: matches!(ask, Ask::Submit(_)),
-                reports: matches!(ask, Ask::Report(_)),
+                kind: RequestKind::from(ask),
                 report: None,
                 with: None,
             },
@@ -240,18 +240,20 @@
         // when they sent their reports, so those answers need none.
         if let Role::Leader(t) = &self.role
             && p.with.is_none()
-            && !p.reports
+            && p.kind != RequestKind::Heartbeat
             && answer.status < 429
             && t.sched.may_start(now)
         {
             answer.valid_us = Some((t.sched.proven_until() - p.since).0);
         }
         self.latency.saturating_record((now - p.since).0);
-        if answer.status >= 429 && p.submits {
+        self.request_log.record(p.kind, &answer);
+        let submits = p.kind == RequestKind::Submission;
+        if answer.status >= 429 && submits {
             let after_ms = (now - p.since).0 / 1000;
             tracing::info!(status = answer.status, after_ms, why = %answer.body, "submission refused");
         }
-        if p.submits && answer.status < 429 {
+        if submits && answer.status < 429 {
             let after_ms = (now - p.since).0 / 1000;
             tracing::debug!(status = answer.status, after_ms, "submission answered");
         }
--- a/src/node/health.rs
+++ b/src/node/health.rs
@@ -1,6 +1,9 @@
 //! Whether this controller can serve, and numbers for operators.
 
+use super::request_log::RequestKind;
 use super::{Node, Role};
+use crate::ids::Epoch;
+use crate::sched::LookUpCounts;
 use crate::time::{Span, Time};
 use hdrhistogram::Histogram;
 
@@ -67,6 +70,56 @@
             && now - self.state_ok_at < MAX_UNREACHABLE_LEADER
     }
 
+    /// The epoch that this controller leads, or is taking over.
+    pub(super) fn own_epoch(&self) -> Option<Epoch> {
+        match &self.role {
+            Role::Leader(term) => Some(term.epoch),
+            Role::Loading(epoch) => Some(*epoch),
+            Role::Follower => None,
+        }
+    }
+
+    /// How long the question that has waited longest for its answer has been here.
+    fn oldest_question_ms(&self, now: Time) -> u64 {
+        let questions = self.pending.values();
+        let questions = questions.filter(|p| p.kind == RequestKind::Question);
+        let oldest = questions.map(|p| p.since).min();
+        oldest.map_or(0, |since| (now - since).0 / 1000)
+    }
+
+    /// Logs what was answered and refused since the last summary, if one is due.
+    pub(super) fn log_requests(&mut self, now: Time) {
+        let Some(requests) = self.request_log.take_summary(now) else {
+            return;
+        };
+        let epoch = self.own_epoch().map_or(0, |epoch| epoch.0);
+        let leader = self.peers.best_leader().map(|(label, _)| label.to_string());
+        let proof_age_ms = (now - self.proven).0 / 1000;
+        let election = self.request_log.election;
+        let connections = self.server.metrics();
+        let look_ups = match &self.role {
+            Role::Leader(term) => term.sched.look_up_counts(),
+            _ => LookUpCounts::default(),
+        };
+        tracing::info!(
+            epoch,
+            leader = leader.unwrap_or_default(),
+            proof_age_ms,
+            renewals_or_reads = election.answered,
+            unavailable = election.unavailable,
+            waiting = self.pending.len(),
+            oldest_question_ms = self.oldest_question_ms(now),
+            messages_waiting = self.waiting,
+            state_requests_waiting = self.store.len(),
+            workers = self.worker_balance.reporting(),
+            connections = connections.open,
+            turned_away = connections.turned_away,
+            ?look_ups,
+            requests,
+            "requests by outcome"
+        );
+    }
+
     /// What operators are shown of this controller, as JSON.
     pub(super) fn overview(&mut self, now: Time) -> serde_json::Value {
         let role = match &self.role {
@@ -92,6 +145,8 @@
                 "state": self.store.len(), "cloud": self.cloud.len(), "workers": self.agents.len(),
             },
         });
+        v["answers_by_kind"] = self.request_log.overview();
+        v["oldest_question_ms"] = self.oldest_question_ms(now).into();
         v["versions"] = self.upgrade.overview();
         if let Role::Leader(t) = &mut self.role {
             v["scheduler"] = t.sched.overview(now);
--- a/src/node/leadership.rs
+++ b/src/node/leadership.rs
@@ -19,11 +19,31 @@
 /// But no more than this: a process may be suspended in the middle of a pass.
 const MAX_PASS_REST: Span = Span(400_000);
 
+/// Why a leadership, or the take-over before it, ended here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum LeadershipEnd {
+    /// The state service says that the lease has ended.
+    LeaseLost,
+    /// The leader's key names another controller, or none.
+    NotInKey,
+    /// A change was refused as the leader's key has another revision.
+    KeyLost,
+    /// Another controller names a leader of a larger epoch.
+    LaterLeader,
+    /// The process ends in good order.
+    Stopping,
+}
+
 impl Node {
     /// Acts on a step of the election.
     pub(super) fn election_outcome(&mut self, now: Time, outcome: ElectionOutcome) {
-        if outcome != ElectionOutcome::Unavailable {
-            self.state_ok_at = now;
+        let steps = &mut self.request_log.election;
+        match outcome == ElectionOutcome::Unavailable {
+            true => steps.unavailable += 1,
+            false => {
+                steps.answered += 1;
+                self.state_ok_at = now;
+            }
         }
         match outcome {
             ElectionOutcome::Following(leader) => self.follow(now, leader),
@@ -35,7 +55,7 @@
             ElectionOutcome::Renewed(proven) => self.renewed(now, proven),
             ElectionOutcome::LeaseLost => {
                 tracing::warn!("leadership lost");
-                self.step_down(now);
+                self.step_down(now, LeadershipEnd::LeaseLost);
             }
             ElectionOutcome::Unavailable => {}
         }
@@ -43,7 +63,7 @@
 
     fn follow(&mut self, now: Time, leader: Option<LeaderRecord>) {
         if !matches!(self.role, Role::Follower) {
-            self.step_down(now);
+            self.step_down(now, LeadershipEnd::NotInKey);
         }
         if let Some(record) = &leader
             && leader != self.seen
@@ -77,7 +97,12 @@
     }
 
     /// Becomes a follower; whoever waits for an answer is sent to the next leader.
-    pub(super) fn step_down(&mut self, now: Time) {
+    pub(super) fn step_down(&mut self, now: Time, why: LeadershipEnd) {
+        if let Some(epoch) = self.own_epoch() {
+            let proof_age_ms = (now - self.proven).as_secs() * 1000.0;
+            let token = epoch.base();
+            tracing::info!(%epoch, token, ?why, proof_age_ms, "leadership ended");
+        }
         self.role = Role::Follower;
         self.term.store(0, Ordering::SeqCst);
         self.peers.set_leader(None);
@@ -123,7 +148,8 @@
         }
         let config = Config::from(&self.settings);
         let mut sched = Sched::new(config, epoch, self.proven, now, wall());
-        tracing::info!(%epoch, jobs = loaded.jobs.len(), "leading");
+        let token = epoch.base();
+        tracing::info!(%epoch, token, jobs = loaded.jobs.len(), "leading");
         // The time of day first: no suspension between the two makes it too late.
         let (time_of_day, at) = (wall(), self.clock.now());
         if let Some(fences) = loaded.fences {
--- a/src/node/load.rs
+++ b/src/node/load.rs
@@ -44,13 +44,23 @@
     spawn("load", move || {
         let state = StateClient::new(addr, Duration::from_secs(4));
         // The leadership may be lost meanwhile; what is read then is dropped.
+        let began = clock.now();
         for attempt in 0u64.. {
-            match load(&state, epoch, stamp, clock.now(), wall()) {
+            let sent = clock.now();
+            let loaded = load(&state, epoch, stamp, sent, wall());
+            let (now, attempts) = (clock.now(), attempt + 1);
+            let ms = (now - sent).0 / 1000;
+            match loaded {
                 Ok(l) => {
+                    let total_ms = (now - began).0 / 1000;
+                    tracing::info!(%epoch, attempts, ms, total_ms, records = l.stamps.len(), "records loaded");
                     let _ = inbox.send(Msg::Loaded(Box::new(l)));
                     return;
                 }
-                Err(_) => std::thread::sleep(Duration::from_millis(100 * (attempt + 1).min(10))),
+                Err(_) => {
+                    tracing::info!(%epoch, attempts, ms, "records could not be loaded");
+                    std::thread::sleep(Duration::from_millis(100 * attempts.min(10)));
+                }
             }
         }
     });
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -7,6 +7,7 @@
 mod leadership;
 pub mod lists;
 pub mod load;
+mod request_log;
 mod threads;
 mod upgrade;
 
@@ -33,7 +34,9 @@
 use hdrhistogram::Histogram;
 use hookworks_http_server::{Reply, RequestClass, Server};
 use hookworks_listing::Board;
+use leadership::LeadershipEnd;
 use load::Loaded;
+use request_log::{RequestKind, RequestLog};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -104,10 +107,7 @@
     origin: Origin,
     since: Time,
     limit: Span,
-    /// A submission, whose refusal operators would ask about.
-    submits: bool,
-    /// A worker's report.
-    reports: bool,
+    kind: RequestKind,
     /// A worker's report that was passed on, in case that another leader
     /// comes before the answer.
     report: Option<Vec<u8>>,
@@ -157,6 +157,7 @@
     outbox: HashMap<Label, Vec<PeerMsg>>,
     flavors: Vec<Flavor>,
     latency: Histogram<u64>,
+    request_log: RequestLog,
     /// How long the turns of the loop take.
     turns: Histogram<u64>,
     /// Messages that waited when the loop last looked.
@@ -241,6 +242,7 @@
         outbox: HashMap::new(),
         flavors: vec![],
         latency: histogram()?,
+        request_log: RequestLog::default(),
         turns: histogram()?,
         waiting: 0,
         behind: false,
@@ -327,7 +329,7 @@
                 && (self.pending.is_empty() || now - since > Span::secs(3.0))
             {
                 // Nothing leaves under a term whose key is given up.
-                self.step_down(now);
+                self.step_down(now, LeadershipEnd::Stopping);
                 self.send_outbox(now);
                 self.resign();
                 self.server.stop(LAST_ANSWERS);
@@ -466,7 +468,7 @@
                 }
                 Step::Deposed => {
                     tracing::warn!(%epoch, "the leader's key is no longer ours");
-                    self.step_down(now);
+                    self.step_down(now, LeadershipEnd::KeyLost);
                     return;
                 }
             }
@@ -520,7 +522,7 @@
             && epoch > mine
         {
             tracing::warn!(%label, %epoch, "a later leader is known");
-            self.step_down(now);
+            self.step_down(now, LeadershipEnd::LaterLeader);
         }
         if let Role::Leader(t) = &self.role {
             let epoch = t.epoch;
@@ -559,6 +561,7 @@
         self.switch_format(now);
         self.balance_workers(now);
         self.publish(now);
+        self.log_requests(now);
         let ok = self.stopping.is_none() && self.can_serve(now);
         if ok != self.notice.healthy.swap(ok, Ordering::Relaxed) {
             tracing::info!(healthy = ok, "health changed");
--- /dev/null
+++ b/src/node/request_log.rs
@@ -0,0 +1,131 @@
+//! What this controller answered and what it could not answer, counted by kind of
+//! request and reason. A summary goes to the log at a fixed interval.
+
+use crate::time::{Span, Time};
+use crate::wire::peer::{Answer, Ask};
+use serde::Serialize;
+use std::collections::BTreeMap;
+
+/// How often the summary goes to the log.
+const SUMMARY_INTERVAL: Span = Span(10_000_000);
+/// Reasons that are counted one by one; more are counted together.
+const MAX_REASONS: usize = 64;
+/// What reasons beyond that are counted as.
+const OTHER_REASONS: &str = "other";
+/// Statuses from here on ask the client to come again.
+const FIRST_RETRYABLE_STATUS: u16 = 429;
+
+/// What a request asks for, as far as statistics and limits depend on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub(super) enum RequestKind {
+    /// A user asks about a job.
+    Question,
+    /// A user submits a job.
+    Submission,
+    /// A worker's heartbeat.
+    Heartbeat,
+    /// Cancellations, holds, lists and the like.
+    Other,
+}
+
+impl From<&Ask> for RequestKind {
+    fn from(ask: &Ask) -> RequestKind {
+        match ask {
+            Ask::Poll(_) => RequestKind::Question,
+            Ask::Submit(_) => RequestKind::Submission,
+            Ask::Report(_) => RequestKind::Heartbeat,
+            _ => RequestKind::Other,
+        }
+    }
+}
+
+/// Answers of one kind of request since the start.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+struct KindCounts {
+    answered: u64,
+    /// Answers that ask the client to come again, by reason.
+    refused: BTreeMap<String, u64>,
+}
+
+impl KindCounts {
+    fn refuse(&mut self, reason: String) {
+        let is_new = !self.refused.contains_key(&reason);
+        let reason = match is_new && self.refused.len() >= MAX_REASONS {
+            true => OTHER_REASONS.to_string(),
+            false => reason,
+        };
+        *self.refused.entry(reason).or_default() += 1;
+    }
+
+    /// What was counted since `earlier`.
+    fn since(&self, earlier: Option<&KindCounts>) -> KindCounts {
+        let before = |reason: &String| earlier.and_then(|e| e.refused.get(reason)).copied();
+        let refused = self.refused.iter().map(|(reason, count)| {
+            let new = count - before(reason).unwrap_or(0);
+            (reason.clone(), new)
+        });
+        KindCounts {
+            answered: self.answered - earlier.map_or(0, |e| e.answered),
+            refused: refused.filter(|(_, new)| *new > 0).collect(),
+        }
+    }
+}
+
+/// Renewals of the leader's lease and reads of its key.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub(super) struct ElectionCounts {
+    /// Steps that the state service answered.
+    pub answered: u64,
+    /// Steps that it did not answer.
+    pub unavailable: u64,
+}
+
+/// Counts of answers and of steps of the election.
+#[derive(Default)]
+pub(super) struct RequestLog {
+    counts: BTreeMap<RequestKind, KindCounts>,
+    pub election: ElectionCounts,
+    logged: BTreeMap<RequestKind, KindCounts>,
+    logged_at: Time,
+}
+
+impl RequestLog {
+    /// Counts an answer as it leaves.
+    pub fn record(&mut self, kind: RequestKind, answer: &Answer) {
+        let counts = self.counts.entry(kind).or_default();
+        match answer.status < FIRST_RETRYABLE_STATUS {
+            true => counts.answered += 1,
+            false => counts.refuse(reason_of(answer)),
+        }
+    }
+
+    /// What has been counted since the last summary, if another one is due.
+    pub fn take_summary(&mut self, now: Time) -> Option<String> {
+        if now - self.logged_at < SUMMARY_INTERVAL {
+            return None;
+        }
+        self.logged_at = now;
+        let earlier = std::mem::replace(&mut self.logged, self.counts.clone());
+        let news = self.counts.iter().map(|(kind, counts)| {
+            let new = counts.since(earlier.get(kind));
+            (*kind, new)
+        });
+        let news: BTreeMap<RequestKind, KindCounts> = news
+            .filter(|(_, new)| *new != KindCounts::default())
+            .collect();
+        (!news.is_empty()).then(|| serde_json::to_string(&news).unwrap_or_default())
+    }
+
+    /// All counts since the start, for the overview.
+    pub fn overview(&self) -> serde_json::Value {
+        serde_json::json!({ "requests": self.counts, "election_steps": self.election })
+    }
+}
+
+/// The reason as the client reads it, or the status where none is given.
+fn reason_of(answer: &Answer) -> String {
+    let body: Option<serde_json::Value> = serde_json::from_str(&answer.body).ok();
+    let text = body.as_ref().and_then(|body| body["error"].as_str());
+    text.map_or_else(|| answer.status.to_string(), str::to_string)
+}
--- a/src/node/upgrade.rs
+++ b/src/node/upgrade.rs
@@ -1,6 +1,7 @@
 //! Controllers of two versions side by side: this one tells its version, knows those
 //! of the others, and as the leader makes the switch to compact records.
 
+use super::leadership::LeadershipEnd;
 use super::{Msg, Node, Role, spawn};
 use crate::ids::{ControllerVersion, Epoch, Instance, Label};
 use crate::settings::Settings;
@@ -198,7 +199,7 @@
             }
             Decision::Deposed => {
                 tracing::warn!(%epoch, "the leader's key is no longer ours");
-                self.step_down(now);
+                self.step_down(now, LeadershipEnd::KeyLost);
             }
         }
     }
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -38,7 +38,7 @@
 pub use life::detail_of_record;
 pub use records::{Dirty, DirtyQueue, Key, Purpose};
 pub use room::Room;
-pub use users::answer_final;
+pub use users::{LookUpCounts, answer_final};
 
 use crate::ids::{
     Attempt, Build, CallId, Class, Epoch, Host, JobId, Label, ReqId, TaskId, Token, Zone,
@@ -226,6 +226,7 @@
     look_ups: Budget,
     /// The same for polls of jobs that are over or unknown.
     poll_reads: Budget,
+    look_up_counts: LookUpCounts,
     counter: u64,
     next_seq: u64,
     next_call: u64,
@@ -290,6 +291,7 @@
             record_reads: 0,
             look_ups: Budget::new(cfg.look_ups, (2.0 * cfg.look_ups).max(1.0)),
             poll_reads: Budget::new(2.0 * cfg.look_ups, (4.0 * cfg.look_ups).max(1.0)),
+            look_up_counts: LookUpCounts::default(),
             arrivals: Default::default(),
             fleet: fleet::Fleet::new(epoch),
             probes: Default::default(),
@@ -586,6 +588,11 @@
         }
     }
 
+    /// Reads of final states so far.
+    pub fn look_up_counts(&self) -> LookUpCounts {
+        self.look_up_counts
+    }
+
     /// Machines judged for tasks so far, a measure of the work of placing.
     pub fn judged(&self) -> u64 {
         self.judged.get()
--- a/src/sched/overview.rs
+++ b/src/sched/overview.rs
@@ -103,6 +103,7 @@
             "writes_waiting": {
                 "now": writes[0], "starts": writes[1], "ends": writes[2], "progress": writes[3],
             },
+            "look_ups": self.look_up_counts,
             "judged": self.judged.get(),
             "reports_held": self.reports_held,
             "reports_refused": self.reports_refused,
--- a/src/sched/users.rs
+++ b/src/sched/users.rs
@@ -11,6 +11,19 @@
 use crate::wire::user::{JobSpec, JobState, JobView};
 use hookworks_fairness::JobEvent as What;
 
+/// Reads of final states that requests asked for, since the leadership began.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize)]
+pub struct LookUpCounts {
+    /// Reads that were sent.
+    pub sent: u64,
+    /// Reads without an answer of the state service.
+    pub failed: u64,
+    /// Requests refused as too many reads were under way.
+    pub too_many: u64,
+    /// Questions refused as their share of the state service's requests was used up.
+    pub over_budget: u64,
+}
+
 /// A submission waits no longer than that for the next pass.
 const SOON: Span = Span(10_000);
 /// Reads of old final states under way at a time.
@@ -240,6 +253,7 @@
             return self.answer(req, Answer::error(404, "no such job"));
         }
         if self.reads.len() >= MAX_READS {
+            self.look_up_counts.too_many += 1;
             return self.answer(req, Answer::later("too many look-ups at a time", 1));
         }
         let first = !self.reads.contains_key(&id);
@@ -247,18 +261,21 @@
         // of them, renewals of the leadership among them, are refused for a while.
         if first && matches!(ask, Ask::Poll(_)) {
             if !self.poll_reads.has(now, 1.0) {
+                self.look_up_counts.over_budget += 1;
                 return self.answer(req, Answer::later("too many look-ups at a time", 1));
             }
             self.poll_reads.take(now, 1.0);
         }
         self.reads.entry(id.clone()).or_default().push((req, ask));
         if first {
+            self.look_up_counts.sent += 1;
             self.read_final(&id);
         }
     }
 
     pub(super) fn final_read(&mut self, now: Time, id: JobId, r: Result<Option<Final>, ()>) {
         let asked = self.reads.remove(&id).unwrap_or_default();
+        self.look_up_counts.failed += r.is_err() as u64;
         // A slow read says nothing of what has come to its end since it was sent.
         let r = match self.finals.get(&id) {
             Some(f) => Ok(Some(*f)),
