Scale: a job is forgotten 75 s after its last answer, however others fare

The judge of the scale run took a job as forgotten only after 90 s and only while most other polls were answered, so that it could not see the symptom of the incident: a service that answers nobody. The rule is that of the protocol with its additions: 75 s from the last answer or from the end of all troubles, whichever is later, however others fare, whichever controller was asked. A finished job counts from the first question without an answer, as users pause there. The faults of a run tell the judge when they begin and end.

Tests: a service that answers nobody, one job in twenty, troubles that last, a finished job; the first two fail with the judge as it was. The earlier test held 90 s and holds 75 s now.

--- a/crates/scale/src/faults.rs
+++ b/crates/scale/src/faults.rs
@@ -76,6 +76,7 @@
         let killed: Vec<usize> = from_leader.take(site.options.killed).collect();
         for controller in &killed {
             site.controllers.kill(*controller);
+            site.shared.judge().trouble_began();
             self.note(log, now, &format!("controller-{controller} killed"));
         }
         self.back = Some((now + self.back_after, killed));
@@ -90,6 +91,7 @@
                 Ok(()) => format!("controller-{controller} started"),
                 Err(e) => format!("controller-{controller} could not be started ({e})"),
             };
+            site.shared.judge().trouble_ended(now);
             self.note(log, now, &what);
         }
     }
@@ -97,11 +99,13 @@
     fn cut_zone(&mut self, site: &Site, now: Instant, log: &mut Log) {
         if is_due(&mut self.cut_at, now) {
             site.shared.cut(Some(CUT_ZONE));
+            site.shared.judge().trouble_began();
             self.note(log, now, &format!("workers of zone {CUT_ZONE} cut off"));
             self.heal_at = Some(now + self.cut_for);
         }
         if is_due(&mut self.heal_at, now) {
             site.shared.cut(None);
+            site.shared.judge().trouble_ended(now);
             self.note(log, now, &format!("workers of zone {CUT_ZONE} back"));
         }
     }
--- a/crates/scale/src/judge.rs
+++ b/crates/scale/src/judge.rs
@@ -17,9 +17,9 @@
 
 /// Breaches listed one by one; more are only counted.
 const MOST_LISTED: usize = 50;
-/// An accepted job whose every poll fails for so long is forgotten, if most
-/// others get answers.
-const NO_ANSWER: Duration = Duration::from_secs(90);
+/// An accepted job is forgotten if no question about it is answered for so long while
+/// no trouble is under way, however others fare.
+const NO_ANSWER: Duration = Duration::from_secs(75);
 /// Sums of processors are exact up to this.
 const ROUNDING: f64 = 1e-6;
 
@@ -79,6 +79,21 @@
     Missing,
 }
 
+/// Troubles that were put in.
+struct Troubles {
+    under_way: usize,
+    last_ended: Instant,
+}
+
+impl Troubles {
+    fn new(start: Instant) -> Troubles {
+        Troubles {
+            under_way: 0,
+            last_ended: start,
+        }
+    }
+}
+
 /// The record, and what broke by it.
 pub struct Judge {
     start: Instant,
@@ -89,8 +104,7 @@
     /// The machines that each task is on.
     hosts: HashMap<TaskId, Vec<Host>>,
     starts: u64,
-    answered_polls: u64,
-    failed_polls: u64,
+    troubles: Troubles,
     breaches: Vec<Breach>,
     counts: BTreeMap<Rule, u64>,
 }
@@ -107,8 +121,7 @@
             jobs: HashMap::new(),
             hosts: HashMap::new(),
             starts: 0,
-            answered_polls: 0,
-            failed_polls: 0,
+            troubles: Troubles::new(start),
             breaches: vec![],
             counts: BTreeMap::new(),
         }
@@ -221,21 +234,13 @@
 
     /// A user was told this of a job it submitted; it had asked at `asked`.
     pub fn answered(&mut self, asked: Instant, now: Instant, job: &JobId, answer: Answer) {
-        match answer {
-            Answer::Missing => self.failed_polls += 1,
-            _ => self.answered_polls += 1,
-        }
         let Some(record) = self.jobs.get_mut(job) else {
             if matches!(answer, Answer::State(_)) {
                 self.record_breach(Rule::Invented, now, format!("{job} was never submitted"));
             }
             return;
         };
-        if answer == Answer::Missing {
-            record.no_answer_since.get_or_insert(asked);
-        } else {
-            record.no_answer_since = None;
-        }
+        record.note_answer(asked, now, answer != Answer::Missing);
         let was_accepted = record.accepted.is_some_and(|t| t <= asked);
         match answer {
             Answer::Missing => {}
@@ -291,18 +296,28 @@
         self.sweep_silent(now);
     }
 
+    /// A trouble has begun: a controller is gone, a zone cut off and the like.
+    pub fn trouble_began(&mut self) {
+        self.troubles.under_way += 1;
+    }
+
+    /// A trouble is over.
+    pub fn trouble_ended(&mut self, now: Instant) {
+        self.troubles.under_way = self.troubles.under_way.saturating_sub(1);
+        self.troubles.last_ended = self.troubles.last_ended.max(now);
+    }
+
     /// Looks for accepted jobs that nobody answers for any more.
     fn sweep_silent(&mut self, now: Instant) {
-        if self.failed_polls >= self.answered_polls {
+        if self.troubles.under_way > 0 {
             return;
         }
+        let troubles_ended = self.troubles.last_ended;
         let silent = self.jobs.iter_mut().filter_map(|(job, record)| {
-            let since = record
-                .no_answer_since
-                .filter(|_| record.accepted.is_some())?;
+            let since = record.silent_since()?.max(troubles_ended);
             let forgotten = now.saturating_duration_since(since) > NO_ANSWER;
             forgotten.then(|| {
-                record.no_answer_since = None;
+                record.counted_as_forgotten();
                 format!("{job}: no answer for {NO_ANSWER:?}")
             })
         });
--- a/crates/scale/src/judge/record.rs
+++ b/crates/scale/src/judge/record.rs
@@ -14,8 +14,10 @@
     pub asked_to_cancel: bool,
     /// The first final state that was told, and when.
     pub final_state: Option<(Instant, JobState)>,
-    /// Since when every poll has failed.
-    pub no_answer_since: Option<Instant>,
+    /// The last answer to a question about it.
+    last_answer: Option<Instant>,
+    /// When the first question after that was asked, if it was not answered.
+    no_answer_since: Option<Instant>,
     pub first_start: Option<Instant>,
     /// Tasks that have completed.
     pub done: HashSet<u32>,
@@ -48,6 +50,7 @@
             accepted: None,
             asked_to_cancel: false,
             final_state: None,
+            last_answer: None,
             no_answer_since: None,
             first_start: None,
             done: HashSet::new(),
@@ -55,6 +58,31 @@
         }
     }
 
+    /// A question that was asked at `asked` was answered by `now`, or was not.
+    pub fn note_answer(&mut self, asked: Instant, now: Instant, was_answered: bool) {
+        if was_answered {
+            self.last_answer = Some(now);
+            self.no_answer_since = None;
+        } else {
+            self.no_answer_since.get_or_insert(asked);
+        }
+    }
+
+    /// Since when questions about an accepted job have not been answered. Users ask
+    /// all the time about one that is not over; about another they may pause.
+    pub fn silent_since(&self) -> Option<Instant> {
+        let first_unanswered = self.no_answer_since.filter(|_| self.accepted.is_some())?;
+        match self.is_unfinished() {
+            true => Some(self.last_answer.unwrap_or(first_unanswered)),
+            false => Some(first_unanswered),
+        }
+    }
+
+    /// It was counted as forgotten; from now on it may be so again.
+    pub fn counted_as_forgotten(&mut self) {
+        self.no_answer_since = None;
+    }
+
     /// A task completed.
     pub fn task_done(&mut self, now: Instant, number: u32) {
         self.done.insert(number);
--- a/crates/scale/tests/judge.rs
+++ b/crates/scale/tests/judge.rs
@@ -150,16 +150,80 @@
 }
 
 #[test]
-fn an_accepted_job_without_an_answer_for_long_is_forgotten() {
+fn an_accepted_job_without_an_answer_for_75_s_is_forgotten() {
     let mut s = Story::new();
     s.started(1, 0, "n-1");
     for second in 1..20 {
         s.told(second, Answer::State(JobState::Running));
     }
     s.told(30, Answer::Missing);
+    s.told(90, Answer::Missing);
+    assert_eq!(s.broken(94), []);
+    assert_eq!(s.broken(95), [Rule::Forgotten]);
+}
+
+#[test]
+fn a_service_that_answers_nobody_forgets_though_most_questions_fail() {
+    let mut s = Story::new();
+    s.started(1, 0, "n-1");
+    for second in 1..20 {
+        s.told(5 * second, Answer::Missing);
+    }
+    assert_eq!(s.broken(75), []);
+    assert_eq!(s.broken(76), [Rule::Forgotten]);
+}
+
+#[test]
+fn one_job_in_twenty_without_an_answer_is_forgotten() {
+    let mut s = Story::new();
+    s.started(1, 0, "n-1");
+    let template = s.judge.plan(&s.job).unwrap();
+    let others = (1..20).map(|number| JobId::from(format!("job-{number:06}").as_str()));
+    let others: Vec<JobId> = others.collect();
+    for id in &others {
+        let mut plan = (*template).clone();
+        plan.spec.id = id.clone();
+        s.judge.submitted(s.start, Arc::new(plan));
+    }
+    for second in 1..20 {
+        let at = s.at(5 * second);
+        s.told(5 * second, Answer::Missing);
+        for id in &others {
+            s.judge
+                .answered(at, at, id, Answer::State(JobState::Queued));
+        }
+    }
+    let at = s.at(96);
+    let verdict = s.judge.verdict(at);
+    assert_eq!(verdict.broken.get(&Rule::Forgotten), Some(&1));
+}
+
+#[test]
+fn silence_counts_from_the_end_of_the_last_trouble() {
+    let mut s = Story::new();
+    s.started(1, 0, "n-1");
+    s.judge.trouble_began();
+    s.told(5, Answer::Missing);
     s.told(100, Answer::Missing);
-    assert_eq!(s.broken(119), []);
-    assert_eq!(s.broken(121), [Rule::Forgotten]);
+    assert_eq!(s.broken(100), []);
+    let over = s.at(110);
+    s.judge.trouble_ended(over);
+    s.told(120, Answer::Missing);
+    assert_eq!(s.broken(185), []);
+    assert_eq!(s.broken(186), [Rule::Forgotten]);
+}
+
+#[test]
+fn a_finished_job_is_forgotten_75_s_after_the_first_question_without_an_answer() {
+    let mut s = Story::new();
+    s.started(1, 0, "n-1");
+    s.started(1, 1, "n-1");
+    s.gone(9, 0, "n-1", true);
+    s.gone(9, 1, "n-1", true);
+    s.told(10, Answer::State(JobState::Done));
+    s.told(200, Answer::Missing);
+    assert_eq!(s.broken(275), []);
+    assert_eq!(s.broken(276), [Rule::Forgotten]);
 }
 
 #[test]
