--- a/crates/membership/tests/membership.rs
+++ b/crates/membership/tests/membership.rs
@@ -62,6 +62,49 @@
     assert_eq!(m.latest_leader(at(401)), Some((label("b"), Epoch(5))));
 }
 
+/// A new process led again before it was heard, and from then on counted as leading nothing.
+#[test]
+fn leadership_known_from_the_state_service_before_its_process_is_heard_still_counts() {
+    let mut m = members();
+    let leads = |instance, epoch| status(instance, Some(("b", epoch)), &["a"]);
+    m.set_leader(Some((label("b"), Epoch(4))));
+    m.record_ping(at(0), &label("b"), LinkId(1), leads(1, 4));
+    m.link_closed(LinkId(1));
+    // Connections between controllers are refused meanwhile; the state service is not.
+    m.set_leader(Some((label("b"), Epoch(5))));
+    let third = status(1, Some(("b", 5)), &["a"]);
+    m.record_ping(at(5000), &label("c"), LinkId(2), third);
+    let first = m.record_ping(at(5100), &label("b"), LinkId(3), leads(2, 5));
+    assert_eq!(first, PingOutcome::Restarted);
+    let leader = Some((label("b"), Epoch(5)));
+    assert_eq!(m.latest_leader(at(5101)), leader);
+    assert_eq!(m.announced_leader(), leader);
+}
+
+/// Its first ping was sent before the election, and arrives after word of that.
+#[test]
+fn leadership_counts_once_its_process_claims_it_itself() {
+    let mut m = members();
+    m.record_ping(
+        at(0),
+        &label("b"),
+        LinkId(1),
+        status(1, Some(("b", 4)), &["a"]),
+    );
+    m.set_leader(Some((label("b"), Epoch(5))));
+    m.record_ping(at(300), &label("b"), LinkId(2), status(2, None, &["a"]));
+    m.record_ping(
+        at(800),
+        &label("b"),
+        LinkId(2),
+        status(2, Some(("b", 5)), &["a"]),
+    );
+    assert_eq!(m.latest_leader(at(801)), Some((label("b"), Epoch(5))));
+    // An epoch of the process before is over all the same.
+    m.set_leader(Some((label("b"), Epoch(4))));
+    assert_eq!(m.announced_leader(), None);
+}
+
 /// What was on its way when a process ended arrives after its successor's
 /// first word, on a connection of its own.
 #[test]
