Membership: a restarted leader counts as soon as its process claims the epoch itself

What callers saw: after connections between controllers had been refused while the leader ended and was back at once, the two other controllers knew no leader for the rest of its term, though all troubles were over: heartbeats and whatever else reached them got 503 "no leader in reach", they counted as unhealthy, and nearly all workers of 4,003 machines reported to the leader alone.

Cause: when a ping shows that another process has taken up a label, the latest epoch known of that label was marked as over. A restarted leader may have been elected again, and the state service or the third controller may have said so, before its first ping arrives; then the mark fell on the epoch that the new process leads, and nothing ever withdrew it. The class of fault: evidence about a process, applied to whatever is known of its label.

Why the fix works: the process itself says in its pings, each with its instance, what it leads. A claim of the latest process withdraws a mark on that epoch; pings of replaced processes are dropped before that, so no earlier process can claim anything. Marks on earlier epochs stay.

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -149,6 +149,7 @@
             Some(i) => self.latest.insert(from.clone(), i),
             None => self.latest.remove(from),
         };
+        self.accept_claim(from, &status);
         let reported = ReportedVersion {
             instance: status.instance,
             version: status.version,
@@ -197,6 +198,21 @@
         }
     }
 
+    /// The latest process of this label says what it leads itself. Its epoch may have
+    /// been heard of before the process was, and been taken for one of the process
+    /// before. Epochs before the one that it claims are over.
+    fn accept_claim(&mut self, from: &Label, status: &PeerStatus) {
+        let claimed = status.leader.as_ref().filter(|l| l.0 == *from);
+        let Some(Epoch(claimed)) = claimed.map(|l| l.1) else {
+            return;
+        };
+        if let Some(ended) = self.ended_epochs.get_mut(from)
+            && ended.0 >= claimed
+        {
+            *ended = Epoch(claimed.saturating_sub(1));
+        }
+    }
+
     /// A link has been closed. Returns the controller that was last heard by it, which
     /// is not in touch any more.
     pub fn link_closed(&mut self, link: LinkId) -> Option<Label> {
