Node: heartbeats wait in a line of their own, and requests out of time are not worked off

What callers saw: with the leader alone at 4,003 machines, questions got no answer for minutes after all troubles had ended: they were answered, but after their users had given up.

Cause: the main loop took everything in the order of arrival. Heartbeats are by far the most messages; once they came faster than they were handled, thousands stood in line, and users' requests, answers of the state service and whatever else waited behind them for 4 to 5 s, while a user waits 2 s for an answer. Requests whose senders had given up were worked off like all others, and their senders came again, so that the overload kept itself up. The class of fault: one line without an order, in which those who wait longest are served too late, always.

Why the fix works: heartbeats have a line of their own; while both lines have messages each gets every other turn, so that nothing else waits behind heartbeats, and no flood of questions takes more than half from leases. A request whose time is over is answered 503 without any work, which leaves the processor to those that can still be answered in time.

--- a/src/node/asks.rs
+++ b/src/node/asks.rs
@@ -36,6 +36,9 @@
     pub(super) fn ask_from_peer(&mut self, now: Time, since: Time, origin: Origin, ask: Ask) {
         let full = self.pending.len() >= self.sizes.requests;
         let req = self.new_req(since, origin, &ask);
+        if is_expired(&ask, now - since) {
+            return self.answer(now, req, too_late());
+        }
         if full {
             return self.answer(now, req, Answer::later("too many requests", 2));
         }
@@ -62,6 +65,9 @@
         if self.stopping.is_some() {
             return self.answer(now, req, Answer::later("stopping", 1));
         }
+        if is_expired(&ask, now - since) {
+            return self.answer(now, req, too_late());
+        }
         if full {
             return self.answer(now, req, Answer::later("too many requests", 2));
         }
@@ -282,6 +288,15 @@
     }
 }
 
+/// Whoever asked has given up: an answer would come too late, so that none is worked out.
+pub fn is_expired(ask: &Ask, waited: Span) -> bool {
+    waited > limit_of(ask)
+}
+
+fn too_late() -> Answer {
+    Answer::later("no answer in time", 1)
+}
+
 /// How long an asker waits, less some for the way back.
 pub(super) fn limit_of(ask: &Ask) -> Span {
     match ask {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -4,6 +4,7 @@
 pub mod balance;
 pub mod follow;
 mod health;
+pub mod inbox;
 mod leadership;
 pub mod lists;
 pub mod load;
@@ -11,7 +12,7 @@
 mod threads;
 mod upgrade;
 
-pub use asks::replaced;
+pub use asks::{is_expired, replaced};
 
 use crate::api::{self, Incoming, Notice, Published};
 use crate::election::{BoundAddress, Candidate, ElectionOutcome, LeaderRecord};
@@ -27,13 +28,14 @@
 use crate::time::{Clock, Span, Time, wall};
 use crate::versions::Switch;
 use crate::wire::cloud::Flavor;
-use crate::wire::peer::{Answer, PeerMsg};
+use crate::wire::peer::{Answer, Ask, PeerMsg};
 use crate::wire::state::Item;
 use balance::WorkerBalance;
-use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded, select_biased};
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, select_biased};
 use hdrhistogram::Histogram;
 use hookworks_http_server::{Reply, RequestClass, Server};
 use hookworks_listing::Board;
+use inbox::{Inbox, InboxSenders};
 use leadership::LeadershipEnd;
 use load::Loaded;
 use request_log::{RequestKind, RequestLog};
@@ -77,6 +79,29 @@
 type HttpInbox = Box<dyn Fn(Incoming) -> bool + Send + Sync>;
 type HttpSide = api::Api<HttpInbox>;
 
+impl InboxSenders<Msg> {
+    /// Puts a message into its line; false if the main loop has ended.
+    fn put(&self, message: Msg) -> bool {
+        let line = match message.is_heartbeat() {
+            true => &self.heartbeats,
+            false => &self.others,
+        };
+        line.send(message).is_ok()
+    }
+}
+
+impl Msg {
+    /// A worker's heartbeat, from here or passed on by another controller.
+    fn is_heartbeat(&self) -> bool {
+        let (Msg::Http(Incoming::Ask(_, ask))
+        | Msg::Peer(FromPeers::Msg(_, PeerMsg::Ask { ask, .. }))) = self
+        else {
+            return false;
+        };
+        matches!(ask, Ask::Report(_))
+    }
+}
+
 /// Everything that reaches the main loop.
 pub enum Msg {
     Http(Incoming),
@@ -179,15 +204,16 @@
 pub fn serve(settings: Settings) -> std::io::Result<()> {
     let clock = Clock::start();
     let sizes = settings.sizes().map_err(std::io::Error::other)?;
-    let (inbox, rx) = bounded::<Msg>(sizes.inbox);
+    let (senders, received) = inbox::inbox::<Msg>(sizes.inbox);
+    let inbox = senders.others.clone();
     let p = &settings.platform;
     let notice = Arc::new(Notice::default());
     let term = Arc::new(AtomicU64::new(0));
-    let tx = inbox.clone();
-    let to_inbox: HttpInbox = Box::new(move |i| tx.send(Msg::Http(i)).is_ok());
+    let senders = Arc::new(senders);
+    let lines = senders.clone();
+    let to_inbox: HttpInbox = Box::new(move |incoming| lines.put(Msg::Http(incoming)));
     let server = api::start(&settings, notice.clone(), to_inbox)?;
-    let tx = inbox.clone();
-    let to_inbox = move |m| tx.send(Msg::Peer(m)).is_ok();
+    let to_inbox = move |from_peers| senders.put(Msg::Peer(from_peers));
     let most = server.metrics().bounds.max_for(RequestClass::Workers) as u32;
     let instance = Instance(rand::random::<u32>() as u64);
     let own = Own {
@@ -251,7 +277,7 @@
         election: election.commands,
         upgrade,
     };
-    node.run(rx, election.outcomes);
+    node.run(received, election.outcomes);
     Ok(())
 }
 
@@ -267,7 +293,7 @@
 }
 
 impl Node {
-    fn run(mut self, rx: Receiver<Msg>, elections: Receiver<ElectionOutcome>) {
+    fn run(mut self, mut inbox: Inbox<Msg>, elections: Receiver<ElectionOutcome>) {
         // The first one is due at once: health checks are waiting.
         let mut tick = Time::default();
         loop {
@@ -287,16 +313,18 @@
                     }
                     Err(RecvTimeoutError::Timeout)
                 }
-                recv(rx) -> m => m.map_err(|_| RecvTimeoutError::Disconnected),
+                recv(inbox.others) -> m => m.map_err(|_| RecvTimeoutError::Disconnected),
+                recv(inbox.heartbeats) -> m => m.map_err(|_| RecvTimeoutError::Disconnected),
                 default(wait) => Err(RecvTimeoutError::Timeout),
             };
             match first {
                 Ok(m) => {
-                    self.waiting = rx.len();
+                    self.waiting = inbox.waiting();
                     turn = self.clock.now();
                     self.take(m);
                     // What has come meanwhile is seen before anything is written.
-                    for m in rx.try_iter().take(AT_ONCE) {
+                    for _ in 0..AT_ONCE {
+                        let Some(m) = inbox.try_next() else { break };
                         // Proofs pass all else: with 600 jobs waiting, renewals that
                         // were answered in time waited in line for a second, and
                         // submissions were refused as not proven.
