Scale: a soak of real controllers under troubles drawn from a seed

hookworks-scale soak plays seeds of twelve kinds of trouble, two or three at a time, with the project's own controllers as processes on loopback beside the stand-ins: restarts (also of leaders in series), pauses, links held one way or refused, zones cut off, machines that end, the state service slow, refusing one or all, answers lost, late writes, late copies of reports. Users submit, ask, repeat and cancel throughout, and every controller is asked in turn. The schedule depends on the seed alone and is kept beside the logs; a failure prints the command that plays it again. Exit 0 held, 1 broken or nothing judged, 2 bad input.

The stand-in of the state service ends no lease during an outage for all, and gives each its full time afterwards, as the protocol says. Not built: late commands, cuts between a controller and the cloud.

--- a/crates/scale/src/controllers.rs
+++ b/crates/scale/src/controllers.rs
@@ -4,6 +4,8 @@
 use crate::options::RunOptions;
 use crate::process::Usage;
 use crate::workload;
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
 use serde_json::{Value, json};
 use std::fs::File;
 use std::path::{Path, PathBuf};
@@ -152,6 +154,28 @@
         }
     }
 
+    /// Stops a controller's process without ending it; true if there was one.
+    pub fn pause(&self, number: usize) -> bool {
+        self.signal(number, Signal::SIGSTOP)
+    }
+
+    /// Lets a controller go on that was stopped.
+    pub fn resume(&self, number: usize) {
+        self.signal(number, Signal::SIGCONT);
+    }
+
+    fn signal(&self, number: usize, signal: Signal) -> bool {
+        let children = self.children();
+        let pid = children[number].as_ref().map(Child::id);
+        let pid = pid.and_then(|pid| i32::try_from(pid).ok());
+        pid.is_some_and(|pid| kill(Pid::from_raw(pid), signal).is_ok())
+    }
+
+    /// The controller was ended, and has not been started since.
+    pub fn is_down(&self, number: usize) -> bool {
+        self.children()[number].is_none()
+    }
+
     /// Ends all controllers at once.
     pub fn kill_all(&self) {
         let children = self.children().len();
--- a/crates/scale/src/http.rs
+++ b/crates/scale/src/http.rs
@@ -243,8 +243,8 @@
 
 /// What a request and its response took, for who counts.
 pub type Count = dyn Fn(usize, usize) + Send + Sync;
-/// What answers requests.
-pub type Handler = dyn Fn(&Request) -> Response + Send + Sync;
+/// What answers requests; none: the connection ends without an answer.
+pub type Handler = dyn Fn(&Request) -> Option<Response> + Send + Sync;
 
 /// Serves `listener` with a thread for each connection, until `stop` is set.
 /// `count` is told the bytes received and sent for each request.
@@ -286,7 +286,10 @@
     while !stop.load(Ordering::Relaxed) {
         let parsed = parse_request(&bytes).map_err(std::io::Error::other)?;
         if let Some((request, length)) = parsed {
-            let response = handler(&request).encode();
+            let Some(response) = handler(&request) else {
+                return Ok(());
+            };
+            let response = response.encode();
             stream.write_all(&response)?;
             count(length, response.len());
             bytes.drain(..length);
--- /dev/null
+++ b/crates/scale/src/interference.rs
@@ -0,0 +1,246 @@
+//! What stands between the controllers and the stand-ins: messages are held back,
+//! refused, lost or repeated here, and each time is counted.
+
+use crate::http::{Request, Response};
+use rand::RngExt;
+use serde::Serialize;
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+/// What a held message waits between two looks whether it may go on.
+pub(crate) const HELD_LOOK: Duration = Duration::from_millis(10);
+/// A late write is carried out between these two times after it was sent.
+const LATE_WRITE_S: std::ops::Range<f64> = 2.0..8.0;
+/// A copy of a report is delivered between these two times after it was sent.
+const LATE_COPY_S: std::ops::Range<f64> = 2.0..20.0;
+
+/// A way in which something goes wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TroubleKind {
+    /// Controllers end, and are started again within a second.
+    Restart,
+    /// A controller stands still while its clocks run on.
+    Pause,
+    /// What one controller sends to another is held, and delivered afterwards.
+    LinkHeld,
+    /// Controllers refuse each other's connections; those that are open break.
+    LinksRefused,
+    /// The workers of a zone reach no controller.
+    ZoneCut,
+    /// Machines end with all that is on them.
+    MachinesEnd,
+    /// The state service answers slowly.
+    StateSlow,
+    /// The state service refuses one controller.
+    StateRefusesOne,
+    /// The state service refuses everybody.
+    StateOut,
+    /// Transactions are carried out, and their answers are lost.
+    AnswersLost,
+    /// Transactions get no answer and are carried out seconds later.
+    LateWrites,
+    /// Copies of workers' reports arrive seconds later.
+    LateReports,
+}
+
+impl TroubleKind {
+    /// All kinds.
+    pub const ALL: [TroubleKind; 12] = [
+        TroubleKind::Restart,
+        TroubleKind::Pause,
+        TroubleKind::LinkHeld,
+        TroubleKind::LinksRefused,
+        TroubleKind::ZoneCut,
+        TroubleKind::MachinesEnd,
+        TroubleKind::StateSlow,
+        TroubleKind::StateRefusesOne,
+        TroubleKind::StateOut,
+        TroubleKind::AnswersLost,
+        TroubleKind::LateWrites,
+        TroubleKind::LateReports,
+    ];
+
+    /// Its name in options and figures.
+    pub const fn name(self) -> &'static str {
+        match self {
+            TroubleKind::Restart => "restart",
+            TroubleKind::Pause => "pause",
+            TroubleKind::LinkHeld => "link_held",
+            TroubleKind::LinksRefused => "links_refused",
+            TroubleKind::ZoneCut => "zone_cut",
+            TroubleKind::MachinesEnd => "machines_end",
+            TroubleKind::StateSlow => "state_slow",
+            TroubleKind::StateRefusesOne => "state_refuses_one",
+            TroubleKind::StateOut => "state_out",
+            TroubleKind::AnswersLost => "answers_lost",
+            TroubleKind::LateWrites => "late_writes",
+            TroubleKind::LateReports => "late_reports",
+        }
+    }
+}
+
+/// What the state service does to one controller's requests.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum StateTrouble {
+    /// Requests take so much longer.
+    Slow(Duration),
+    /// Requests are refused with 503; which trouble that is counted as.
+    Refusing(TroubleKind),
+    /// This share of the transactions is carried out without an answer.
+    AnswersLost(f64),
+    /// This share gets no answer and is carried out later.
+    LateWrites(f64),
+}
+
+/// A copy of a report, to be delivered later.
+#[derive(Debug)]
+pub struct LateCopy {
+    /// When it is delivered.
+    pub due: Instant,
+    /// To which controller.
+    pub to: SocketAddr,
+    /// The request as it was sent.
+    pub bytes: Vec<u8>,
+}
+
+#[derive(Default)]
+struct Present {
+    held_links: HashSet<(usize, usize)>,
+    links_refused: bool,
+    state: HashMap<usize, StateTrouble>,
+    /// Share of the reports that are copied.
+    copied_reports: f64,
+    copies: Vec<LateCopy>,
+    effects: BTreeMap<TroubleKind, u64>,
+}
+
+/// The troubles that are present, and how often each has taken effect.
+#[derive(Default)]
+pub struct Interference {
+    present: Mutex<Present>,
+}
+
+impl Interference {
+    fn present(&self) -> MutexGuard<'_, Present> {
+        self.present.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A trouble has taken effect once more.
+    pub fn count(&self, kind: TroubleKind) {
+        *self.present().effects.entry(kind).or_default() += 1;
+    }
+
+    /// How often each kind has taken effect.
+    pub fn effects(&self) -> BTreeMap<TroubleKind, u64> {
+        self.present().effects.clone()
+    }
+
+    /// Begins or ends to hold what `from` sends to `to`.
+    pub fn hold_link(&self, from: usize, to: usize, held: bool) {
+        let links = &mut self.present().held_links;
+        match held {
+            true => links.insert((from, to)),
+            false => links.remove(&(from, to)),
+        };
+    }
+
+    /// What `from` sends to `to` is held at present.
+    pub fn is_held(&self, from: usize, to: usize) -> bool {
+        self.present().held_links.contains(&(from, to))
+    }
+
+    /// Begins or ends to refuse connections between controllers.
+    pub fn refuse_links(&self, refused: bool) {
+        self.present().links_refused = refused;
+    }
+
+    /// Connections between controllers are refused at present.
+    pub fn refuses_links(&self) -> bool {
+        self.present().links_refused
+    }
+
+    /// Sets what the state service does to a controller; none: it serves it.
+    pub fn set_state(&self, controller: usize, trouble: Option<StateTrouble>) {
+        let state = &mut self.present().state;
+        match trouble {
+            Some(trouble) => state.insert(controller, trouble),
+            None => state.remove(&controller),
+        };
+    }
+
+    /// Sets the share of reports of which a copy arrives later.
+    pub fn copy_reports(&self, share: f64) {
+        self.present().copied_reports = share;
+    }
+
+    /// A report is sent to that address; a copy of it may arrive later.
+    pub fn report_sent(&self, to: SocketAddr, bytes: &[u8]) {
+        let mut present = self.present();
+        if present.copied_reports <= 0.0 || !rand::rng().random_bool(present.copied_reports) {
+            return;
+        }
+        let late = Duration::from_secs_f64(rand::rng().random_range(LATE_COPY_S));
+        let copy = LateCopy {
+            due: Instant::now() + late,
+            to,
+            bytes: bytes.to_vec(),
+        };
+        present.copies.push(copy);
+    }
+
+    /// Copies that are due by now.
+    pub fn due_copies(&self, now: Instant) -> Vec<LateCopy> {
+        let copies = &mut self.present().copies;
+        let (due, later) = std::mem::take(copies)
+            .into_iter()
+            .partition(|c| c.due <= now);
+        *copies = later;
+        due
+    }
+
+    /// The state service's answer to a controller's request, or none if it is lost.
+    pub fn state_answer(
+        self: &Arc<Self>,
+        controller: usize,
+        request: &Request,
+        answer: Arc<dyn Fn(&Request) -> Response + Send + Sync>,
+    ) -> Option<Response> {
+        let trouble = self.present().state.get(&controller).copied();
+        let is_txn = request.path.ends_with("/txn");
+        let happens = |share: f64| is_txn && rand::rng().random_bool(share);
+        match trouble {
+            Some(StateTrouble::Slow(delay)) => {
+                self.count(TroubleKind::StateSlow);
+                std::thread::sleep(delay);
+                Some(answer(request))
+            }
+            Some(StateTrouble::Refusing(kind)) => {
+                self.count(kind);
+                Some(Response::error(503, "trouble"))
+            }
+            Some(StateTrouble::AnswersLost(share)) if happens(share) => {
+                self.count(TroubleKind::AnswersLost);
+                answer(request);
+                None
+            }
+            Some(StateTrouble::LateWrites(share)) if happens(share) => {
+                self.count(TroubleKind::LateWrites);
+                carry_out_later(request.clone(), answer);
+                None
+            }
+            _ => Some(answer(request)),
+        }
+    }
+}
+
+fn carry_out_later(request: Request, answer: Arc<dyn Fn(&Request) -> Response + Send + Sync>) {
+    let late = Duration::from_secs_f64(rand::rng().random_range(LATE_WRITE_S));
+    let thread = std::thread::Builder::new().name("late-write".into());
+    let _ = thread.spawn(move || {
+        std::thread::sleep(late);
+        answer(&request);
+    });
+}
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -15,6 +15,7 @@
 mod figures;
 pub mod fit;
 pub mod http;
+pub mod interference;
 pub mod judge;
 pub mod layout;
 mod links;
@@ -26,6 +27,7 @@
 mod process;
 pub mod run;
 pub mod slopes;
+pub mod soak;
 mod standin;
 pub mod workload;
 
--- a/crates/scale/src/links.rs
+++ b/crates/scale/src/links.rs
@@ -2,7 +2,8 @@
 //! between the two regions, and counted.
 
 use crate::counters::{Counterpart, Counters};
-use crate::layout::Layout;
+use crate::interference::{HELD_LOOK, Interference, TroubleKind};
+use crate::standin::Shared;
 use crossbeam_channel::{Receiver, Sender, bounded};
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -23,17 +24,13 @@
     delay: Duration,
     address: SocketAddr,
     counters: Arc<Counters>,
+    interference: Arc<Interference>,
     stop: Arc<AtomicBool>,
 }
 
 impl Link {
-    pub fn new(
-        layout: &Layout,
-        from: usize,
-        to: usize,
-        counters: Arc<Counters>,
-        stop: Arc<AtomicBool>,
-    ) -> Link {
+    pub fn new(shared: &Shared, from: usize, to: usize) -> Link {
+        let layout = &shared.layout;
         let zones = (
             layout.zone_of_controller(from),
             layout.zone_of_controller(to),
@@ -43,8 +40,9 @@
             to,
             delay: layout.delay(zones.0, zones.1),
             address: layout.cluster(to),
-            counters,
-            stop,
+            counters: shared.counters.clone(),
+            interference: shared.interference.clone(),
+            stop: shared.stop.clone(),
         }
     }
 
@@ -65,6 +63,10 @@
     }
 
     fn pass_on(&self, near: TcpStream) {
+        if self.interference.refuses_links() {
+            self.interference.count(TroubleKind::LinksRefused);
+            return;
+        }
         let Ok(far) = TcpStream::connect_timeout(&self.address, CONNECT) else {
             return;
         };
@@ -101,6 +103,9 @@
             };
             self.counters.add(sender, Counterpart::Peers, 0, n);
             self.counters.add(receiver, Counterpart::Peers, n, 0);
+            if !self.may_pass(sender, receiver) {
+                break;
+            }
             let due = Instant::now() + self.delay;
             if on.send((due, chunk[..n].to_vec())).is_err() {
                 break;
@@ -110,6 +115,27 @@
     }
 }
 
+impl Link {
+    /// Waits while what `sender` sends to `receiver` is held; false if the connection
+    /// breaks.
+    fn may_pass(&self, sender: usize, receiver: usize) -> bool {
+        if self.interference.refuses_links() {
+            self.interference.count(TroubleKind::LinksRefused);
+            return false;
+        }
+        if self.interference.is_held(sender, receiver) {
+            self.interference.count(TroubleKind::LinkHeld);
+        }
+        while self.interference.is_held(sender, receiver) {
+            if self.stop.load(Ordering::Relaxed) {
+                return false;
+            }
+            std::thread::sleep(HELD_LOOK);
+        }
+        true
+    }
+}
+
 fn write(mut to: TcpStream, pieces: &Receiver<(Instant, Vec<u8>)>) {
     for (due, bytes) in pieces {
         std::thread::sleep(due.saturating_duration_since(Instant::now()));
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -5,6 +5,7 @@
 use hookworks_scale::options::RunOptions;
 use hookworks_scale::run::{RunError, run, write};
 use hookworks_scale::slopes::{SlopeError, SlopeOptions, measure_series};
+use hookworks_scale::soak::{self, SoakOptions};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -38,6 +39,8 @@
         #[arg(long, default_value = "docs/capacity/runs.json")]
         keep: PathBuf,
     },
+    /// Controllers under troubles drawn from seeds, judged until all jobs are served.
+    Soak(SoakOptions),
     /// Runs of several sizes, and lines fitted through them.
     Slopes(Box<SlopeOptions>),
     /// Write the capacity page from the slopes and the kept runs.
@@ -93,6 +96,35 @@
     }
 }
 
+fn soak_seeds(options: &SoakOptions, interrupted: &Arc<AtomicBool>) -> ExitCode {
+    let mut broken = vec![];
+    for seed in options.first_seed..options.first_seed + options.seeds {
+        let verdict = match soak::run_seed(options, seed, interrupted) {
+            Ok(verdict) => verdict,
+            Err(e) => return failed(&e, matches!(e, RunError::Input(_))),
+        };
+        print!("{verdict}");
+        if !verdict.holds() {
+            broken.push(seed);
+            let folder = options.out.join(format!("seed-{seed}"));
+            println!("  schedule and logs: {}", folder.display());
+            println!(
+                "  again: hookworks-scale soak {}",
+                options.arguments_of(seed)
+            );
+        }
+    }
+    println!(
+        "{} seeds run, {} broken {broken:?}",
+        options.seeds,
+        broken.len()
+    );
+    match broken.is_empty() {
+        true => ExitCode::SUCCESS,
+        false => ExitCode::from(1),
+    }
+}
+
 fn failed(why: &impl std::fmt::Display, input: bool) -> ExitCode {
     eprintln!("hookworks-scale: {why}");
     ExitCode::from(if input { 2 } else { 1 })
@@ -120,6 +152,7 @@
             });
             one(&options, keep.as_ref(), &interrupted)
         }
+        Verb::Soak(options) => soak_seeds(&options, &interrupted),
         Verb::Slopes(options) => several(&options, &interrupted),
         Verb::Capacity(options) => match capacity::write(&options) {
             Ok(()) => ExitCode::SUCCESS,
--- a/crates/scale/src/options.rs
+++ b/crates/scale/src/options.rs
@@ -193,7 +193,12 @@
     NoNextLimits,
 }
 
-fn within(option: &'static str, value: f64, least: f64, most: f64) -> Result<(), BadInput> {
+pub(crate) fn within(
+    option: &'static str,
+    value: f64,
+    least: f64,
+    most: f64,
+) -> Result<(), BadInput> {
     if value.is_finite() && (least..=most).contains(&value) {
         return Ok(());
     }
--- a/crates/scale/src/run.rs
+++ b/crates/scale/src/run.rs
@@ -4,7 +4,7 @@
 use crate::counters::Counterpart;
 use crate::faults::Faults;
 use crate::figures::Figures;
-use crate::http::{Client, serve};
+use crate::http::{Client, Request, Response, serve};
 use crate::judge::Judge;
 use crate::layout::Layout;
 use crate::links::Link;
@@ -30,7 +30,7 @@
 /// By then every controller answers health checks, or the run fails.
 const HEALTHY_WITHIN: Duration = Duration::from_secs(20);
 const SAMPLE_EVERY: Duration = Duration::from_secs(1);
-const TURN: Duration = Duration::from_millis(20);
+pub(crate) const TURN: Duration = Duration::from_millis(20);
 const LEADER_KEY: &str = hookworks::store::LEADER;
 
 /// Why a run gave no figures.
@@ -50,7 +50,7 @@
     Interrupted,
 }
 
-fn start_error(what: &str) -> impl Fn(std::io::Error) -> RunError {
+pub(crate) fn start_error(what: &str) -> impl Fn(std::io::Error) -> RunError {
     move |e| RunError::Start(what.into(), e)
 }
 
@@ -122,7 +122,7 @@
 }
 
 impl Site {
-    fn start(options: &RunOptions) -> Result<Site, RunError> {
+    pub(crate) fn start(options: &RunOptions) -> Result<Site, RunError> {
         let layout = Layout::new(options);
         let stop = Arc::new(AtomicBool::new(false));
         let judge = judge(options);
@@ -176,15 +176,16 @@
         let layout = &self.shared.layout;
         for c in 0..layout.controllers {
             let (state, counters) = (self.state.clone(), self.shared.counters.clone());
-            let answer = move |r: &crate::http::Request| state.answer(r, &counters);
+            let undisturbed = Arc::new(move |r: &Request| state.answer(r, &counters));
+            let interference = self.shared.interference.clone();
+            let answer = move |r: &Request| interference.state_answer(c, r, undisturbed.clone());
             self.serve_one(layout.state(c), c, Counterpart::State, answer)?;
             let cloud = self.cloud.clone();
-            let answer = move |r: &crate::http::Request| cloud.answer(r);
+            let answer = move |r: &Request| Some(cloud.answer(r));
             self.serve_one(layout.cloud(c), c, Counterpart::Cloud, answer)?;
             for to in (0..layout.controllers).filter(|to| *to != c) {
                 let listener = bind(layout.link(c, to))?;
-                let (counters, stop) = (self.shared.counters.clone(), self.shared.stop.clone());
-                let link = Link::new(layout, c, to, counters, stop);
+                let link = Link::new(&self.shared, c, to);
                 let thread = link.serve(listener).map_err(start_error("link"))?;
                 self.ending.listening().push(thread);
             }
@@ -197,11 +198,11 @@
         address: SocketAddr,
         controller: usize,
         with: Counterpart,
-        answer: impl Fn(&crate::http::Request) -> crate::http::Response + Send + Sync + 'static,
+        answer: impl Fn(&Request) -> Option<Response> + Send + Sync + 'static,
     ) -> Result<(), RunError> {
         let listener = bind(address)?;
         let delay = self.shared.layout.service_delay(controller);
-        let handler = move |r: &crate::http::Request| {
+        let handler = move |r: &Request| {
             std::thread::sleep(delay);
             let response = answer(r);
             std::thread::sleep(delay);
@@ -217,7 +218,10 @@
         Ok(())
     }
 
-    fn add_workers(&self, places: Vec<(usize, crate::machine::Place)>) -> Result<(), BadInput> {
+    pub(crate) fn add_workers(
+        &self,
+        places: Vec<(usize, crate::machine::Place)>,
+    ) -> Result<(), BadInput> {
         for (number, place) in places {
             let address = self.shared.layout.worker(number);
             let added = self.workers.add(number, place);
@@ -226,7 +230,7 @@
         Ok(())
     }
 
-    fn wait(&self, time: Duration, interrupted: &AtomicBool) -> Result<(), RunError> {
+    pub(crate) fn wait(&self, time: Duration, interrupted: &AtomicBool) -> Result<(), RunError> {
         let until = Instant::now() + time;
         while Instant::now() < until {
             if interrupted.load(Ordering::Relaxed) {
@@ -237,7 +241,7 @@
         Ok(())
     }
 
-    fn wait_until_healthy(&self, interrupted: &AtomicBool) -> Result<(), RunError> {
+    pub(crate) fn wait_until_healthy(&self, interrupted: &AtomicBool) -> Result<(), RunError> {
         let until = Instant::now() + HEALTHY_WITHIN;
         for c in 0..self.options.controllers {
             while !self.is_healthy(c) {
@@ -250,7 +254,7 @@
         Ok(())
     }
 
-    fn is_healthy(&self, controller: usize) -> bool {
+    pub(crate) fn is_healthy(&self, controller: usize) -> bool {
         let timeout = Duration::from_secs(1);
         let address = self.shared.layout.controller(controller);
         let client = Client::connect(address, timeout);
--- a/crates/scale/src/standin/mod.rs
+++ b/crates/scale/src/standin/mod.rs
@@ -9,6 +9,7 @@
 pub mod workers;
 
 use crate::counters::Counters;
+use crate::interference::Interference;
 use crate::judge::Judge;
 use crate::layout::Layout;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -22,6 +23,7 @@
     pub layout: Layout,
     pub counters: Arc<Counters>,
     pub stop: Arc<AtomicBool>,
+    pub interference: Arc<Interference>,
     judge: Mutex<Judge>,
     cut_zone: AtomicUsize,
     leader: AtomicUsize,
@@ -33,6 +35,7 @@
             counters: Arc::new(Counters::new(layout.controllers)),
             layout,
             stop,
+            interference: Arc::default(),
             judge: Mutex::new(judge),
             cut_zone: AtomicUsize::new(NO_ZONE),
             leader: AtomicUsize::new(0),
--- a/crates/scale/src/standin/reports.rs
+++ b/crates/scale/src/standin/reports.rs
@@ -5,6 +5,7 @@
 use super::workers::{read_all, write_all};
 use crate::counters::{Counterpart, Refusal};
 use crate::http::{Response, encode_request, parse_response};
+use crate::interference::TroubleKind;
 use crate::machine::{Context, InFlight, Machine};
 use hookworks::wire::worker::{Redirect, Report, ReportAnswer};
 use mio::net::{TcpListener, TcpStream};
@@ -117,7 +118,11 @@
         let Some((_, bytes)) = self.leaving.take_if(|(at, _)| *at <= now) else {
             return;
         };
-        if !self.is_cut(shared) && self.send(shared, registry, token, &bytes).is_err() {
+        let is_cut = self.is_cut(shared);
+        if is_cut {
+            shared.interference.count(TroubleKind::ZoneCut);
+        }
+        if !is_cut && self.send(shared, registry, token, &bytes).is_err() {
             self.failed(shared, Refusal::Connection);
         }
     }
@@ -158,6 +163,8 @@
                 input: vec![],
             });
         }
+        let to = shared.layout.controller(self.controller);
+        shared.interference.report_sent(to, bytes);
         shared
             .counters
             .add(self.controller, Counterpart::Reports, bytes.len(), 0);
--- a/crates/scale/src/standin/state.rs
+++ b/crates/scale/src/standin/state.rs
@@ -32,6 +32,8 @@
     revision: u64,
     items: BTreeMap<String, Item>,
     leases: HashMap<u64, LeaseEntry>,
+    /// Outages under way: no lease ends during one.
+    outages: usize,
     next_lease: u64,
     history: VecDeque<(u64, String, Option<Value>)>,
     limits: Limits,
@@ -59,6 +61,7 @@
             revision: 1,
             items: BTreeMap::new(),
             leases: HashMap::new(),
+            outages: 0,
             next_lease: 1,
             history: VecDeque::new(),
             limits,
@@ -86,6 +89,23 @@
         store
     }
 
+    /// The service is out for everybody: no lease ends until that is over.
+    pub fn outage_began(&self) {
+        self.store().outages += 1;
+    }
+
+    /// An outage is over; with the last one every lease has its full time again.
+    pub fn outage_ended(&self) {
+        let mut store = self.store();
+        store.outages = store.outages.saturating_sub(1);
+        if store.outages == 0 {
+            let now = Instant::now();
+            for lease in store.leases.values_mut() {
+                lease.ends = now + lease.life;
+            }
+        }
+    }
+
     /// The value of a key, for who looks from outside.
     pub fn peek(&self, key: &str) -> Option<Value> {
         self.store().items.get(key).map(|i| i.value.clone())
@@ -262,6 +282,9 @@
 
 impl Store {
     fn expire(&mut self, now: Instant) {
+        if self.outages > 0 {
+            return;
+        }
         let over = self.leases.iter().filter(|(_, l)| l.ends < now);
         let over: Vec<u64> = over.map(|(id, _)| *id).collect();
         for id in over {
--- a/crates/scale/src/standin/users.rs
+++ b/crates/scale/src/standin/users.rs
@@ -289,6 +289,11 @@
         }
     }
 
+    /// Asks one controller about a job, on a connection of its own.
+    pub fn ask_at(&self, controller: usize, job: &JobId) -> Answer {
+        self.ask_status(&mut Caller::new(controller), job)
+    }
+
     /// Asks about a job; the judge hears of the answer.
     fn ask_status(&self, caller: &mut Caller, job: &JobId) -> Answer {
         let asked = Instant::now();
