--- a/crates/scale/src/soak/mod.rs
+++ b/crates/scale/src/soak/mod.rs
@@ -10,12 +10,13 @@
 pub use verdict::SoakVerdict;
 
 use crate::judge::Answer;
+use crate::options::RunOptions;
 use crate::run::{RunError, Site, TURN, start_error};
 use crate::workload::{self, Plan};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use schedule::{Frame, Trouble, draw};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
@@ -26,6 +27,8 @@
 const WAITS_BESIDE_ROOM: Duration = Duration::from_secs(90);
 /// Questions that are asked at every controller in turn, a second.
 const ASKED_EVERYWHERE_PER_S: f64 = 10.0;
+/// How controllers log that something came to pass that never must.
+const VIOLATION_LINE: &str = "invariant violated";
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Plays one seed.
@@ -47,6 +50,7 @@
     };
     let schedule = draw(seed, &frame);
     std::fs::create_dir_all(&run.out).map_err(start_error("folder"))?;
+    remove_logs(&run);
     keep_schedule(&schedule, &run.out).map_err(start_error("schedule"))?;
     let site = Site::start(&run)?;
     site.wait_until_healthy(interrupted)?;
@@ -176,6 +180,7 @@
             polls: observations.polls,
             polls_failed: observations.polls_failed,
             unhealthy,
+            violations: violations_logged(&self.site.options),
             ended_by_themselves: self.ended.clone(),
             served_after_s: served_after.map(|d| d.as_secs_f64()),
             longest_stall_s: self.longest_stall.as_secs_f64(),
@@ -183,6 +188,24 @@
     }
 }
 
+fn log_files(options: &RunOptions) -> impl Iterator<Item = PathBuf> {
+    (0..options.controllers).map(|n| options.out.join(format!("controller-{n}.log")))
+}
+
+/// Logs of an earlier soak of the same seed are not to be judged.
+fn remove_logs(options: &RunOptions) {
+    for log in log_files(options) {
+        // Most likely there is none.
+        let _ = std::fs::remove_file(log);
+    }
+}
+
+/// Counts the violations that the controllers have logged.
+fn violations_logged(options: &RunOptions) -> usize {
+    let texts = log_files(options).filter_map(|log| std::fs::read_to_string(log).ok());
+    texts.map(|text| text.matches(VIOLATION_LINE).count()).sum()
+}
+
 /// Asks about jobs at every controller in turn, all the time.
 fn ask_everywhere(site: &Site, plans: Vec<Plan>, seed: u64) -> std::io::Result<JoinHandle<()>> {
     let users = site.users.clone();
--- a/crates/scale/src/soak/verdict.rs
+++ b/crates/scale/src/soak/verdict.rs
@@ -34,6 +34,8 @@
     pub polls_failed: u64,
     /// Controllers that were not healthy in time after the last trouble.
     pub unhealthy: Vec<usize>,
+    /// Lines of the controllers' logs that tell a violated invariant.
+    pub violations: usize,
     /// Controllers that ended by themselves.
     pub ended_by_themselves: Vec<usize>,
     /// Seconds from the last trouble until all jobs were over and all controllers healthy.
@@ -63,6 +65,7 @@
             && self.rules.holds()
             && self.unserved_jobs == 0
             && self.unhealthy.is_empty()
+            && self.violations == 0
             && self.ended_by_themselves.is_empty()
     }
 }
@@ -100,6 +103,9 @@
                 self.longest_stall_s
             )?;
         }
+        if self.violations > 0 {
+            writeln!(f, "  {} invariants violated, see the logs", self.violations)?;
+        }
         for controller in &self.unhealthy {
             writeln!(f, "  NOT healthy in time: controller-{controller}")?;
         }
--- a/crates/scale/tests/soak.rs
+++ b/crates/scale/tests/soak.rs
@@ -112,8 +112,12 @@
         ended_by_themselves: vec![0],
         ..held()
     };
+    let violated = SoakVerdict {
+        violations: 1,
+        ..held()
+    };
     let nothing_judged = SoakVerdict { polls: 0, ..held() };
-    for verdict in [unserved, unhealthy, ended, nothing_judged] {
+    for verdict in [unserved, unhealthy, ended, violated, nothing_judged] {
         assert!(!verdict.holds(), "{verdict}");
     }
 }
--- a/src/node/asks.rs
+++ b/src/node/asks.rs
@@ -253,7 +253,8 @@
             answer.valid_us = Some((t.sched.proven_until() - p.since).0);
         }
         self.latency.saturating_record((now - p.since).0);
-        self.request_log.record(p.kind, &answer);
+        let in_time = now - p.since <= p.limit;
+        self.request_log.record(p.kind, &answer, in_time);
         let submits = p.kind == RequestKind::Submission;
         if answer.status >= 429 && submits {
             let after_ms = (now - p.since).0 / 1000;
--- a/src/node/health.rs
+++ b/src/node/health.rs
@@ -146,6 +146,7 @@
             },
         });
         v["answers_by_kind"] = self.request_log.overview();
+        v["violations"] = self.invariants.violations().into();
         v["oldest_question_ms"] = self.oldest_question_ms(now).into();
         v["versions"] = self.upgrade.overview();
         if let Role::Leader(t) = &mut self.role {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -5,6 +5,7 @@
 pub mod follow;
 mod health;
 pub mod inbox;
+mod invariants;
 mod leadership;
 pub mod lists;
 pub mod load;
@@ -36,6 +37,7 @@
 use hookworks_http_server::{Reply, RequestClass, Server};
 use hookworks_listing::Board;
 use inbox::{Inbox, InboxSenders};
+use invariants::Invariants;
 use leadership::LeadershipEnd;
 use load::Loaded;
 use request_log::{RequestKind, RequestLog};
@@ -183,6 +185,7 @@
     flavors: Vec<Flavor>,
     latency: Histogram<u64>,
     request_log: RequestLog,
+    invariants: Invariants,
     /// How long the turns of the loop take.
     turns: Histogram<u64>,
     /// Messages that waited when the loop last looked.
@@ -269,6 +272,7 @@
         flavors: vec![],
         latency: histogram()?,
         request_log: RequestLog::default(),
+        invariants: Invariants::default(),
         turns: histogram()?,
         waiting: 0,
         behind: false,
@@ -590,6 +594,7 @@
         self.balance_workers(now);
         self.publish(now);
         self.log_requests(now);
+        self.check_invariants(now);
         let ok = self.stopping.is_none() && self.can_serve(now);
         if ok != self.notice.healthy.swap(ok, Ordering::Relaxed) {
             tracing::info!(healthy = ok, "health changed");
--- a/src/node/request_log.rs
+++ b/src/node/request_log.rs
@@ -44,6 +44,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 struct KindCounts {
     answered: u64,
+    /// Of those, the ones that left after whoever asked had given up.
+    late: u64,
     /// Answers that ask the client to come again, by reason.
     refused: BTreeMap<String, u64>,
 }
@@ -67,6 +69,7 @@
         });
         KindCounts {
             answered: self.answered - earlier.map_or(0, |e| e.answered),
+            late: self.late - earlier.map_or(0, |e| e.late),
             refused: refused.filter(|(_, new)| *new > 0).collect(),
         }
     }
@@ -91,13 +94,14 @@
 }
 
 impl RequestLog {
-    /// Counts an answer as it leaves.
-    pub fn record(&mut self, kind: RequestKind, answer: &Answer) {
+    /// Counts an answer as it leaves; `in_time`: whoever asked still waits for it.
+    pub fn record(&mut self, kind: RequestKind, answer: &Answer, in_time: bool) {
         let counts = self.counts.entry(kind).or_default();
-        match answer.status < FIRST_RETRYABLE_STATUS {
-            true => counts.answered += 1,
-            false => counts.refuse(reason_of(answer)),
+        if answer.status >= FIRST_RETRYABLE_STATUS {
+            return counts.refuse(reason_of(answer));
         }
+        counts.answered += 1;
+        counts.late += u64::from(!in_time);
     }
 
     /// What has been counted since the last summary, if another one is due.
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -196,6 +196,13 @@
         self.members().latest_leader(self.now())
     }
 
+    /// The epoch that a controller in touch says it leads itself.
+    pub fn claimed_epoch(&self, label: &Label) -> Option<Epoch> {
+        let members = self.members();
+        let claim = members.status(self.now(), label)?.leader.as_ref();
+        claim.filter(|l| l.0 == *label).map(|l| l.1)
+    }
+
     /// Any other controller can be talked to.
     pub fn any(&self) -> bool {
         self.members().any_reachable(self.now())
