--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -51,25 +51,26 @@
 use threads::state_service::StateRequest;
 use upgrade::Upgrade;
 
-/// Small stacks: the machine is small, and nothing here recurses deeply.
-const STACK: usize = 256 * 1024;
-const TICK: Span = Span(250_000);
+/// Stack of a thread: the machine is small, and nothing here recurses deeply.
+const STACK_BYTES: usize = 256 * 1024;
+/// How often the loop looks at what time alone makes due.
+const TICK_INTERVAL: Span = Span(250_000);
 /// Messages taken before the loop looks at its other duties.
-const AT_ONCE: usize = 50;
+const MESSAGES_PER_TURN: usize = 50;
 /// Share of the state service's requests that each controller may take for final
 /// states that it is asked about while no leader is in reach.
-const LOOKS: f64 = 0.1;
+const FINAL_READS_SHARE: f64 = 0.1;
 /// A request that has waited here for so long may be answered too late: a worker
 /// waits for 4 s in all.
-const BEHIND: Span = Span(700_000);
+const BEHIND_AFTER: Span = Span(700_000);
 /// At the end, answers that are due have so long to be written.
-const LAST_ANSWERS: Duration = Duration::from_millis(500);
+const LAST_ANSWERS_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// False if the system gives no more threads.
 pub fn spawn(name: &str, f: impl FnOnce() + Send + 'static) -> bool {
     let b = std::thread::Builder::new()
         .name(name.into())
-        .stack_size(STACK);
+        .stack_size(STACK_BYTES);
     let started = b.spawn(f);
     if let Err(e) = &started {
         tracing::error!(name, error = %e, "a thread could not be started");
@@ -245,7 +246,7 @@
     }
     tracing::info!(label = %p.label, zone = %p.zone, listen = %p.listen, "started");
     let now = clock.now();
-    let looks = settings.platform.params.state.rps * LOOKS;
+    let looks = settings.platform.params.state.rps * FINAL_READS_SHARE;
     let node = Node {
         settings,
         clock,
@@ -302,7 +303,7 @@
         let mut tick = Time::default();
         loop {
             let now = self.clock.now();
-            let mut until = tick + TICK;
+            let mut until = tick + TICK_INTERVAL;
             if let Role::Leader(t) = &self.role
                 && let Some(pass) = t.sched.wake_at()
             {
@@ -327,11 +328,9 @@
                     turn = self.clock.now();
                     self.take(m);
                     // What has come meanwhile is seen before anything is written.
-                    for _ in 0..AT_ONCE {
+                    for _ in 0..MESSAGES_PER_TURN {
                         let Some(m) = inbox.try_next() else { break };
-                        // Proofs pass all else: with 600 jobs waiting, renewals that
-                        // were answered in time waited in line for a second, and
-                        // submissions were refused as not proven.
+                        // Proofs pass all else: without one nothing may be answered.
                         for e in elections.try_iter() {
                             self.election_outcome(self.clock.now(), e);
                         }
@@ -348,7 +347,7 @@
                 let epoch = t.epoch;
                 self.event_with_pass(now, epoch, Event::Wake);
             }
-            if now - tick >= TICK {
+            if now - tick >= TICK_INTERVAL {
                 tick = now;
                 self.tick(now);
             }
@@ -364,7 +363,7 @@
                 self.step_down(now, LeadershipEnd::Stopping);
                 self.send_outbox(now);
                 self.resign();
-                self.server.stop(LAST_ANSWERS);
+                self.server.stop(LAST_ANSWERS_TIMEOUT);
                 return;
             }
         }
@@ -385,7 +384,7 @@
             Msg::Http(Incoming::Ask(reply, ask)) => {
                 // From when it was here, not from when it had waited its turn.
                 let since = self.clock.at(reply.asked()).min(now);
-                self.behind |= now - since > BEHIND;
+                self.behind |= now - since > BEHIND_AFTER;
                 self.ask(now, since, Origin::Http(reply), ask);
             }
             Msg::Http(Incoming::Overview(reply)) => {
@@ -396,7 +395,7 @@
             Msg::Peer(FromPeers::Msg(since, PeerMsg::Ask { id, from, ask, .. })) => {
                 let from = Label::from(from.as_str());
                 let origin = Origin::Peer { from, id };
-                self.behind |= now - since > BEHIND;
+                self.behind |= now - since > BEHIND_AFTER;
                 self.ask_from_peer(now, since, origin, ask);
             }
             Msg::Peer(FromPeers::Msg(_, PeerMsg::Tell { id, answer, .. })) => {
