--- a/crates/scale/tests/soak.rs
+++ b/crates/scale/tests/soak.rs
@@ -154,13 +154,19 @@
     folder.join("hookworks")
 }
 
+/// Another run of these tests at the same time has other loopback addresses.
+fn own_network() -> u8 {
+    100 + (std::process::id() % 100) as u8
+}
+
 #[test]
 fn short_soak_with_real_controllers_holds() {
     let folder = std::env::temp_dir().join(format!("hookworks-soak-{}", std::process::id()));
     let soak = SoakOptions {
         program: program(),
         out: folder.clone(),
-        ..options("--length-s 20 --workers 40 --network 47 --port 18190")
+        network: own_network(),
+        ..options("--length-s 20 --workers 40 --port 18190")
     };
     let interrupted = Arc::new(AtomicBool::new(false));
     let mut effects = std::collections::BTreeMap::new();
