Membership: a process first heard on an earlier connection does not replace a later one

What callers would see: a controller that has just started, and in whose backlog stand the connections of a process that has ended and of its successor, may read the successor's first. It then took the successor for replaced, dropped all of its pings, and had no way to it for as long as that process lived.

Cause: the order of a label's processes was taken from the order in which their first pings were read; two threads read two connections in either order.

Evidence: the new test got Restarted for the earlier process's ping and lost the later one.

Why the fix works: a process connects only after its predecessor has ended, so that its connection is accepted later. Connections are numbered as they are accepted, and a process first heard on an earlier connection than the latest one's first is an earlier process.

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -21,7 +21,8 @@
 /// Instances of a label that are remembered as replaced.
 const MAX_REPLACED: usize = 16;
 
-/// A connection on which pings come in. Its number is never used again.
+/// A connection on which pings come in, numbered in the order of acceptance. Its number
+/// is never used again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct LinkId(pub u64);
 
@@ -85,6 +86,8 @@
     replaced: BTreeMap<Label, VecDeque<Instance>>,
     /// The latest process of each label; kept while it is suspected.
     latest: BTreeMap<Label, Instance>,
+    /// The link by which that process was heard first.
+    first_links: BTreeMap<Label, LinkId>,
     /// The version of the latest process of each label; kept while it is suspected.
     versions: BTreeMap<Label, ReportedVersion>,
     /// The last epoch that a replaced process of the label led.
@@ -103,6 +106,7 @@
             pings: BTreeMap::new(),
             replaced: BTreeMap::new(),
             latest: BTreeMap::new(),
+            first_links: BTreeMap::new(),
             versions: BTreeMap::new(),
             ended_epochs: BTreeMap::new(),
             leader: None,
@@ -130,8 +134,11 @@
         if status.instance.is_some_and(|i| self.is_replaced(from, i)) {
             return PingOutcome::Stale;
         }
-        let replaced = self.replaced.entry(from.clone()).or_default();
         let before = self.latest.get(from).copied();
+        if before.is_some() && before != status.instance && self.is_older(from, link) {
+            self.remember_replaced(from, status.instance);
+            return PingOutcome::Stale;
+        }
         let restarted = match (before, status.instance) {
             // A ping without an instance may be of the same process as before: only
             // after one with an instance is it known to be another.
@@ -139,12 +146,12 @@
             (None, _) => false,
         };
         if restarted {
-            replaced.extend(before);
-            while replaced.len() > MAX_REPLACED {
-                replaced.pop_front();
-            }
+            self.remember_replaced(from, before);
             self.end_epoch_of(from);
         }
+        if restarted || before.is_none() {
+            self.first_links.insert(from.clone(), link);
+        }
         match status.instance {
             Some(i) => self.latest.insert(from.clone(), i),
             None => self.latest.remove(from),
@@ -172,6 +179,22 @@
         }
     }
 
+    /// Whether this link was accepted before the latest process of the label was heard:
+    /// then another process on it is an earlier one, whose ping was read later.
+    fn is_older(&self, label: &Label, link: LinkId) -> bool {
+        self.first_links
+            .get(label)
+            .is_some_and(|first| link < *first)
+    }
+
+    fn remember_replaced(&mut self, label: &Label, instance: Option<Instance>) {
+        let replaced = self.replaced.entry(label.clone()).or_default();
+        replaced.extend(instance);
+        while replaced.len() > MAX_REPLACED {
+            replaced.pop_front();
+        }
+    }
+
     /// The latest process of that label, if it reports its instance.
     pub fn latest_instance(&self, label: &Label) -> Option<Instance> {
         self.latest.get(label).copied()
--- a/crates/membership/tests/membership.rs
+++ b/crates/membership/tests/membership.rs
@@ -81,6 +81,22 @@
     assert_eq!(m.announced_leader(), leader);
 }
 
+/// A controller that had just started read the later process's connection first, took that
+/// process for replaced, and never heard it again.
+#[test]
+fn process_that_connected_earlier_does_not_replace_a_later_one() {
+    let mut m = members();
+    let later = status(2, Some(("b", 5)), &["a"]);
+    m.record_ping(at(0), &label("b"), LinkId(2), later.clone());
+    let earlier = status(1, Some(("b", 4)), &["a"]);
+    let outcome = m.record_ping(at(1), &label("b"), LinkId(1), earlier);
+    assert_eq!(outcome, PingOutcome::Stale);
+    let next = m.record_ping(at(500), &label("b"), LinkId(2), later);
+    assert_eq!(next, PingOutcome::Unchanged);
+    assert!(m.reachable(at(501), &label("b")));
+    assert_eq!(m.latest_leader(at(501)), Some((label("b"), Epoch(5))));
+}
+
 /// Its first ping was sent before the election, and arrives after word of that.
 #[test]
 fn leadership_counts_once_its_process_claims_it_itself() {
--- a/src/peer/inbound.rs
+++ b/src/peer/inbound.rs
@@ -34,9 +34,11 @@
                 open.fetch_sub(1, Ordering::SeqCst);
                 continue;
             }
+            // Numbered here: threads may begin in another order.
+            let link = LinkId(self.next_link.fetch_add(1, Ordering::Relaxed));
             let (peers, inbox, now_open) = (self.clone(), inbox.clone(), open.clone());
             let started = crate::node::spawn("peer-in", move || {
-                peers.listen_to(stream, &inbox);
+                peers.listen_to(stream, link, &inbox);
                 now_open.fetch_sub(1, Ordering::SeqCst);
             });
             if !started {
@@ -45,10 +47,9 @@
         }
     }
 
-    fn listen_to(&self, stream: TcpStream, inbox: &impl Fn(FromPeers) -> bool) {
+    fn listen_to(&self, stream: TcpStream, link: LinkId, inbox: &impl Fn(FromPeers) -> bool) {
         let _ = stream.set_read_timeout(Some(READ_TIMEOUT));
         let mut stream = BufReader::with_capacity(READ_BUFFER_BYTES, stream);
-        let link = LinkId(self.next_link.fetch_add(1, Ordering::Relaxed));
         while let Ok((message, (more, sender))) = peer_frame::read(&mut stream) {
             let goes_on = match message {
                 PeerMsg::Ping { .. } => match ping_status(message, &more, sender) {
