Scale: the soak holds direct commands up and takes the cloud away

Two more kinds of trouble: direct commands get no answer and are carried out 2 to 8 s later if token and session still match, and the cloud refuses everybody.

--- a/crates/scale/src/interference.rs
+++ b/crates/scale/src/interference.rs
@@ -13,6 +13,8 @@
 pub(crate) const HELD_LOOK: Duration = Duration::from_millis(10);
 /// A late write is carried out between these two times after it was sent.
 const LATE_WRITE_S: std::ops::Range<f64> = 2.0..8.0;
+/// A late command is carried out between these two times after it was sent.
+const LATE_COMMAND_S: std::ops::Range<f64> = 2.0..8.0;
 /// A copy of a report is delivered between these two times after it was sent.
 const LATE_COPY_S: std::ops::Range<f64> = 2.0..20.0;
 
@@ -44,11 +46,15 @@
     LateWrites,
     /// Copies of workers' reports arrive seconds later.
     LateReports,
+    /// Direct commands get no answer and are carried out seconds later.
+    LateCommands,
+    /// The cloud refuses everybody.
+    CloudOut,
 }
 
 impl TroubleKind {
     /// All kinds.
-    pub const ALL: [TroubleKind; 12] = [
+    pub const ALL: [TroubleKind; 14] = [
         TroubleKind::Restart,
         TroubleKind::Pause,
         TroubleKind::LinkHeld,
@@ -61,6 +67,8 @@
         TroubleKind::AnswersLost,
         TroubleKind::LateWrites,
         TroubleKind::LateReports,
+        TroubleKind::LateCommands,
+        TroubleKind::CloudOut,
     ];
 
     /// Its name in options and figures.
@@ -78,6 +86,8 @@
             TroubleKind::AnswersLost => "answers_lost",
             TroubleKind::LateWrites => "late_writes",
             TroubleKind::LateReports => "late_reports",
+            TroubleKind::LateCommands => "late_commands",
+            TroubleKind::CloudOut => "cloud_out",
         }
     }
 }
@@ -114,6 +124,9 @@
     /// Share of the reports that are copied.
     copied_reports: f64,
     copies: Vec<LateCopy>,
+    /// Share of the direct commands that are held up.
+    late_commands: f64,
+    cloud_out: bool,
     effects: BTreeMap<TroubleKind, u64>,
 }
 
@@ -191,6 +204,37 @@
         present.copies.push(copy);
     }
 
+    /// Sets the share of direct commands that are held up.
+    pub fn delay_commands(&self, share: f64) {
+        self.present().late_commands = share;
+    }
+
+    /// How long a command that has just come is held up, if it is.
+    pub fn command_delay(&self) -> Option<Duration> {
+        let share = self.present().late_commands;
+        if share <= 0.0 || !rand::rng().random_bool(share) {
+            return None;
+        }
+        self.count(TroubleKind::LateCommands);
+        let late = rand::rng().random_range(LATE_COMMAND_S);
+        Some(Duration::from_secs_f64(late))
+    }
+
+    /// Begins or ends an outage of the cloud.
+    pub fn set_cloud_out(&self, out: bool) {
+        self.present().cloud_out = out;
+    }
+
+    /// The cloud's answer, or a refusal during an outage.
+    pub fn cloud_answer(&self, answer: impl FnOnce() -> Response) -> Response {
+        let is_out = self.present().cloud_out;
+        if is_out {
+            self.count(TroubleKind::CloudOut);
+            return Response::error(503, "trouble");
+        }
+        answer()
+    }
+
     /// Copies that are due by now.
     pub fn due_copies(&self, now: Instant) -> Vec<LateCopy> {
         let copies = &mut self.present().copies;
--- a/crates/scale/src/run.rs
+++ b/crates/scale/src/run.rs
@@ -181,7 +181,8 @@
             let answer = move |r: &Request| interference.state_answer(c, r, undisturbed.clone());
             self.serve_one(layout.state(c), c, Counterpart::State, answer)?;
             let cloud = self.cloud.clone();
-            let answer = move |r: &Request| Some(cloud.answer(r));
+            let interference = self.shared.interference.clone();
+            let answer = move |r: &Request| Some(interference.cloud_answer(|| cloud.answer(r)));
             self.serve_one(layout.cloud(c), c, Counterpart::Cloud, answer)?;
             for to in (0..layout.controllers).filter(|to| *to != c) {
                 let listener = bind(layout.link(c, to))?;
--- a/crates/scale/src/soak/troubles.rs
+++ b/crates/scale/src/soak/troubles.rs
@@ -15,6 +15,8 @@
 const DISTURBED_WRITES: f64 = 0.3;
 /// Share of the reports of which a copy comes late.
 const COPIED_REPORTS: f64 = 0.2;
+/// Share of the direct commands that are late.
+const LATE_COMMANDS: f64 = 0.3;
 const COPY_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// A trouble that has begun, with the controllers that it struck.
@@ -88,6 +90,8 @@
             (TroubleKind::ZoneCut, Target::Zone(zone)) => site.shared.cut(Some(zone)),
             (TroubleKind::MachinesEnd, Target::Machines(count)) => self.end_machines(site, count),
             (TroubleKind::LateReports, _) => interference.copy_reports(COPIED_REPORTS),
+            (TroubleKind::LateCommands, _) => interference.delay_commands(LATE_COMMANDS),
+            (TroubleKind::CloudOut, _) => interference.set_cloud_out(true),
             (kind, _) => set_state(site, &controllers, Some(state_trouble(kind))),
         }
         self.under_way.push(Begun {
@@ -118,7 +122,15 @@
             (TroubleKind::LinksRefused, _) => interference.refuse_links(goes_on),
             (TroubleKind::ZoneCut, _) if !goes_on => site.shared.cut(None),
             (TroubleKind::LateReports, _) if !goes_on => interference.copy_reports(0.0),
-            (TroubleKind::ZoneCut | TroubleKind::LateReports | TroubleKind::MachinesEnd, _) => {}
+            (TroubleKind::LateCommands, _) if !goes_on => interference.delay_commands(0.0),
+            (TroubleKind::CloudOut, _) => interference.set_cloud_out(goes_on),
+            (
+                TroubleKind::ZoneCut
+                | TroubleKind::LateReports
+                | TroubleKind::LateCommands
+                | TroubleKind::MachinesEnd,
+                _,
+            ) => {}
             (TroubleKind::StateOut, _) => {
                 set_state(site, &begun.controllers, None);
                 site.state.outage_ended();
--- a/crates/scale/src/standin/commands.rs
+++ b/crates/scale/src/standin/commands.rs
@@ -8,7 +8,7 @@
 use crate::machine::Context;
 use hookworks::wire::worker::Orders;
 use mio::net::TcpStream;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// A connection of a controller to a worker. Only the leader commands, so its
 /// bytes count for the leader.
@@ -40,6 +40,11 @@
         let mut close = false;
         while let Ok(Some((request, length))) = parse_request(&self.input) {
             self.input.drain(..length);
+            if let Some(delay) = delay_of(shared, &request) {
+                // Its sender gets no answer.
+                worker.hold_command(Instant::now() + delay, request.body);
+                return false;
+            }
             let response = answer(worker, shared, &request).encode();
             let with = Counterpart::Commands;
             shared
@@ -53,6 +58,12 @@
     }
 }
 
+/// How long a command is held up; questions are not.
+fn delay_of(shared: &Shared, request: &Request) -> Option<Duration> {
+    let is_command = request.path == "/orders";
+    is_command.then(|| shared.interference.command_delay())?
+}
+
 fn answer(worker: &mut Worker, shared: &Shared, r: &Request) -> Response {
     match (r.method.as_str(), r.path.as_str()) {
         ("GET", "/show") => Response::json(200, &worker.machine.report()),
--- a/crates/scale/src/standin/reports.rs
+++ b/crates/scale/src/standin/reports.rs
@@ -7,7 +7,7 @@
 use crate::http::{Response, encode_request, parse_response};
 use crate::interference::TroubleKind;
 use crate::machine::{Context, InFlight, Machine};
-use hookworks::wire::worker::{Redirect, Report, ReportAnswer};
+use hookworks::wire::worker::{Orders, Redirect, Report, ReportAnswer};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Registry, Token};
 use std::sync::atomic::Ordering;
@@ -39,6 +39,8 @@
     pub leaving: Option<(Instant, Vec<u8>)>,
     /// A response on its way from there.
     pub arriving: Option<(Instant, Response)>,
+    /// Commands that are held up, and when each is carried out.
+    pub late_commands: Vec<(Instant, Vec<u8>)>,
     /// The earliest time in the heap of wakes.
     pub queued: Option<Instant>,
 }
@@ -53,6 +55,7 @@
             self.leaving.as_ref().map(|l| l.0),
             self.arriving.as_ref().map(|a| a.0),
             Some(report),
+            self.late_commands.iter().map(|(due, _)| *due).min(),
         ];
         let ways = ways.into_iter().flatten();
         ways.fold(self.machine.change_due(), Instant::min)
@@ -74,6 +77,7 @@
     pub fn act(&mut self, shared: &Shared, registry: &Registry, token: Token, spread: f64) {
         let now = Instant::now();
         self.pass_time(shared, now);
+        self.carry_out_late(shared, now);
         self.take_arrived(shared, now);
         self.time_out(shared, now);
         if self.in_flight.is_none() && self.next_report() <= now {
@@ -93,6 +97,31 @@
         }
     }
 
+    /// A command is held up until `due`.
+    pub fn hold_command(&mut self, due: Instant, body: Vec<u8>) {
+        self.late_commands.push((due, body));
+    }
+
+    /// Carries out late commands that are due, if token and session still match.
+    fn carry_out_late(&mut self, shared: &Shared, now: Instant) {
+        let (due, later) = std::mem::take(&mut self.late_commands)
+            .into_iter()
+            .partition(|(at, _)| *at <= now);
+        self.late_commands = later;
+        let due: Vec<(Instant, Vec<u8>)> = due;
+        for (_, body) in due {
+            let Ok(orders) = serde_json::from_slice::<Orders>(&body) else {
+                continue;
+            };
+            let mut judge = shared.judge();
+            let mut context = Context {
+                now,
+                judge: &mut judge,
+            };
+            self.machine.commanded(&mut context, &orders);
+        }
+    }
+
     fn take_arrived(&mut self, shared: &Shared, now: Instant) {
         if let Some((_, response)) = self.arriving.take_if(|(at, _)| *at <= now) {
             self.answered(shared, &response);
--- a/crates/scale/src/standin/workers.rs
+++ b/crates/scale/src/standin/workers.rs
@@ -184,6 +184,7 @@
             in_flight: None,
             leaving: None,
             arriving: None,
+            late_commands: vec![],
             queued: None,
         };
         self.workers.push(Some(worker));
