Node: the own epoch and the first status to retry stand in one place each

The tick worked out once more what own_epoch tells, and 429 stood in three more expressions beside the constant that the request log has for it. No behaviour changes.

--- a/src/node/asks.rs
+++ b/src/node/asks.rs
@@ -2,7 +2,7 @@
 
 use super::follow::{self, KnownLeader, Route};
 use super::lists::Wanted;
-use super::request_log::RequestKind;
+use super::request_log::{FIRST_RETRYABLE_STATUS, RequestKind};
 use super::threads::state_service::StateRequest;
 use super::{Node, Origin, Pending, Role};
 use crate::api::redirect;
@@ -247,7 +247,7 @@
         if let Role::Leader(t) = &self.role
             && p.with.is_none()
             && p.kind != RequestKind::Heartbeat
-            && answer.status < 429
+            && answer.status < FIRST_RETRYABLE_STATUS
             && t.sched.may_start(now)
         {
             answer.valid_us = Some((t.sched.proven_until() - p.since).0);
@@ -256,11 +256,11 @@
         let in_time = now - p.since <= p.limit;
         self.request_log.record(p.kind, &answer, in_time);
         let submits = p.kind == RequestKind::Submission;
-        if answer.status >= 429 && submits {
+        if answer.status >= FIRST_RETRYABLE_STATUS && submits {
             let after_ms = (now - p.since).0 / 1000;
             tracing::info!(status = answer.status, after_ms, why = %answer.body, "submission refused");
         }
-        if submits && answer.status < 429 {
+        if submits && answer.status < FIRST_RETRYABLE_STATUS {
             let after_ms = (now - p.since).0 / 1000;
             tracing::debug!(status = answer.status, after_ms, "submission answered");
         }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -544,12 +544,7 @@
     fn tick(&mut self, now: Time) {
         // Cut off from the state service, a leader learns from the others that
         // it is none any more.
-        let mine = match &self.role {
-            Role::Leader(t) => Some(t.epoch),
-            Role::Loading(e) => Some(*e),
-            Role::Follower => None,
-        };
-        if let (Some(mine), Some((label, epoch))) = (mine, self.peers.best_leader())
+        if let (Some(mine), Some((label, epoch))) = (self.own_epoch(), self.peers.best_leader())
             && epoch > mine
         {
             tracing::warn!(%label, %epoch, "a later leader is known");
--- a/src/node/request_log.rs
+++ b/src/node/request_log.rs
@@ -13,7 +13,7 @@
 /// What reasons beyond that are counted as.
 const OTHER_REASONS: &str = "other";
 /// Statuses from here on ask the client to come again.
-const FIRST_RETRYABLE_STATUS: u16 = 429;
+pub(super) const FIRST_RETRYABLE_STATUS: u16 = 429;
 
 /// What a request asks for, as far as statistics and limits depend on it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
