Review: case 1 needs one disruption, the crash of the leader

Cause: the state service may have lowered its limits long before; every new leader begins with those of the settings. Change: the state service of the case has the limits of state.next from the start, with TROUBLE=0 as well. The stand-ins' sockets wait for connections instead of polling.

--- a/review/standin/src/case1.rs
+++ b/review/standin/src/case1.rs
@@ -1,5 +1,5 @@
-//! A cancelled job runs again: its submission is repeated at a later leader, after the
-//! state service has lowered its limits.
+//! A cancelled job runs again: its submission is repeated at a later leader. The state
+//! service has the limits of `state.next` from the start.
 
 use crate::fleet::{Flavor, Times};
 use crate::site::{Plan, Site, Submission, Team};
@@ -82,6 +82,8 @@
             Duration::from_secs(600),
         );
     }
+    site.state.set_limits(LOWERED);
+    record.note("state  has the limits of state.next");
     for i in 0..3 {
         site.start_controller(i);
     }
@@ -146,9 +148,6 @@
     });
     let mut dead = None;
     if start.trouble {
-        site.state.set_limits(LOWERED);
-        record.note("state  lowers its limits to those of state.next");
-        std::thread::sleep(Duration::from_secs(3));
         let Some(leader) = site.leader() else {
             site.fail("nobody leads")
         };
--- a/review/standin/src/http.rs
+++ b/review/standin/src/http.rs
@@ -51,20 +51,16 @@
     F: Fn(Request) -> Answer + Send + Sync + 'static,
 {
     let handler = Arc::new(handler);
-    let _ = listener.set_nonblocking(true);
     std::thread::spawn(move || {
-        while !stop.load(Ordering::SeqCst) {
-            match listener.accept() {
-                Ok((stream, _)) => {
-                    let (handler, stop) = (handler.clone(), stop.clone());
-                    let _ = stream.set_nonblocking(false);
-                    let _ = stream.set_nodelay(true);
-                    let _ = stream.set_read_timeout(Some(Duration::from_secs(30)));
-                    let built = std::thread::Builder::new().stack_size(512 * 1024);
-                    let _ = built.spawn(move || connection(stream, &stop, &*handler));
-                }
-                Err(_) => std::thread::sleep(Duration::from_millis(1)),
+        while let Ok((stream, _)) = listener.accept() {
+            if stop.load(Ordering::SeqCst) {
+                return;
             }
+            let (handler, stop) = (handler.clone(), stop.clone());
+            let _ = stream.set_nodelay(true);
+            let _ = stream.set_read_timeout(Some(Duration::from_secs(30)));
+            let built = std::thread::Builder::new().stack_size(512 * 1024);
+            let _ = built.spawn(move || connection(stream, &stop, &*handler));
         }
     });
 }
--- a/review/standin/src/json.rs
+++ b/review/standin/src/json.rs
@@ -40,12 +40,6 @@
             _ => None,
         }
     }
-    pub fn f64(&self) -> Option<f64> {
-        match self {
-            J::Num(n) => n.parse().ok(),
-            _ => None,
-        }
-    }
     pub fn arr(&self) -> &[J] {
         match self {
             J::Arr(a) => a,
--- a/review/standin/src/state.rs
+++ b/review/standin/src/state.rs
@@ -83,12 +83,6 @@
         inner.keys.get(key).map(|e| e.value.clone())
     }
 
-    /// The number of keys with that prefix.
-    pub fn count(&self, prefix: &str) -> usize {
-        let inner = self.inner.lock().unwrap();
-        inner.keys.keys().filter(|k| k.starts_with(prefix)).count()
-    }
-
     pub fn answer(&self, r: Request) -> Answer {
         let mut inner = self.inner.lock().unwrap();
         inner.expire();
