Review: case 2, one large submission keeps the leader from storing anything

Cause: a record that fits the values of a transaction, but not the 56 KiB that a transaction may hold, is put back at the front of the queue for ever. Change: review/2 with its claim and script.

--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -9,6 +9,7 @@
 mod state;
 
 mod case1;
+mod case2;
 
 use record::Record;
 use std::path::PathBuf;
@@ -40,6 +41,7 @@
     record.note(&format!("case   {case}, with the disruption: {trouble}"));
     let broken: Vec<String> = match case.as_str() {
         "1" => case1::run(start),
+        "2" => case2::run(start),
         _ => std::process::exit(2),
     };
     for line in &broken {
