--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -10,6 +10,7 @@
 
 mod case1;
 mod case2;
+mod case3;
 
 use record::Record;
 use std::path::PathBuf;
@@ -42,6 +43,7 @@
     let broken: Vec<String> = match case.as_str() {
         "1" => case1::run(start),
         "2" => case2::run(start),
+        "3" => case3::run(start),
         _ => std::process::exit(2),
     };
     for line in &broken {
