--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -14,6 +14,7 @@
 pub mod given;
 pub mod handover;
 mod idle_room;
+pub mod limited_store;
 pub mod links;
 pub mod lost_answers;
 mod machines;
