Store: a record that no transaction can hold is refused, or set aside, and blocks nothing

Callers saw: after one submission of 63 KB (64 machine types with long names) the leader stored nothing any more.

Cause: three places had bounds of their own. Admission counted values only (16 of 32 KiB), a draft held 56 KiB, and Draft::has_room could not tell a full draft from a record that fits none. So add_record answered Full for an empty draft, the record went back to the front of the most urgent queue, and next_txn had nothing to send, each time. A record a little below the bound could be accepted and outgrow it with its starts, holds and history, and then stopped every later leader as well.

Change: RecordLimits counts what a record takes in a transaction, with its keys, conditions and escapes. Admission uses it for the largest form of the record (all tasks started, three holds, runtimes, conditions) against 56 KiB, in both formats; the committer sets aside what exceeds a transaction of its own. History only grows into what is left of 56 KiB. The user gets 400 at once.

--- a/src/sched/admission.rs
+++ b/src/sched/admission.rs
@@ -9,7 +9,9 @@
 use super::Resources;
 use super::Scheduler;
 use super::dependency_ids::DependencyIds;
-use crate::store::limits::VALUE_MARGIN_BYTES;
+use crate::settings::LimitValues;
+use crate::store::limits::{MAX_TXN_BYTES, VALUE_MARGIN_BYTES, VALUE_OVERHEAD_BYTES};
+use crate::store::pieces::RecordLimits;
 use crate::wire::cloud::MachineType;
 use crate::wire::user::{JobKind, JobSpec};
 
@@ -98,13 +100,20 @@
     /// Whether its first record fits the smallest announced limits, whatever happens to its
     /// tasks.
     fn fits_smallest(&self, job: &Job) -> bool {
-        job.max_values(self.smallest_value()) <= self.config.min_limits.txn_ops
+        let limits = RecordLimits {
+            max_value_bytes: self.smallest_value(),
+            max_values: self.config.min_limits.txn_ops,
+        };
+        limits.admits(&job.largest_record())
     }
 
     /// The smallest announced value limit, in bytes.
     fn smallest_value(&self) -> usize {
-        let kb = self.config.value_kb.min(self.config.min_limits.value_kb);
-        ((kb * 1024.0) as usize).saturating_sub(VALUE_MARGIN_BYTES)
+        let limits = LimitValues {
+            value_kb: self.config.value_kb.min(self.config.min_limits.value_kb),
+            ..self.config.min_limits
+        };
+        limits.value_bytes().saturating_sub(VALUE_MARGIN_BYTES)
     }
 
     /// Whether the job's first record exceeds the limits of the state service, current or
@@ -117,7 +126,13 @@
             return false;
         }
         let size = part_size(self.config.value_kb);
-        let room = (self.config.value_kb * 1024.0) as usize;
+        let limits = LimitValues {
+            value_kb: self.config.value_kb,
+            ..self.config.min_limits
+        };
+        let room = limits
+            .value_bytes()
+            .min(MAX_TXN_BYTES - VALUE_OVERHEAD_BYTES);
         let first = job.encode(0).to_string().len() + LATER_GROWTH_BYTES;
         first + size.min(job.spec.tasks) as usize * 42 > room
     }
--- a/src/sched/job/record.rs
+++ b/src/sched/job/record.rs
@@ -108,6 +108,15 @@
     }
 }
 
+/// Leaves out of a job's record what no leader needs to run the job: its history and the
+/// runtimes of its tasks.
+fn forget_the_past(record: &mut serde_json::Value) {
+    if let Some(fields) = record.as_object_mut() {
+        fields.remove("h");
+        fields.remove("runtimes");
+    }
+}
+
 /// Converts the wall clock time `at` to the monotonic clock; `now` and `wall` are the
 /// current times of both clocks.
 fn steady_time(now: Time, wall: WallTime, at: WallTime) -> Time {
@@ -313,7 +322,8 @@
 
     /// Encodes one part in the compact format. The history is cut to fit into one value, or
     /// else into as many values as the record may have. If that does not suffice, the
-    /// reasons of holds are left out, then the places of its tasks.
+    /// reasons of holds are left out, then the places of its tasks, then its history and
+    /// runtimes.
     pub fn encode_compact(&self, part: usize, room: RecordLimits) -> serde_json::Value {
         let mut tasks = self.task_record(part);
         let rest = || self.parts[part].rest.clone();
@@ -343,6 +353,10 @@
             tasks.forget_places();
             value = minimal(&tasks, &holds);
         }
+        if !room.fits(&value) {
+            forget_the_past(&mut value);
+            return value;
+        }
         let bytes = value["h"].to_string().len() + room.growth_bytes(&value);
         if bytes > MIN_HISTORY_BYTES && self.history.entries().next().is_some() {
             value["h"] = self.history.encode(bytes.min(MAX_HISTORY_BYTES));
@@ -350,9 +364,14 @@
         value
     }
 
-    /// Upper bound of the values that the first record needs in the compact format, with all
-    /// its tasks started, failed before and held three times.
+    /// Upper bound of the values that the first record needs in the compact format.
     pub fn max_values(&self, value_bytes: usize) -> usize {
+        pieces::values_needed(&self.largest_record().to_string(), value_bytes)
+    }
+
+    /// The first record in the compact format at its largest, with all its tasks started,
+    /// failed before and held three times.
+    pub fn largest_record(&self) -> serde_json::Value {
         let (from, to) = self.part_range(0);
         let text = "x".repeat(COMPACT_BASE_BYTES + COMPACT_TASK_MAX_BYTES * (to - from) as usize);
         let mut holds = Holds::default();
@@ -370,7 +389,11 @@
         if !self.needs.is_empty() {
             value["ready_at"] = u64::MAX.into();
         }
-        pieces::values_needed(&value.to_string(), value_bytes)
+        if !self.spec.start_conditions.is_empty() {
+            value["met"] = u32::MAX.into();
+            value["never"] = u32::MAX.into();
+        }
+        value
     }
 
     pub fn decode(value: &serde_json::Value, now: Time, wall: WallTime) -> Option<Job> {
--- a/src/settings/platform.rs
+++ b/src/settings/platform.rs
@@ -2,6 +2,7 @@
 
 use super::{SettingsError, field_error};
 use crate::ids::{Class, ControllerId, Team, Zone};
+use crate::store::limits::{MAX_SINGLE_RECORD_TXN_BYTES, VALUE_OVERHEAD_BYTES};
 use crate::time::Span;
 use serde::Deserialize;
 use std::collections::BTreeMap;
@@ -117,8 +118,11 @@
 }
 
 impl LimitValues {
+    /// Maximum size of a value in bytes. No value may take more than a transaction does,
+    /// whatever its own limit.
     pub fn value_bytes(&self) -> usize {
-        (self.value_kb * 1024.0) as usize
+        let bytes = (self.value_kb * 1024.0) as usize;
+        bytes.min(MAX_SINGLE_RECORD_TXN_BYTES - VALUE_OVERHEAD_BYTES)
     }
 
     /// The minimum of each field.
--- a/src/store/commit.rs
+++ b/src/store/commit.rs
@@ -20,10 +20,10 @@
 use serde_json::Value;
 use std::collections::{HashMap, HashSet};
 mod oversized;
-use super::limits::{EffectiveLimits, TxnSize};
+use super::limits::{EffectiveLimits, MAX_SINGLE_RECORD_TXN_BYTES, TxnSize};
 use super::{FENCES_KEY, LEADER_KEY};
 use crate::ids::{JobId, Revision, TxnId};
-use draft::{Draft, KeyWrite, RecordWrite, SizedChange, WriteTarget};
+use draft::{Draft, KeyWrite, RecordWrite, SizedChange, WriteTarget, total_bytes};
 use oversized::OversizedRecord;
 
 /// Maximum number of transactions in flight, and the maximum while a caller waits for a
@@ -291,10 +291,7 @@
             Some(end) => self.final_write(j, end),
             None => self.part_write(j, d.part),
         };
-        let room = self.record_limits();
-        if changes.len() > room.max_values
-            || changes.iter().any(|c| c.value_bytes > room.max_value_bytes)
-        {
+        if self.is_oversized(&changes) {
             return AddOutcome::TooLarge;
         }
         if !draft.has_room(&changes) {
@@ -316,6 +313,15 @@
         AddOutcome::Handled
     }
 
+    /// Whether no transaction can hold these changes of a record, however empty it is and
+    /// however much of the budget is left.
+    fn is_oversized(&self, changes: &[SizedChange]) -> bool {
+        let room = self.record_limits();
+        changes.len() > room.max_values
+            || changes.iter().any(|c| c.value_bytes > room.max_value_bytes)
+            || total_bytes(changes) > MAX_SINGLE_RECORD_TXN_BYTES
+    }
+
     /// Deletes one record along with other writes, more only if there are none: the 300
     /// records of one job once used up the change budget for 15 s.
     fn delete_some_garbage(&mut self, now: Time, draft: &mut Draft) {
@@ -325,16 +331,19 @@
             1
         };
         for _ in 0..some {
-            if draft.changes() >= draft.max_changes
-                || self.budget_share_left(now, draft) < GARBAGE_RESERVE_SHARE
-            {
+            if self.budget_share_left(now, draft) < GARBAGE_RESERVE_SHARE {
                 break;
             }
             let Some((key, stamp)) = self.garbage.pop() else {
                 break;
             };
-            draft.add_condition(key.clone(), stamp);
-            draft.add(SizedChange::delete(key));
+            let deletion = SizedChange::delete(key.clone());
+            if !draft.has_room(std::slice::from_ref(&deletion)) {
+                self.garbage.push((key, stamp));
+                break;
+            }
+            draft.add_condition(key, stamp);
+            draft.add(deletion);
             self.changes_sent.garbage += 1;
         }
     }
--- a/src/store/commit/draft.rs
+++ b/src/store/commit/draft.rs
@@ -1,14 +1,13 @@
 //! A transaction under construction, and the records that it writes.
 
-use super::super::limits::TxnSize;
+use super::super::limits::{
+    CHANGE_OVERHEAD_BYTES, MAX_SINGLE_RECORD_TXN_BYTES, MAX_TXN_BYTES, TxnSize,
+};
 use crate::ids::{JobId, Revision};
 use crate::sched::Purpose;
 use crate::wire::state::{Change, Condition, Txn};
 use serde_json::Value;
 
-/// Size limit of a transaction; the service allows 64 KiB.
-const MAX_TXN_BYTES: usize = 56 * 1024;
-
 pub(super) struct RecordWrite {
     pub(super) job: JobId,
     pub(super) purpose: Purpose,
@@ -57,10 +56,15 @@
 
     /// Bytes that it takes in a transaction, with its condition.
     pub(super) fn bytes(&self) -> usize {
-        self.change.key().len() * 2 + 80 + self.value_bytes
+        self.change.key().len() * 2 + CHANGE_OVERHEAD_BYTES + self.value_bytes
     }
 }
 
+/// Bytes that these changes take in a transaction, with their conditions.
+pub(super) fn total_bytes(changes: &[SizedChange]) -> usize {
+    changes.iter().map(SizedChange::bytes).sum()
+}
+
 /// A transaction under construction.
 pub(super) struct Draft {
     pub(super) txn: Txn,
@@ -85,9 +89,19 @@
         self.txn.changes.len()
     }
 
+    pub(super) fn is_empty(&self) -> bool {
+        self.txn.changes.is_empty()
+    }
+
+    /// Whether the changes of a record still fit. A draft without changes has room for
+    /// the bytes of every record that is not oversized.
     pub(super) fn has_room(&self, changes: &[SizedChange]) -> bool {
-        let bytes: usize = changes.iter().map(SizedChange::bytes).sum();
-        self.changes() + changes.len() <= self.max_changes && self.bytes + bytes <= MAX_TXN_BYTES
+        let max_bytes = match self.is_empty() {
+            true => MAX_SINGLE_RECORD_TXN_BYTES,
+            false => MAX_TXN_BYTES,
+        };
+        self.changes() + changes.len() <= self.max_changes
+            && self.bytes + total_bytes(changes) <= max_bytes
     }
 
     pub(super) fn add_condition(&mut self, key: String, stamp: Revision) {
--- a/src/store/limits.rs
+++ b/src/store/limits.rs
@@ -12,6 +12,17 @@
 const MIN_TXN_CHANGES: usize = 4;
 /// Margin for differences in how the service counts bytes.
 pub const VALUE_MARGIN_BYTES: usize = 32;
+/// Size limit of a transaction with several records, and of the record of a new job with
+/// all that may be added to it. The service allows 64 KiB.
+pub const MAX_TXN_BYTES: usize = 56 * 1024;
+/// Size limit of a transaction with a single record. Earlier versions accepted records up
+/// to [`MAX_TXN_BYTES`] without counting what is added to them later.
+pub const MAX_SINGLE_RECORD_TXN_BYTES: usize = 63 * 1024;
+/// Upper bound of the bytes that a value takes in a transaction besides its own: its key
+/// of at most 90 bytes, twice, and its condition.
+pub const VALUE_OVERHEAD_BYTES: usize = 2 * 90 + CHANGE_OVERHEAD_BYTES;
+/// Bytes that a change and its condition take besides the key and the value.
+pub const CHANGE_OVERHEAD_BYTES: usize = 80;
 /// Factor by which the rate limit is reduced on rejections that no announced limit
 /// explains, at most once per interval.
 const RATE_DECREASE_FACTOR: f64 = 0.9;
--- a/src/store/pieces.rs
+++ b/src/store/pieces.rs
@@ -5,6 +5,7 @@
 //! written in one transaction, and each carries the checksum of the whole text, so
 //! that pieces of different writes are never joined.
 
+use super::limits::{MAX_SINGLE_RECORD_TXN_BYTES, MAX_TXN_BYTES, VALUE_OVERHEAD_BYTES};
 use super::{PIECES_PREFIX, part_key};
 use crate::ids::{JobId, Revision};
 use crate::wire::state::Item;
@@ -27,21 +28,58 @@
 }
 
 impl RecordLimits {
-    /// Whether the record fits, split if necessary.
+    /// Whether a transaction can hold the record, split if necessary.
     pub fn fits(&self, record: &Value) -> bool {
-        values_needed(&record.to_string(), self.max_value_bytes) <= self.max_values
+        self.fits_within(record, MAX_SINGLE_RECORD_TXN_BYTES)
     }
 
-    /// Bytes by which the record may grow without taking more values than now.
+    /// Whether a new job may have a record that grows up to this one.
+    pub fn admits(&self, largest: &Value) -> bool {
+        self.fits_within(largest, MAX_TXN_BYTES)
+    }
+
+    fn fits_within(&self, record: &Value, max_txn_bytes: usize) -> bool {
+        let size = RecordSize::of(&record.to_string(), self.max_value_bytes);
+        size.values <= self.max_values && size.txn_bytes <= max_txn_bytes
+    }
+
+    /// Bytes by which the record may grow without taking more values than now, or more
+    /// than a transaction.
     pub fn growth_bytes(&self, record: &Value) -> usize {
         let text = record.to_string();
-        if text.len() <= self.max_value_bytes {
-            return self.max_value_bytes - text.len();
+        let size = RecordSize::of(&text, self.max_value_bytes);
+        let left = MAX_TXN_BYTES.saturating_sub(size.txn_bytes);
+        if size.values == 1 {
+            return left.min(self.max_value_bytes - text.len());
         }
-        let room =
-            text_bytes_per_value(self.max_value_bytes) * values_needed(&text, self.max_value_bytes);
+        let room = text_bytes_per_value(self.max_value_bytes) * size.values;
         // Half, as what is added may have to be escaped.
-        room.saturating_sub(escaped_len(&text)) / 2
+        left.min(room.saturating_sub(escaped_len(&text))) / 2
+    }
+}
+
+/// What a record takes in a transaction.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct RecordSize {
+    values: usize,
+    /// Upper bound of its bytes, with keys and conditions.
+    txn_bytes: usize,
+}
+
+impl RecordSize {
+    fn of(text: &str, value_bytes: usize) -> RecordSize {
+        if text.len() <= value_bytes {
+            return RecordSize {
+                values: 1,
+                txn_bytes: text.len() + VALUE_OVERHEAD_BYTES,
+            };
+        }
+        let values = split_text(text, value_bytes).len();
+        let overhead = PIECE_OVERHEAD_BYTES + VALUE_OVERHEAD_BYTES;
+        RecordSize {
+            values,
+            txn_bytes: escaped_len(text) + values * overhead,
+        }
     }
 }
 
@@ -116,10 +154,7 @@
 
 /// Number of values that a record's text takes.
 pub fn values_needed(text: &str, value_bytes: usize) -> usize {
-    match text.len() <= value_bytes {
-        true => 1,
-        false => split_text(text, value_bytes).len(),
-    }
+    RecordSize::of(text, value_bytes).values
 }
 
 /// Splits a record into values, the first for its own key.
