Store: a record of many values is sent once the budget is full, or refused for good

Cause: the committer bounded the values of a record by the burst of its own budget (0.8 s of a rate that falls with each refusal), admission didn't know of that bound, and while a record waited for its budget, deletions went on taking from it.

Change: a record may have as many changes as a transaction, and as the service allows in one second by its settings (LimitValues::max_record_changes); admission and committer use the same number, and refusals for the rate don't lower it. A record beyond the committer's own burst goes alone once the budget is full, and leaves it negative; refused for the rate, it is set aside and the others go on. While a record waits for the budget nothing is swept.

--- a/src/sched/admission.rs
+++ b/src/sched/admission.rs
@@ -102,7 +102,7 @@
     fn fits_smallest(&self, job: &Job) -> bool {
         let limits = RecordLimits {
             max_value_bytes: self.smallest_value(),
-            max_values: self.config.min_limits.txn_ops,
+            max_values: self.config.min_limits.max_record_changes(),
         };
         limits.admits(&job.largest_record())
     }
--- a/src/settings/platform.rs
+++ b/src/settings/platform.rs
@@ -125,6 +125,12 @@
         bytes.min(MAX_SINGLE_RECORD_TXN_BYTES - VALUE_OVERHEAD_BYTES)
     }
 
+    /// Maximum number of changes of one record: the service allows bursts of one second's
+    /// worth, so a transaction with more would be refused each time.
+    pub fn max_record_changes(&self) -> usize {
+        self.txn_ops.min((self.write_rps as usize).max(MIN_TXN_OPS))
+    }
+
     /// The minimum of each field.
     pub fn min(&self, other: &LimitValues) -> LimitValues {
         LimitValues {
--- a/src/store/budget.rs
+++ b/src/store/budget.rs
@@ -31,6 +31,7 @@
         self.tokens >= n
     }
 
+    /// Takes tokens, more than there are if need be: then the balance is negative.
     pub fn take(&mut self, now: Time, n: f64) {
         self.refill(now);
         self.tokens -= n;
@@ -41,6 +42,11 @@
         self.tokens
     }
 
+    /// Whether no more can be saved up.
+    pub fn is_full(&mut self, now: Time) -> bool {
+        self.has(now, self.burst)
+    }
+
     /// Capacity of the bucket.
     pub fn burst(&self) -> f64 {
         self.burst
--- a/src/store/commit.rs
+++ b/src/store/commit.rs
@@ -36,8 +36,7 @@
 /// controllers.
 const CHANGE_RATE_SHARE: f64 = 0.9;
 const CHANGE_BURST_SHARE: f64 = 0.8;
-/// A record of this many values must fit into one transaction, however low the rate
-/// limit is.
+/// Minimum burst of changes, however low the rate limit is.
 const MIN_CHANGE_BURST: f64 = 4.0;
 const REQUEST_RATE_SHARE: f64 = 0.6;
 const REQUEST_BURST_SHARE: f64 = 0.3;
@@ -54,6 +53,16 @@
     TooLarge,
 }
 
+/// What is left of the write queue after a transaction was filled from it.
+#[derive(PartialEq)]
+enum QueueState {
+    /// Nothing that may be sent now, or the transaction is full.
+    Drained,
+    /// Its next record needs more of the budget than there is. Nothing less urgent is
+    /// sent before it, or the budget would never suffice.
+    WaitsForBudget,
+}
+
 struct InFlightTxn {
     writes: Vec<RecordWrite>,
     size: TxnSize,
@@ -204,12 +213,13 @@
         if sched.write_queue.is_empty() && self.garbage.is_empty() {
             return None;
         }
-        let budget = self.change_budget.available(now) as usize;
-        let mut draft = Draft::new(self.limits.values().txn_ops.min(budget));
+        let mut draft = self.new_draft(now);
         if draft.max_changes == 0 {
             return None;
         }
-        self.add_records(now, sched, &mut draft);
+        if self.add_records(now, sched, &mut draft) == QueueState::WaitsForBudget {
+            return None;
+        }
         self.delete_some_garbage(now, &mut draft);
         if draft.txn.changes.is_empty() {
             return None;
@@ -217,6 +227,19 @@
         Some(self.send(now, draft))
     }
 
+    /// An empty transaction with the limits that the budget sets. A record of more changes
+    /// than the budget can save up is sent alone once the budget is full, and leaves it
+    /// negative; otherwise no such record would ever be sent.
+    fn new_draft(&mut self, now: Time) -> Draft {
+        let budget = self.change_budget.available(now) as usize;
+        let max_changes = self.limits.values().txn_ops.min(budget);
+        let max_record_changes = match self.change_budget.is_full(now) {
+            true => self.limits.max_record_changes(),
+            false => max_changes,
+        };
+        Draft::new(max_changes, max_record_changes)
+    }
+
     fn may_send(&mut self, now: Time, sched: &Scheduler) -> bool {
         let lanes = if sched.write_queue.lengths()[0] > 0 {
             MAX_TXNS_IN_FLIGHT_URGENT
@@ -234,7 +257,8 @@
         (budget as f64 - draft.changes() as f64) / self.change_budget.burst()
     }
 
-    fn add_records(&mut self, now: Time, sched: &mut Scheduler, draft: &mut Draft) {
+    fn add_records(&mut self, now: Time, sched: &mut Scheduler, draft: &mut Draft) -> QueueState {
+        let mut state = QueueState::Drained;
         let mut skipped = vec![];
         let alone = self.single_record_txns > 0;
         while (!alone || draft.writes.is_empty())
@@ -253,6 +277,9 @@
                         j.parts[d.part].queued = Some(d.purpose);
                     }
                     sched.write_queue.push_front(d);
+                    if draft.is_empty() {
+                        state = QueueState::WaitsForBudget;
+                    }
                     break;
                 }
             }
@@ -260,6 +287,7 @@
         for d in skipped.into_iter().rev() {
             sched.write_queue.push_front(d);
         }
+        state
     }
 
     fn add_record(
@@ -385,7 +413,7 @@
         let (record, ver) = sched.fences_to_write()?;
         let record = record.truncated_to(self.limits.value_bytes());
         let value = serde_json::to_value(record).unwrap_or_default();
-        let mut draft = Draft::new(1);
+        let mut draft = Draft::new(1, 1);
         draft.add_condition(FENCES_KEY.into(), self.revision(FENCES_KEY));
         draft.add(SizedChange::put(FENCES_KEY.into(), value));
         self.busy.insert(job.clone());
--- a/src/store/commit/draft.rs
+++ b/src/store/commit/draft.rs
@@ -71,16 +71,19 @@
     pub(super) writes: Vec<RecordWrite>,
     pub(super) bytes: usize,
     pub(super) max_changes: usize,
+    /// The same for a single record.
+    pub(super) max_record_changes: usize,
     pub(super) size: TxnSize,
 }
 
 impl Draft {
-    pub(super) fn new(most: usize) -> Draft {
+    pub(super) fn new(max_changes: usize, max_record_changes: usize) -> Draft {
         Draft {
             txn: Txn::default(),
             writes: vec![],
             bytes: 0,
-            max_changes: most,
+            max_changes,
+            max_record_changes,
             size: TxnSize::default(),
         }
     }
@@ -94,13 +97,13 @@
     }
 
     /// Whether the changes of a record still fit. A draft without changes has room for
-    /// the bytes of every record that is not oversized.
+    /// every record that is not oversized, once the budget allows it.
     pub(super) fn has_room(&self, changes: &[SizedChange]) -> bool {
-        let max_bytes = match self.is_empty() {
-            true => MAX_SINGLE_RECORD_TXN_BYTES,
-            false => MAX_TXN_BYTES,
+        let (max_changes, max_bytes) = match self.is_empty() {
+            true => (self.max_record_changes, MAX_SINGLE_RECORD_TXN_BYTES),
+            false => (self.max_changes, MAX_TXN_BYTES),
         };
-        self.changes() + changes.len() <= self.max_changes
+        self.changes() + changes.len() <= max_changes
             && self.bytes + total_bytes(changes) <= max_bytes
     }
 
--- a/src/store/commit/outcomes.rs
+++ b/src/store/commit/outcomes.rs
@@ -73,7 +73,7 @@
                 self.handle_refused(now, sent.writes, sched)
             }
             TxnOutcome::TooLarge => self.handle_too_large(now, sent, sched),
-            TxnOutcome::RateLimited => self.handle_rate_limited(now, sent.writes, sched),
+            TxnOutcome::RateLimited => self.handle_rate_limited(now, sent, sched),
             TxnOutcome::Unknown => {
                 self.backoff_until = now + RATE_LIMIT_BACKOFF;
                 self.requeue(sched, sent.writes);
@@ -176,8 +176,14 @@
             self.requeue(sched, sent.writes);
             return vec![];
         }
-        Self::mark_not_applied(sched, &sent.writes);
-        for w in sent.writes {
+        self.defer_refused(now, sent.writes, sched);
+        vec![]
+    }
+
+    /// Sets aside records that were rejected by themselves; others are written without them.
+    fn defer_refused(&mut self, now: Time, works: Vec<RecordWrite>, sched: &mut Scheduler) {
+        Self::mark_not_applied(sched, &works);
+        for w in works {
             self.busy.remove(&w.job);
             match w.target {
                 WriteTarget::Part(part, _) => {
@@ -190,14 +196,13 @@
                 }
             }
         }
-        vec![]
     }
 
     /// Callers keep waiting, as the writes are retried after a short backoff.
     fn handle_rate_limited(
         &mut self,
         now: Time,
-        works: Vec<RecordWrite>,
+        sent: InFlightTxn,
         sched: &mut Scheduler,
     ) -> Vec<Event> {
         let since = *self.refused_since.get_or_insert(now);
@@ -205,12 +210,18 @@
             self.apply_limits(now);
         }
         self.change_budget.drain(now);
+        if sent.writes.len() == 1 && sent.size.changes > self.change_budget.burst() as usize {
+            // The rate limit may be lower than this record alone needs.
+            self.backoff_until = now + RATE_LIMIT_BACKOFF;
+            self.defer_refused(now, sent.writes, sched);
+            return vec![];
+        }
         if now - since > MAX_RATE_LIMITED {
-            return self.handle_refused(now, works, sched);
+            return self.handle_refused(now, sent.writes, sched);
         }
         self.backoff_until = now + RATE_LIMIT_BACKOFF;
-        Self::mark_not_applied(sched, &works);
-        self.requeue(sched, works);
+        Self::mark_not_applied(sched, &sent.writes);
+        self.requeue(sched, sent.writes);
         vec![]
     }
 
--- a/src/store/commit/records.rs
+++ b/src/store/commit/records.rs
@@ -22,11 +22,7 @@
     pub(super) fn record_limits(&self) -> RecordLimits {
         RecordLimits {
             max_value_bytes: self.limits.value_bytes(),
-            max_values: self
-                .limits
-                .values()
-                .txn_ops
-                .min(self.change_budget.burst() as usize),
+            max_values: self.limits.max_record_changes(),
         }
     }
 
--- a/src/store/limits.rs
+++ b/src/store/limits.rs
@@ -89,6 +89,25 @@
         self.current.value_kb < self.settings.value_kb
     }
 
+    /// Maximum number of changes of one record. Rejections for the rate don't lower it, as
+    /// other callers may have caused them.
+    pub fn max_record_changes(&self) -> usize {
+        let write_rps = self.known_write_rps();
+        let known = LimitValues {
+            write_rps,
+            ..self.current
+        };
+        known.max_record_changes()
+    }
+
+    /// The rate limit that is known to be in force, without rejections for the rate.
+    fn known_write_rps(&self) -> f64 {
+        match (self.announced_in_force, self.announced) {
+            (true, Some(next)) => next.write_rps.min(self.settings.write_rps),
+            _ => self.settings.write_rps,
+        }
+    }
+
     /// Handles a transaction that was rejected for its size. False if no smaller size is
     /// left to try, so that the rejection has another reason.
     pub fn handle_size_refusal(&mut self, size: TxnSize) -> bool {
@@ -154,10 +173,7 @@
     /// Raises the rate limit step by step after a time without rejections, up to the known
     /// limit. True if it was raised.
     pub fn recover(&mut self, now: Time) -> bool {
-        let most = match (self.announced_in_force, self.announced) {
-            (true, Some(next)) => next.write_rps.min(self.settings.write_rps),
-            _ => self.settings.write_rps,
-        };
+        let most = self.known_write_rps();
         if self.current.write_rps >= most || now - self.raised_at < INCREASE_INTERVAL {
             return false;
         }
--- a/tests/unsendable_records.rs
+++ b/tests/unsendable_records.rs
@@ -7,11 +7,14 @@
 use hookworks::sched::job::Job;
 use hookworks::settings::StateLimits;
 use hookworks::store::pieces::{self, RecordLimits};
-use hookworks::store::{FINALS_PREFIX, RecordFormat};
+use hookworks::store::{FINALS_PREFIX, PIECES_PREFIX, RecordFormat, part_key};
 use hookworks::time::{Time, WallTime};
 use hookworks::wire::peer::Request;
 use hookworks::wire::user::JobSpec;
 use hookworks_job_lifecycle::{Failure, Hold, HoldKind, JobEvent, WallMillis};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde_json::{Value, json};
 use world::job;
 use world::limited_store::*;
 
@@ -161,3 +164,176 @@
         );
     }
 }
+
+/// Guards against a job that is accepted although its record takes more changes than the
+/// service allows in a second, and never stored.
+#[test]
+fn a_record_of_more_changes_than_a_second_allows_is_refused() {
+    let mut limits = ample();
+    (limits.value_kb, limits.write_rps) = (2.0, 10.0);
+    let mut t = term(&limits, RecordFormat::Compact, vec![]);
+    machines(&mut t, 40);
+    // Nine values: more than the leader's own burst, and within that of the service.
+    let fits = t.d.submit(&wordy(1, 1, 15_800, 'x'));
+    t.write(4.0);
+    assert_eq!(t.d.status(fits), Some(201));
+    assert!(
+        t.keys(PIECES_PREFIX).len() >= 8,
+        "{}",
+        t.keys(PIECES_PREFIX).len()
+    );
+    // Thirteen values.
+    let large = t.d.submit(&wordy(2, 1, 23_000, 'x'));
+    let small = t.d.submit(&job(3, 1));
+    t.write(4.0);
+    assert_eq!(t.d.status(large), Some(400));
+    assert_eq!(t.d.status(small), Some(201));
+    assert_eq!((t.s.too_large, t.s.too_many), (0, 0));
+    // It is written again, whatever else there is to write.
+    touch(&mut t.d.s, &"job-000001".into(), 0);
+    let more: Vec<RequestId> = (4..12).map(|n| t.d.submit(&job(n, 1))).collect();
+    t.write(8.0);
+    assert!(more.iter().all(|r| t.d.status(*r) == Some(201)));
+    assert!(t.d.s.write_queue.is_empty() && t.c.oversized_records() == 0);
+    t.check_stored();
+}
+
+/// Guards against an accepted record that waits for minutes after the service has refused
+/// changes for their rate for a while, as the leader's own burst was lowered.
+#[test]
+fn refusals_of_the_rate_keep_no_accepted_record_from_being_written() {
+    let mut limits = ample();
+    (limits.value_kb, limits.write_rps) = (2.0, 25.0);
+    let mut t = term(&limits, RecordFormat::Compact, vec![]);
+    machines(&mut t, 40);
+    let large = t.d.submit(&wordy(1, 1, 22_000, 'x'));
+    t.write(3.0);
+    assert_eq!(t.d.status(large), Some(201));
+    t.rate_refused = true;
+    for n in 0..40 {
+        touch(&mut t.d.s, &"job-000001".into(), 0);
+        t.d.submit(&job(2 + n, 1));
+        t.write(1.0);
+    }
+    assert!(t.c.limits().values().write_rps < 5.0);
+    t.rate_refused = false;
+    touch(&mut t.d.s, &"job-000001".into(), 0);
+    t.write(40.0);
+    assert!(t.d.s.write_queue.is_empty() && t.c.oversized_records() == 0);
+    t.check_stored();
+}
+
+/// Guards against a record of many values that waits for as long as there is something to
+/// sweep, as each deletion takes from the budget that it needs whole.
+#[test]
+fn records_to_delete_do_not_starve_a_record_of_many_values() {
+    let mut limits = ample();
+    (limits.value_kb, limits.write_rps) = (2.0, 16.0);
+    let mut t = term(&limits, RecordFormat::Compact, vec![]);
+    machines(&mut t, 40);
+    let id = JobId::from("job-000999");
+    for part in 1..600 {
+        let key = part_key(&id, part);
+        t.s.put(&key, json!({}));
+        t.c.add_garbage(key.clone(), t.s.stamp(&key));
+    }
+    t.write(2.0);
+    let large = t.d.submit(&wordy(1, 1, 17_500, 'x'));
+    t.write(3.0);
+    assert_eq!(t.d.status(large), Some(201));
+    assert!(
+        t.keys(&part_prefix()).len() > 100,
+        "there is more to delete"
+    );
+}
+
+fn part_prefix() -> String {
+    hookworks::store::PARTS_PREFIX.into()
+}
+
+fn any_limits(rng: &mut StdRng) -> StateLimits {
+    let value_kb = |rng: &mut StdRng| [2.0, 4.0, 8.0, 32.0, 100.0][rng.random_range(0..5)];
+    let ops = |rng: &mut StdRng| rng.random_range(4..=24);
+    let rate = |rng: &mut StdRng| rng.random_range(6..60) as f64;
+    let next: Option<Value> = rng
+        .random_bool(0.5)
+        .then(|| json!({"value_kb": value_kb(rng), "txn_ops": ops(rng), "write_rps": rate(rng)}));
+    let mut limits = limits(next);
+    (limits.value_kb, limits.txn_ops, limits.write_rps) = (value_kb(rng), ops(rng), rate(rng));
+    limits
+}
+
+/// Guards against any bound that admission does not know of: whatever the limits, the
+/// format and the size, a submission is accepted or refused for good, what was accepted is
+/// written again with all that may come to it, also by a later leader under the announced
+/// limits, and others go on beside it.
+#[test]
+fn whatever_is_accepted_is_written_and_whatever_is_not_is_refused() {
+    let mut rng = StdRng::seed_from_u64(66);
+    let (mut accepted, mut refused) = (0, 0);
+    for round in 0..120 {
+        let limits = any_limits(&mut rng);
+        let format = match rng.random_bool(0.3) {
+            true => RecordFormat::Legacy,
+            false => RecordFormat::Compact,
+        };
+        let told = format!("round {round}: {limits:?} {format:?}");
+        let mut t = term(&limits, format, vec![]);
+        machines(&mut t, 40);
+        let names = ['x', '"', '\u{1}', 'é', '\\'];
+        let spec = wordy(
+            1,
+            [1, 64, 700][rng.random_range(0..3)],
+            rng.random_range(100..62_000),
+            names[rng.random_range(0..5)],
+        );
+        let large = t.d.submit(&spec);
+        let small = t.d.submit(&job(2, 1));
+        t.write(6.0);
+        assert_eq!(t.d.status(small), Some(201), "{told}");
+        match t.d.status(large) {
+            Some(201) => accepted += 1,
+            Some(400) => {
+                refused += 1;
+                continue;
+            }
+            other => panic!("{told}: {other:?}"),
+        }
+        // From now on the announced limits hold, and all is compact.
+        t.c.set_format(RecordFormat::Compact);
+        t.d.s.set_format(RecordFormat::Compact);
+        let least = limits.smallest();
+        t.s.fall((least.value_kb * 1024.0) as usize, least.txn_ops);
+        t.s.rate = Some(least.write_rps);
+        for later in [false, true] {
+            if later {
+                let loaded = t.s.load();
+                let (keys, revisions) = (t.s.keys.clone(), loaded.revisions);
+                t = term(&limits, RecordFormat::Compact, loaded.jobs);
+                t.s.fall((least.value_kb * 1024.0) as usize, least.txn_ops);
+                t.s.rate = Some(least.write_rps);
+                t.s.keys = keys;
+                for (key, revision) in revisions {
+                    t.c.record_revision(key, revision);
+                }
+            }
+            grow(t.d.s.jobs.get_mut(&spec.id).unwrap());
+            touch(&mut t.d.s, &spec.id, 0);
+            let small = t.d.submit(&job(3 + later as u64, 1));
+            t.write(8.0);
+            assert_eq!(t.d.status(small), Some(201), "{told} {later}");
+            let left = (t.c.oversized_records(), t.d.s.write_queue.lengths()[0]);
+            assert_eq!(left, (0, 0), "{told} {later}");
+            let found = t.s.load();
+            let found = found.jobs.iter().find(|j| *j.id() == spec.id).unwrap();
+            assert_eq!(found.holds.iter().count(), 3, "{told} {later}");
+            assert_eq!(
+                found.active.len(),
+                t.d.s.jobs[&spec.id].active.len(),
+                "{told}"
+            );
+        }
+    }
+    println!("{accepted} accepted, {refused} refused");
+    assert!(accepted > 20 && refused > 20, "{accepted} {refused}");
+}
