Admission: limits found by rejections count, and a new job that can't be stored is refused

Callers saw (in tests): after limits that nobody announced, a submission whose record is larger than what the state service takes got 503 for as long as its user repeated it, and its job stayed in memory, tried again every minute.

Cause: admission looked at the settings only; the limits that rejections had shown were known to the committer alone, which set the record of the unstored job aside like any other.

Change: the committer tells the scheduler the limits that it has found, and admission uses the smaller ones. A job in memory that was certainly never stored (no revision, no first write with an unclear outcome, compact format, no task that may have started) is dropped, and its waiting users get the answer of a refused submission, after the look-up of its final state: 400, or how the job ended.

--- a/src/sched/admission.rs
+++ b/src/sched/admission.rs
@@ -1,10 +1,12 @@
 //! Admission control: which submissions are rejected, and with which status.
 
-use super::job::{Job, LATER_GROWTH_BYTES, MIN_PART_TASKS, compact_part_size, part_size};
-use crate::ids::Zone;
+use super::job::{
+    Job, LATER_GROWTH_BYTES, MIN_PART_TASKS, ReplyKind, compact_part_size, part_size,
+};
+use crate::ids::{JobId, Zone};
 use crate::store::RecordFormat;
 use crate::time::Time;
-use crate::wire::peer::Answer;
+use crate::wire::peer::{Answer, Request};
 
 use super::Resources;
 use super::Scheduler;
@@ -21,6 +23,13 @@
     Answer::later(text, 5)
 }
 
+/// The submission that a job came from, less the dependencies that are done.
+fn submission_of(job: &Job) -> Vec<u8> {
+    let mut spec = job.spec.clone();
+    spec.dependencies = job.needs.iter().cloned().collect();
+    serde_json::to_vec(&spec).unwrap_or_default()
+}
+
 impl Scheduler {
     /// Why a job can never run, if so; `Err` if that can't be decided yet.
     pub(super) fn unsatisfiable(&self, spec: &JobSpec) -> Result<Option<String>, String> {
@@ -86,7 +95,9 @@
     pub(super) fn new_job(&self, now: Time, spec: JobSpec) -> Job {
         let part_tasks = match self.record_format {
             RecordFormat::Legacy => part_size(self.config.value_kb),
-            RecordFormat::Compact => compact_part_size(self.smallest_value()),
+            RecordFormat::Compact => {
+                compact_part_size(self.smallest_record_limits().max_value_bytes)
+            }
         };
         let with_part_size = |size| Job::new(spec.clone(), self.next_seq, now, self.wall, size);
         let mut job = with_part_size(part_tasks);
@@ -97,23 +108,62 @@
         job
     }
 
-    /// Whether its first record fits the smallest announced limits, whatever happens to its
-    /// tasks.
+    /// Whether its first record fits the smallest limits that are known, whatever happens to
+    /// its tasks.
     fn fits_smallest(&self, job: &Job) -> bool {
-        let limits = RecordLimits {
-            max_value_bytes: self.smallest_value(),
-            max_values: self.config.min_limits.max_record_changes(),
-        };
-        limits.admits(&job.largest_record())
+        self.smallest_record_limits().admits(&job.largest_record())
     }
 
-    /// The smallest announced value limit, in bytes.
-    fn smallest_value(&self) -> usize {
+    /// The smallest limits that are announced, or that the state service has been found to
+    /// have.
+    fn smallest_record_limits(&self) -> RecordLimits {
         let limits = LimitValues {
             value_kb: self.config.value_kb.min(self.config.min_limits.value_kb),
             ..self.config.min_limits
         };
-        limits.value_bytes().saturating_sub(VALUE_MARGIN_BYTES)
+        let announced = RecordLimits {
+            max_value_bytes: limits.value_bytes().saturating_sub(VALUE_MARGIN_BYTES),
+            max_values: limits.max_record_changes(),
+        };
+        self.lowered_limits
+            .map_or(announced, |lowered| announced.min(lowered))
+    }
+
+    /// The state service has been found to have these limits, which are lower than before.
+    pub fn lower_record_limits(&mut self, limits: RecordLimits) {
+        self.lowered_limits = Some(limits);
+    }
+
+    /// Drops a job that was never stored, since the state service can't hold its first
+    /// record any more: its user gets the answer of a job that is too large. False if the
+    /// job has to be kept, as it is stored or some of its tasks may have started.
+    pub fn refuse_unstorable(&mut self, now: Time, id: &JobId) -> bool {
+        let is_new = |job: &&Job| job.parts[0].stored_version == 0 && job.closing_state.is_none();
+        if self.jobs.get(id).filter(is_new).is_none() {
+            return false;
+        }
+        self.stop_all(now, id);
+        if self.jobs.get(id).is_none_or(|job| !job.active.is_empty()) {
+            return false;
+        }
+        self.withdraw_from_parents(id);
+        let Some(job) = self.jobs.remove(id) else {
+            return false;
+        };
+        tracing::warn!(job = %id, "new job exceeds the state service limits; refused");
+        self.write_queue.changed.insert(id.clone());
+        let body = submission_of(&job);
+        for (_, req, reply) in job.waiters {
+            match reply {
+                ReplyKind::Accept | ReplyKind::Known => {
+                    self.look_up_final(now, req, id.clone(), Request::Submit(body.clone()));
+                }
+                ReplyKind::Cancel | ReplyKind::Hold(_) => {
+                    self.look_up_final(now, req, id.clone(), Request::Poll(id.to_string()));
+                }
+            }
+        }
+        true
     }
 
     /// Whether the job's first record exceeds the limits of the state service, current or
@@ -167,7 +217,7 @@
                 let text = "Builds: the job's description is too large to be stored";
                 Answer::error(400, text)
             }
-            _ => Answer::later("the machine types have changed", 1),
+            _ => Answer::later("the machine types or limits have changed", 1),
         }
     }
 }
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -36,6 +36,7 @@
 
 use crate::store::RecordFormat;
 use crate::store::budget::Budget;
+use crate::store::pieces::RecordLimits;
 use crate::wire::user::JobState;
 pub use fences::FenceRecord;
 use hookworks_job_lifecycle::RetryPolicy;
@@ -205,6 +206,8 @@
     pub write_queue: WriteQueue,
     /// The format in which records are written.
     record_format: RecordFormat,
+    /// Limits of a record that rejections have shown, if lower than before.
+    lowered_limits: Option<RecordLimits>,
     teams: team::Teams,
     /// Classes whose start target is shorter than the time to rent a machine.
     fast_start_classes: BTreeSet<Class>,
@@ -316,6 +319,7 @@
             machine_types: BTreeMap::new(),
             write_queue: WriteQueue::default(),
             record_format: RecordFormat::default(),
+            lowered_limits: None,
             finals: HashMap::new(),
             finals_order: VecDeque::new(),
             dependencies: dependencies::Dependencies::new(look_ups),
--- a/src/store/commit.rs
+++ b/src/store/commit.rs
@@ -76,6 +76,9 @@
     in_flight: HashMap<TxnId, InFlightTxn>,
     /// Jobs in a transaction or being read back; no other write of them is sent.
     busy: HashSet<JobId>,
+    /// Jobs whose first write had an unclear outcome and was not repeated with a clear one:
+    /// it may still be applied.
+    unclear_first_writes: HashSet<JobId>,
     /// Keys being read back, with the job that waits for them.
     pending_reads: HashMap<String, JobId>,
     /// Records to delete, with the revisions at which they were last seen.
@@ -114,6 +117,7 @@
             revisions: HashMap::new(),
             in_flight: HashMap::new(),
             busy: HashSet::new(),
+            unclear_first_writes: HashSet::new(),
             pending_reads: HashMap::new(),
             garbage: vec![],
             oversized: HashMap::new(),
@@ -269,9 +273,7 @@
             match self.add_record(sched, &d, draft) {
                 AddOutcome::Handled => {}
                 AddOutcome::Busy => skipped.push(d),
-                AddOutcome::TooLarge => {
-                    self.defer_oversized(now, sched, (d.job, d.part), d.purpose)
-                }
+                AddOutcome::TooLarge => self.handle_oversized(now, sched, draft, d),
                 AddOutcome::Full => {
                     if let Some(j) = sched.jobs.get_mut(&d.job) {
                         j.parts[d.part].queued = Some(d.purpose);
--- a/src/store/commit/outcomes.rs
+++ b/src/store/commit/outcomes.rs
@@ -75,6 +75,7 @@
             TxnOutcome::TooLarge => self.handle_too_large(now, sent, sched),
             TxnOutcome::RateLimited => self.handle_rate_limited(now, sent, sched),
             TxnOutcome::Unknown => {
+                self.note_unclear_writes(&sent.writes);
                 self.backoff_until = now + RATE_LIMIT_BACKOFF;
                 self.requeue(sched, sent.writes);
                 vec![]
@@ -83,6 +84,17 @@
         (events, vec![])
     }
 
+    /// Notes jobs whose first record may have been stored, or may be later.
+    fn note_unclear_writes(&mut self, works: &[RecordWrite]) {
+        for w in works {
+            if let WriteTarget::Part(0, _) = w.target
+                && !self.revisions.contains_key(&part_key(&w.job, 0))
+            {
+                self.unclear_first_writes.insert(w.job.clone());
+            }
+        }
+    }
+
     fn handle_applied(
         &mut self,
         works: Vec<RecordWrite>,
@@ -92,6 +104,7 @@
         let mut events = vec![];
         for w in works {
             self.busy.remove(&w.job);
+            self.unclear_first_writes.remove(&w.job);
             for k in w.keys {
                 if k.put && !matches!(w.target, WriteTarget::End) {
                     self.revisions.insert(k.key, stamp);
@@ -165,6 +178,7 @@
     ) -> Vec<Event> {
         if self.limits.handle_size_refusal(sent.size) {
             self.apply_limits(now);
+            sched.lower_record_limits(self.record_limits());
             Self::mark_not_applied(sched, &sent.writes);
             self.requeue(sched, sent.writes);
             return vec![];
--- a/src/store/commit/oversized.rs
+++ b/src/store/commit/oversized.rs
@@ -2,8 +2,10 @@
 //! others.
 
 use super::Committer;
+use super::draft::Draft;
 use crate::ids::JobId;
-use crate::sched::{Purpose, Scheduler};
+use crate::sched::{PendingWrite, Purpose, Scheduler};
+use crate::store::{RecordFormat, part_key};
 use crate::time::{Span, Time};
 
 /// Initial and maximum backoff before an oversized record is retried.
@@ -26,6 +28,31 @@
         }
     }
 
+    /// A record exceeds the limits: a job that was never stored is refused, and the record
+    /// of any other is deferred.
+    pub(super) fn handle_oversized(
+        &mut self,
+        now: Time,
+        sched: &mut Scheduler,
+        draft: &Draft,
+        write: PendingWrite,
+    ) {
+        let PendingWrite {
+            job, part, purpose, ..
+        } = write;
+        let certainly_absent = part == 0
+            && !draft.has_job(&job)
+            && !self.revisions.contains_key(&part_key(&job, 0))
+            && !self.unclear_first_writes.contains(&job);
+        // Records that exceed the legacy format may fit the compact one later.
+        let final_format = self.format == RecordFormat::Compact;
+        if certainly_absent && final_format && sched.refuse_unstorable(now, &job) {
+            self.oversized.remove(&(job, part));
+        } else {
+            self.defer_oversized(now, sched, (job, part), purpose);
+        }
+    }
+
     /// Defers a record that exceeds the limits; other records are written without it.
     pub(super) fn defer_oversized(
         &mut self,
--- a/src/store/pieces.rs
+++ b/src/store/pieces.rs
@@ -28,6 +28,14 @@
 }
 
 impl RecordLimits {
+    /// The minimum of each limit.
+    pub fn min(self, other: RecordLimits) -> RecordLimits {
+        RecordLimits {
+            max_value_bytes: self.max_value_bytes.min(other.max_value_bytes),
+            max_values: self.max_values.min(other.max_values),
+        }
+    }
+
     /// Whether a transaction can hold the record, split if necessary.
     pub fn fits(&self, record: &Value) -> bool {
         self.fits_within(record, MAX_SINGLE_RECORD_TXN_BYTES)
