Store: a legacy record is written with all that comes to it after acceptance

Callers would see: while an earlier version still serves, so that records can be neither compact nor split, an accepted job whose record outgrows one value (tasks of more than 42 bytes, failures, holds, runtimes) is set aside until the switch, and none of its changes is stored. Admission reserved 320 bytes and 42 a task; what could be added is more.

Change: admission in the legacy format asks whether the largest record fits that the job may get, as it does in the compact one: 48 bytes a task and three holds without names. What exceeds a value leaves out the places of its tasks, reasons of holds, then history, runtimes and the holds' names.

Evidence: a_record_of_the_legacy_format_is_written_with_all_that_comes_to_it failed before (4 KiB values, a description of 600 bytes more than usual) and passes.

--- a/crates/job-lifecycle/src/hold.rs
+++ b/crates/job-lifecycle/src/hold.rs
@@ -84,6 +84,17 @@
         all
     }
 
+    /// The same without reasons and names, some 60 bytes each, for a record that would
+    /// not fit otherwise.
+    pub fn anonymous(&self) -> Holds {
+        let mut all = self.clone();
+        for h in &mut all.0 {
+            h.by.clear();
+            h.why.clear();
+        }
+        all
+    }
+
     /// Removes the hold of a kind.
     pub fn release(&mut self, kind: HoldKind) -> Option<Hold> {
         let at = self.0.iter().position(|h| h.kind == kind)?;
--- a/src/sched/admission.rs
+++ b/src/sched/admission.rs
@@ -1,8 +1,6 @@
 //! Admission control: which submissions are rejected, and with which status.
 
-use super::job::{
-    Job, LATER_GROWTH_BYTES, MIN_PART_TASKS, ReplyKind, compact_part_size, part_size,
-};
+use super::job::{Job, MIN_PART_TASKS, ReplyKind, compact_part_size, part_size};
 use crate::ids::{JobId, Zone};
 use crate::store::RecordFormat;
 use crate::time::Time;
@@ -175,7 +173,6 @@
         if self.record_format == RecordFormat::Compact {
             return false;
         }
-        let size = part_size(self.config.value_kb);
         let limits = LimitValues {
             value_kb: self.config.value_kb,
             ..self.config.min_limits
@@ -183,8 +180,7 @@
         let room = limits
             .value_bytes()
             .min(MAX_TXN_BYTES - VALUE_OVERHEAD_BYTES);
-        let first = job.encode(0).to_string().len() + LATER_GROWTH_BYTES;
-        first + size.min(job.spec.tasks) as usize * 42 > room
+        job.largest_legacy_record().to_string().len() > room
     }
 
     /// Whether its first record would fit but for the names of unfinished jobs. Their number
--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -3,7 +3,7 @@
 pub mod compact;
 mod record;
 
-pub use record::{LATER_GROWTH_BYTES, MIN_PART_TASKS, compact_part_size, part_size};
+pub use record::{MIN_PART_TASKS, compact_part_size, part_size};
 
 use super::inheritance::Inherited;
 use super::records::Purpose;
--- a/src/sched/job/record.rs
+++ b/src/sched/job/record.rs
@@ -16,10 +16,11 @@
 
 /// Bytes reserved for the job itself in its first record.
 const HEADER_BYTES: f64 = 1100.0;
-/// Bytes that holds and a history need at least once there are any.
-pub const LATER_GROWTH_BYTES: usize = 320;
-/// Bytes of a started task in a legacy record, and of one hold.
+/// Bytes of a started task in a legacy record, typically and at most with its failures, the
+/// fixed size of such a record, and the bytes of one hold.
 const BYTES_PER_TASK: f64 = 42.0;
+const LEGACY_TASK_MAX_BYTES: usize = 48;
+const LEGACY_BASE_BYTES: usize = 40;
 const HOLD_BYTES: usize = 320;
 /// Bytes of a started task in the compact format, typically and at most, and the fixed size
 /// of such a record.
@@ -108,6 +109,20 @@
     }
 }
 
+/// A hold of each kind, with names that take the most bytes.
+fn all_holds() -> Holds {
+    let mut holds = Holds::default();
+    for kind in [HoldKind::User, HoldKind::Operator, HoldKind::System] {
+        holds.put(Hold {
+            kind,
+            by: "\u{1}".repeat(MAX_REASON_BYTES),
+            why: String::new(),
+            at: WallMillis(u64::MAX),
+        });
+    }
+    holds
+}
+
 /// Leaves out of a job's record what no leader needs to run the job: its history and the
 /// runtimes of its tasks.
 fn forget_the_past(record: &mut serde_json::Value) {
@@ -320,6 +335,32 @@
         value
     }
 
+    /// Encodes one part in the legacy format for a value of at most `max_bytes`. If that does
+    /// not suffice, the places of its tasks are left out, then the reasons of holds, then
+    /// its history, its runtimes and the names in holds.
+    pub fn encode_legacy(&self, part: usize, max_bytes: usize) -> serde_json::Value {
+        let mut value = self.encode(part);
+        let fits = |value: &serde_json::Value| value.to_string().len() <= max_bytes;
+        if !fits(&value) {
+            let tasks = if part == 0 {
+                &mut value["first"]
+            } else {
+                &mut value
+            };
+            tasks.as_object_mut().map(|fields| fields.remove("z"));
+        }
+        if part == 0 && !fits(&value) && !self.holds.is_empty() {
+            value["holds"] = serde_json::to_value(self.holds.abbreviated()).unwrap_or_default();
+        }
+        if part == 0 && !fits(&value) {
+            forget_the_past(&mut value);
+            if !self.holds.is_empty() {
+                value["holds"] = serde_json::to_value(self.holds.anonymous()).unwrap_or_default();
+            }
+        }
+        value
+    }
+
     /// Encodes one part in the compact format. The history is cut to fit into one value, or
     /// else into as many values as the record may have. If that does not suffice, the
     /// reasons of holds are left out, then the places of its tasks, then its history and
@@ -373,19 +414,27 @@
     /// failed before and held three times.
     pub fn largest_record(&self) -> serde_json::Value {
         let (from, to) = self.part_range(0);
-        let text = "x".repeat(COMPACT_BASE_BYTES + COMPACT_TASK_MAX_BYTES * (to - from) as usize);
-        let mut holds = Holds::default();
-        for kind in [HoldKind::User, HoldKind::Operator, HoldKind::System] {
-            holds.put(Hold {
-                kind,
-                by: "\u{1}".repeat(MAX_REASON_BYTES),
-                why: String::new(),
-                at: WallMillis(u64::MAX),
-            });
-        }
-        let mut value = self.header(StoredPart::Compact(text), holds.abbreviated(), 0);
+        let bytes = COMPACT_BASE_BYTES + COMPACT_TASK_MAX_BYTES * (to - from) as usize;
+        let mut value = self.with_largest_fields(bytes, all_holds().abbreviated());
         value["runtimes"] = vec![MAX_RUNTIME_S; MAX_RUNTIMES].into();
         value["h"] = "x".repeat(MAX_COUNTS_BYTES).into();
+        value
+    }
+
+    /// The same in the legacy format, without all that [`Job::encode_legacy`] can leave out.
+    pub fn largest_legacy_record(&self) -> serde_json::Value {
+        let (from, to) = self.part_range(0);
+        let bytes = LEGACY_BASE_BYTES + LEGACY_TASK_MAX_BYTES * (to - from) as usize;
+        let mut value = self.with_largest_fields(bytes, all_holds().anonymous());
+        forget_the_past(&mut value);
+        value
+    }
+
+    /// A first record whose tasks take so many bytes, with the largest numbers that it may
+    /// get later.
+    fn with_largest_fields(&self, task_bytes: usize, holds: Holds) -> serde_json::Value {
+        let tasks = StoredPart::Compact("x".repeat(task_bytes));
+        let mut value = self.header(tasks, holds, 0);
         if !self.needs.is_empty() {
             value["ready_at"] = u64::MAX.into();
         }
--- a/src/store/commit/records.rs
+++ b/src/store/commit/records.rs
@@ -13,7 +13,7 @@
     /// The values of a part's record.
     pub(super) fn record_values(&self, job: &Job, part: usize) -> Vec<Value> {
         if self.format == RecordFormat::Legacy {
-            return vec![job.encode(part)];
+            return vec![job.encode_legacy(part, self.limits.value_bytes())];
         }
         let room = self.record_limits();
         pieces::split_record(job.encode_compact(part, room), room.max_value_bytes)
--- a/tests/unsendable_records.rs
+++ b/tests/unsendable_records.rs
@@ -278,6 +278,39 @@
     assert_eq!(t.d.status(again), Some(200));
 }
 
+/// Guards against a record that outgrows a value while an earlier version still serves, so
+/// that it can be neither split nor written.
+#[test]
+fn a_record_of_the_legacy_format_is_written_with_all_that_comes_to_it() {
+    let mut written = 0;
+    for value_kb in [4.0, 8.0, 32.0, 100.0] {
+        for bytes in (0..60_000).step_by(150) {
+            let mut limits = ample();
+            limits.value_kb = value_kb;
+            let mut t = term(&limits, RecordFormat::Legacy, vec![]);
+            let spec = wordy(1, 600, bytes, 'x');
+            let req = t.d.submit(&spec);
+            t.write(0.5);
+            if t.d.status(req) == Some(400) {
+                break;
+            }
+            assert_eq!(t.d.status(req), Some(201));
+            grow(t.d.s.jobs.get_mut(&spec.id).unwrap());
+            touch(&mut t.d.s, &spec.id, 0);
+            t.write(0.5);
+            assert_eq!(t.c.oversized_records(), 0, "{value_kb} KiB, {bytes} bytes");
+            let found = t.s.load();
+            assert_eq!(
+                found.jobs[0].active.len(),
+                t.d.s.jobs[&spec.id].active.len()
+            );
+            assert_eq!(found.jobs[0].holds.iter().count(), 3);
+            written += 1;
+        }
+    }
+    assert!(written > 100, "{written}");
+}
+
 /// Guards against a final refusal of a job whose first write may have been carried out.
 #[test]
 fn a_submission_whose_first_write_is_unclear_is_not_refused() {
