--- a/src/store/commit.rs
+++ b/src/store/commit.rs
@@ -203,7 +203,7 @@
 
     /// The next transaction to send, if any may be sent now.
     pub fn next_txn(&mut self, now: Time, sched: &mut Scheduler) -> Option<(TxnId, Txn)> {
-        self.log_changes(now);
+        self.log_changes(now, sched);
         if self.limits.recover(now) {
             self.apply_limits(now);
         }
--- a/src/store/commit/counts.rs
+++ b/src/store/commit/counts.rs
@@ -1,10 +1,11 @@
 //! Counts changes by purpose.
 
 use super::Committer;
-use crate::sched::Purpose;
+use crate::sched::{Purpose, Scheduler};
 use crate::time::{Span, Time};
 
-/// Interval between log lines with the changes by purpose.
+/// Interval between log lines with the changes by purpose; a queue from which nothing was
+/// sent for so long, although nothing is in flight, is stalled.
 const LOG_INTERVAL: Span = Span(10_000_000);
 
 /// Number of changes sent, by purpose.
@@ -31,13 +32,24 @@
 }
 
 impl Committer {
-    pub(super) fn log_changes(&mut self, now: Time) {
+    pub(super) fn log_changes(&mut self, now: Time, sched: &Scheduler) {
         let (at, before) = self.last_logged;
         if now - at < LOG_INTERVAL {
             return;
         }
         self.last_logged = (now, self.changes_sent);
         let s = self.changes_sent;
+        let [urgent, starts, ends, progress] = sched.write_queue.lengths();
+        if s == before && urgent > 0 && self.in_flight.is_empty() {
+            tracing::error!(
+                urgent,
+                starts,
+                ends,
+                progress,
+                set_aside = self.oversized.len(),
+                "records wait to be written, and none is sent"
+            );
+        }
         if s != before {
             tracing::info!(
                 now = s.now - before.now,
@@ -48,6 +60,7 @@
                 fences = s.fences - before.fences,
                 write_rps = self.limits.values().write_rps,
                 set_aside = self.oversized.len(),
+                waiting = sched.write_queue.len(),
                 "state service changes by purpose"
             );
         }
