Store, starts: nothing of a job is stored or started before its first record

Cause: only the write of a job's first record is conditioned on its absent final state. A refused transaction came back in reverse order and at the end of the queue, so that the next one held the later parts without the first; and a start asked for its own record only.

Change: a start also needs the first record to be stored; a further record of a new job is taken only once the first is stored, or behind it in the same transaction; writes that are taken back keep their order, at the front of their queue. That makes it independent of sizes, classes and kinds of refusal.

--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -233,6 +233,11 @@
         }
     }
 
+    /// The job is on record, so it was not over before, and a later leader will find it.
+    pub fn first_record_stored(&self) -> bool {
+        self.parts[0].stored_version > 0
+    }
+
     /// The cancellation is stored, so a later leader will find it.
     pub fn cancellation_stored(&self) -> bool {
         self.cancelled && self.parts[0].stored_version >= self.cancel_version
--- a/src/sched/records.rs
+++ b/src/sched/records.rs
@@ -54,7 +54,8 @@
     pub job: JobId,
     pub part: usize,
     pub purpose: Purpose,
-    since: Time,
+    /// When it was queued first.
+    pub since: Time,
 }
 
 /// Records that wait to be written. A part may be queued for more than one purpose; only the
@@ -146,6 +147,16 @@
         }
     }
 
+    /// Returns a write that was not applied to the front of its queue, unless the part is
+    /// queued for a purpose as urgent. Writes returned in reverse keep their order.
+    pub fn return_write(&mut self, write: PendingWrite, queue: &mut WriteQueue) {
+        let p = &mut self.parts[write.part];
+        if p.queued.is_none_or(|queued| write.purpose < queued) {
+            p.queued = Some(write.purpose);
+            queue.push_front(write);
+        }
+    }
+
     /// Removes the part from the queue; false if this entry is out of date.
     pub fn dequeue_write(&mut self, part: usize, purpose: Purpose) -> bool {
         let p = &mut self.parts[part];
--- a/src/sched/report_reconciliation.rs
+++ b/src/sched/report_reconciliation.rs
@@ -584,12 +584,15 @@
     ) -> Option<Command> {
         let answers = delivery != Delivery::DirectCall;
         let job = self.jobs.get(&task.job)?;
+        // The first record's write alone is conditioned on the absent final state: before it
+        // is applied the job may be over already.
+        let is_new = !job.first_record_stored();
         let stored = job.parts[job.part_of(task.index)].stored_version;
         let active = self.active_attempt_mut(&task)?;
         let attempt = active.attempt;
         match (active.phase, active.stop) {
             (Phase::Placed, None) => {
-                if active.inherited || !may_run || stored < active.required_version {
+                if active.inherited || !may_run || is_new || stored < active.required_version {
                     return None;
                 }
                 active.run_sent = true;
--- a/src/store/commit.rs
+++ b/src/store/commit.rs
@@ -45,7 +45,7 @@
 enum AddOutcome {
     /// It was added, or there is nothing left to write.
     Handled,
-    /// Another write of the job is in flight.
+    /// Another write of the job is in flight, or its first record has to go before.
     Busy,
     /// It does not fit into what is left of the transaction.
     Full,
@@ -305,6 +305,11 @@
         let Some(j) = sched.jobs.get_mut(&d.job) else {
             return AddOutcome::Handled;
         };
+        // The first record's write is conditioned on the job's absent final state, and the
+        // others of a new job rely on it.
+        if d.part > 0 && !j.first_record_stored() && !draft.has_first_record(&d.job) {
+            return AddOutcome::Busy;
+        }
         if !j.dequeue_write(d.part, d.purpose) || draft.has_final_write(&d.job) {
             return AddOutcome::Handled;
         }
@@ -337,6 +342,7 @@
         draft.writes.push(RecordWrite {
             job: d.job.clone(),
             purpose: d.purpose,
+            since: d.since,
             target: what,
             keys,
         });
@@ -422,6 +428,7 @@
         draft.writes.push(RecordWrite {
             job,
             purpose: Purpose::Now,
+            since: now,
             target: WriteTarget::Fences(ver),
             keys: vec![KeyWrite {
                 key: FENCES_KEY.into(),
--- a/src/store/commit/draft.rs
+++ b/src/store/commit/draft.rs
@@ -5,12 +5,15 @@
 };
 use crate::ids::{JobId, Revision};
 use crate::sched::Purpose;
+use crate::time::Time;
 use crate::wire::state::{Change, Condition, Txn};
 use serde_json::Value;
 
 pub(super) struct RecordWrite {
     pub(super) job: JobId,
     pub(super) purpose: Purpose,
+    /// When it was queued first.
+    pub(super) since: Time,
     /// The part and its version, or the final state of the job.
     pub(super) target: WriteTarget,
     pub(super) keys: Vec<KeyWrite>,
@@ -126,6 +129,12 @@
         self.writes.iter().any(ends)
     }
 
+    pub(super) fn has_first_record(&self, job: &JobId) -> bool {
+        let is_first =
+            |w: &RecordWrite| w.job == *job && matches!(w.target, WriteTarget::Part(0, _));
+        self.writes.iter().any(is_first)
+    }
+
     pub(super) fn has_job(&self, job: &JobId) -> bool {
         self.writes.iter().any(|w| w.job == *job)
     }
--- a/src/store/commit/outcomes.rs
+++ b/src/store/commit/outcomes.rs
@@ -7,7 +7,7 @@
 use super::{Committer, InFlightTxn, Step};
 use crate::ids::{JobId, Revision, TxnId};
 use crate::sched::job::Final;
-use crate::sched::{Event, Key, Scheduler};
+use crate::sched::{Event, Key, PendingWrite, Scheduler};
 use crate::store::TxnOutcome;
 use crate::time::{Span, Time};
 use crate::wire::state::Item;
@@ -19,6 +19,7 @@
 /// to retry.
 const MAX_RATE_LIMITED: Span = Span(1_000_000);
 impl Committer {
+    /// Returns writes that were not applied to the queue, in their order.
     fn requeue(&mut self, sched: &mut Scheduler, works: Vec<RecordWrite>) {
         for w in works.into_iter().rev() {
             self.busy.remove(&w.job);
@@ -43,7 +44,13 @@
             WriteTarget::Fences(_) => return sched.fence_write_failed(),
         };
         if let Some(j) = sched.jobs.get_mut(&w.job) {
-            j.enqueue_write(part, &mut sched.write_queue, w.purpose);
+            let write = PendingWrite {
+                job: w.job,
+                part,
+                purpose: w.purpose,
+                since: w.since,
+            };
+            j.return_write(write, &mut sched.write_queue);
         }
     }
 
@@ -140,7 +147,7 @@
             failed.iter().any(of_job)
         });
         self.requeue(sched, fine);
-        for w in hit {
+        for w in hit.into_iter().rev() {
             let mut keys: Vec<String> = w.keys.iter().map(|k| k.key.clone()).collect();
             keys.push(final_key(&w.job));
             keys.dedup();
--- a/tests/world/limited_store.rs
+++ b/tests/world/limited_store.rs
@@ -9,7 +9,7 @@
 use hookworks::sched::{Effect, Event, Scheduler};
 use hookworks::settings::{Platform, StateLimits};
 use hookworks::store::client::{ReadError, StateStore};
-use hookworks::store::commit::Committer;
+use hookworks::store::commit::{Committer, Step};
 use hookworks::store::{LEADER_KEY, RecordFormat, TxnOutcome, final_key};
 use hookworks::time::{Time, WallTime};
 use hookworks::wire::state::{Change, Item, Page, Txn};
@@ -62,6 +62,10 @@
         self.keys.insert(key.into(), (value, self.revision));
     }
 
+    pub fn item(&self, key: &str) -> Option<Item> {
+        Reader(self.keys.clone()).get(key).ok().flatten()
+    }
+
     pub fn stamp(&self, key: &str) -> Revision {
         Revision(self.keys.get(key).map_or(0, |v| v.1))
     }
@@ -246,11 +250,8 @@
                     true => TxnOutcome::RateLimited,
                     false => self.s.apply(&txn),
                 };
-                let (events, steps) = self
-                    .c
-                    .handle_outcome(self.now(), id, outcome, &mut self.d.s);
+                let steps = self.outcome(id, outcome);
                 assert!(steps.is_empty(), "{steps:?}");
-                self.told(events);
             }
             self.read_finals();
             self.d.now += 50_000;
@@ -259,6 +260,26 @@
         sent
     }
 
+    fn outcome(&mut self, id: TxnId, outcome: TxnOutcome) -> Vec<Step> {
+        let now = self.now();
+        let (events, steps) = self.c.handle_outcome(now, id, outcome, &mut self.d.s);
+        self.told(events);
+        steps
+    }
+
+    /// A transaction comes to this, and what has to be read for that is.
+    pub fn finish(&mut self, id: TxnId, outcome: TxnOutcome) {
+        for step in self.outcome(id, outcome) {
+            let Step::Read(key) = step else {
+                panic!("deposed")
+            };
+            let item = self.s.item(&key);
+            let (events, steps) = self.c.handle_read(key, Ok(item), &mut self.d.s);
+            assert!(steps.is_empty(), "{steps:?}");
+            self.told(events);
+        }
+    }
+
     /// Answers the look-ups of final states from what is stored.
     pub fn read_finals(&mut self) {
         let is_read = |effect: &mut Effect| matches!(effect, Effect::ReadFinal(_));
