Placement: a machine takes no more tasks than its worker's report can list

Cause: placement counted CPUs, accelerators and memory of a machine, and the report lists every task on it.

Change: bytes of the report are a resource of a machine (60 of the 64 KiB of a body) and of a task (its entry at its longest, by the length of its job's id). So every kind of placement, rentals and what an earlier leader placed count it; shares and scores leave it out. Attempts that ended count until they are cleared. Clears beyond 63 KiB of commands wait for the next message.

--- a/src/sched/fleet/rent.rs
+++ b/src/sched/fleet/rent.rs
@@ -397,6 +397,7 @@
             cpu: 1000,
             gpu: 0,
             mem: 1000,
+            report: 0,
         };
         let kinds = self.kinds_for(now, &least_task, None, &self.machines_by_zone());
         let mut kinds = kinds.into_iter().map(|priced| priced.kind);
--- a/src/sched/machine.rs
+++ b/src/sched/machine.rs
@@ -1,6 +1,7 @@
 //! The leader's view of a rented machine.
 
 use super::resources::Resources;
+use super::worker_messages;
 use crate::ids::{
     Attempt, CallId, ControllerId, Host, Image, JobId, MachineTypeId, Seq, Session, TaskId, Token,
     Zone,
@@ -180,7 +181,12 @@
 
     /// Capacity that no task holds; negative components where it is overcommitted.
     pub fn free(&self) -> Resources {
-        self.capacity.minus(&self.used)
+        let mut free = self.capacity.minus(&self.used);
+        let unknown = self.unknown_attempts.keys();
+        free.report -= unknown
+            .map(|(task, _)| worker_messages::attempt_report_bytes(task))
+            .sum::<i64>();
+        free
     }
 
     /// Whether new tasks may be placed here now; `fresh` is the longest time since its
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -32,6 +32,7 @@
 mod resources;
 mod team;
 mod wait_limits;
+mod worker_messages;
 mod zones;
 
 use crate::store::RecordFormat;
--- a/src/sched/report_reconciliation.rs
+++ b/src/sched/report_reconciliation.rs
@@ -6,6 +6,7 @@
 use super::job::{ActiveAttempt, Phase, Stop};
 use super::machine::{Machine, MachineState};
 use super::reachability::SessionChange;
+use super::worker_messages;
 use super::{Scheduler, estimate};
 use crate::ids::{Attempt, Host, JobId, Seq, Session, TaskId, TaskIndex};
 use crate::time::{Span, Time};
@@ -520,7 +521,8 @@
 
     /// The commands for a worker. A worker that misses an answer sends another
     /// heartbeat and gets the same commands again. Commands that end attempts are not
-    /// limited in number.
+    /// limited in number: a report lists no more attempts than one message can end.
+    /// Others wait for the next message once this one is full.
     pub(super) fn orders_for(
         &mut self,
         now: Time,
@@ -543,6 +545,7 @@
             let may_run = may_run && !only_kill && orders.len() < MAX_ORDERS;
             orders.extend(self.order_for_attempt(task, seq, delivery, may_run));
         }
+        worker_messages::limit_clears(&mut orders);
         orders
     }
 
--- a/src/sched/resources.rs
+++ b/src/sched/resources.rs
@@ -1,6 +1,7 @@
 //! Amounts of CPUs, accelerators and memory, in thousandths of a unit so that sums stay
-//! exact.
+//! exact, and bytes of the worker's report.
 
+use super::worker_messages;
 use crate::wire::cloud::MachineType;
 use crate::wire::user::{JobSpec, MAX_TASKS};
 use std::fmt;
@@ -11,6 +12,9 @@
     pub cpu: i64,
     pub gpu: i64,
     pub mem: i64,
+    /// Bytes in the report of a worker, which lists every task on its machine. They limit how
+    /// many tasks a machine takes, and count in no share.
+    pub report: i64,
 }
 
 /// Stands for no limit: far above any sum of task needs, and far from overflow.
@@ -34,6 +38,7 @@
             cpu: to_milli_ceil(spec.cpus).min(MAX_PER_TASK),
             gpu: to_milli_ceil(spec.gpus).min(MAX_PER_TASK),
             mem: to_milli_ceil(spec.memory_gb).min(MAX_PER_TASK),
+            report: worker_messages::task_report_bytes(spec),
         }
     }
     /// The capacity of a machine, rounded down.
@@ -42,6 +47,7 @@
             cpu: to_milli_floor(flavor.cpus),
             gpu: to_milli_floor(flavor.gpus),
             mem: to_milli_floor(flavor.memory_gb),
+            report: worker_messages::MAX_TASK_BYTES,
         }
     }
     /// A team's limit on CPUs and accelerators. Memory is unlimited, and so is an
@@ -59,6 +65,7 @@
             cpu: amount(cpus),
             gpu: amount(gpus),
             mem: UNLIMITED,
+            report: UNLIMITED,
         }
     }
     pub fn fits(&self, need: &Resources) -> bool {
@@ -74,6 +81,7 @@
         fitting(self.cpu, need.cpu)
             .min(fitting(self.gpu, need.gpu))
             .min(fitting(self.mem, need.mem))
+            .min(fitting(self.report, need.report))
             .min(1_000_000)
     }
     /// The first resource, by its name in submissions, of which this has less than
@@ -92,6 +100,7 @@
             cpu: self.cpu * factor,
             gpu: self.gpu * factor,
             mem: self.mem * factor,
+            report: self.report * factor,
         }
     }
     pub fn scaled_f64(&self, factor: f64) -> Resources {
@@ -100,6 +109,7 @@
             cpu: scale(self.cpu),
             gpu: scale(self.gpu),
             mem: scale(self.mem),
+            report: scale(self.report),
         }
     }
     pub fn at_least_zero(self) -> Resources {
@@ -107,6 +117,7 @@
             cpu: self.cpu.max(0),
             gpu: self.gpu.max(0),
             mem: self.mem.max(0),
+            report: self.report.max(0),
         }
     }
     /// Whether there is enough of each resource that is needed; resources that are not
@@ -116,6 +127,7 @@
         is_covered(self.cpu, need.cpu)
             && is_covered(self.gpu, need.gpu)
             && is_covered(self.mem, need.mem)
+            && is_covered(self.report, need.report)
     }
     /// Selects the resource of which `need` takes the largest share of this amount.
     pub fn dominant_resource(&self, need: &Resources) -> fn(&Resources) -> i64 {
@@ -141,6 +153,7 @@
             cpu: if_asked(self.cpu, asked.cpu),
             gpu: if_asked(self.gpu, asked.gpu),
             mem: if_asked(self.mem, asked.mem),
+            report: 0,
         };
         left.dominant_share_of(whole)
     }
@@ -174,6 +187,7 @@
         self.cpu += other.cpu;
         self.gpu += other.gpu;
         self.mem += other.mem;
+        self.report += other.report;
     }
 }
 
@@ -182,5 +196,6 @@
         self.cpu -= other.cpu;
         self.gpu -= other.gpu;
         self.mem -= other.mem;
+        self.report -= other.report;
     }
 }
