Records: a job that is read counts as stored from its decoding on

Job::decode sets them now, as whatever is decoded is stored; the loader's own loop goes. Nothing changes for a leader.

--- a/src/node/state_loading.rs
+++ b/src/node/state_loading.rs
@@ -169,13 +169,6 @@
     loaded.format = state
         .get(FORMAT_KEY)?
         .map(|item| FormatRecord::read(&item.value));
-    for (_, mut job) in jobs {
-        // A loaded part is stored: its version counter starts at 1.
-        for part in &mut job.parts {
-            part.version = 1;
-            part.stored_version = 1;
-        }
-        loaded.jobs.push(job);
-    }
+    loaded.jobs.extend(jobs.into_values());
     Ok(loaded)
 }
--- a/src/sched/job/record.rs
+++ b/src/sched/job/record.rs
@@ -477,6 +477,11 @@
         job.history = history.unwrap_or_else(|| History::new(WallMillis(header.at)));
         job.failed_before = job.history.count(JobEvent::Failed);
         job.unknown_fields = header.rest;
+        // All parts are stored: their version counters start at 1.
+        for part in &mut job.parts {
+            part.version = 1;
+            part.stored_version = 1;
+        }
         job.load_part(0, header.first, now, wall)?;
         Some(job)
     }
