--- a/tests/world/dispatch.rs
+++ b/tests/world/dispatch.rs
@@ -31,6 +31,7 @@
             Ev::ToCtl(i, host, sent, body) => self.report_arrives(i, host, sent, body),
             Ev::ToWorker(h, sent, a, _) => self.answer_arrives(h, sent, a),
             Ev::Orders(i, epoch, call, h, orders) => self.orders_arrive(i, epoch, call, h, orders),
+            Ev::RepeatedCall(h, commands) => self.repeated_call_arrives(h, commands),
             Ev::Direct(i, epoch, call, h, r) => self.in_term(i, epoch, Event::Direct(call, h, r)),
             Ev::Txn(i, epoch, id, txn) => self.transaction_arrives(i, epoch, id, txn),
             Ev::TxnDone(i, epoch, id, o) => self.transaction_done(i, epoch, id, o),
@@ -152,10 +153,13 @@
             let r = DirectResult::Unclear;
             return self.at(1.0, Ev::Direct(i, epoch, call, h, r));
         }
-        let r = match w.direct(now, orders, &self.specs, self.run_s) {
+        let r = match w.direct(now, orders.clone(), &self.specs, self.run_s) {
             Ok(r) => DirectResult::Done(r),
             Err(r) => DirectResult::Conflict(r),
         };
+        if matches!(r, DirectResult::Done(_)) {
+            self.maybe_repeat_call(&h, &orders);
+        }
         let d = self.delay();
         self.at(d, Ev::Direct(i, epoch, call, h.clone(), r));
         self.at(0.5, Ev::Beat(h));
--- a/tests/world/links.rs
+++ b/tests/world/links.rs
@@ -24,6 +24,8 @@
     pub late_txn: f64,
     /// A transaction is carried out at once and its answer alone is lost.
     pub lost_answer: f64,
+    /// A direct call that was carried out arrives once more, up to minutes later.
+    pub repeat_call: f64,
 }
 
 /// What becomes of messages from one zone to another.
@@ -53,7 +55,10 @@
 impl Ev {
     /// It may change what is on the workers.
     pub(super) fn touches_workers(&self) -> bool {
-        let by_controllers = matches!(self, Ev::ToWorker(..) | Ev::Orders(..) | Ev::Release(..));
+        let by_controllers = matches!(
+            self,
+            Ev::ToWorker(..) | Ev::Orders(..) | Ev::RepeatedCall(..) | Ev::Release(..)
+        );
         let by_trouble = matches!(
             self,
             Ev::Preempt(_) | Ev::Hang(..) | Ev::Sick(..) | Ev::Reborn(_)
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -21,6 +21,7 @@
 pub mod needs;
 pub mod old_version;
 pub mod pipelines;
+pub mod repeated_calls;
 mod rules;
 mod steps;
 pub mod store;
@@ -58,6 +59,8 @@
     ToCtl(usize, Host, u64, Vec<u8>),
     ToWorker(Host, u64, Answer, usize),
     Orders(usize, Epoch, CallId, Host, Commands),
+    /// A direct call that was carried out before arrives once more.
+    RepeatedCall(Host, Commands),
     Direct(usize, Epoch, CallId, Host, DirectResult),
     Txn(usize, Epoch, TxnId, Txn),
     TxnDone(usize, Epoch, TxnId, TxnOutcome),
@@ -182,6 +185,7 @@
     pub zones: Vec<Zone>,
     links: links::Links,
     kept: machines::Kept,
+    pub repeated_calls: repeated_calls::RepeatedCalls,
     /// The cloud takes no machine back.
     pub refuses_releases: bool,
     /// Limits of teams, in times of the usual.
@@ -273,6 +277,7 @@
             zones: vec!["a".into(), "b".into()],
             links: links::Links::default(),
             kept: machines::Kept::default(),
+            repeated_calls: Default::default(),
             refuses_releases: false,
             wealth: 1.0,
             floor: 0.0,
--- /dev/null
+++ b/tests/world/repeated_calls.rs
@@ -0,0 +1,69 @@
+//! Direct calls that a worker has carried out and answered, and that arrive once more.
+
+use super::{Ev, World};
+use hookworks::ids::*;
+use hookworks::wire::worker::Commands;
+use rand::RngExt;
+
+/// A repetition arrives soon, while what it is about may still be moving, ...
+const SOON_S: std::ops::Range<f64> = 0.3..12.0;
+/// ... or minutes later.
+const LATE_S: std::ops::Range<f64> = 12.0..180.0;
+
+/// What has become of the repetitions.
+#[derive(Default)]
+pub struct RepeatedCalls {
+    /// Every call arrives once more after so many seconds, whatever the chances say.
+    pub each_after_s: Option<f64>,
+    /// Repetitions that reached a worker.
+    pub arrived: u64,
+    /// Those that matched its token and session, so that it carried them out.
+    pub carried_out: u64,
+}
+
+impl World {
+    /// A worker has carried out this call: it may arrive once more.
+    pub(super) fn maybe_repeat_call(&mut self, host: &Host, commands: &Commands) {
+        let Some(after_s) = self.repetition_delay_s() else {
+            return;
+        };
+        let repeated = Ev::RepeatedCall(host.clone(), commands.clone());
+        self.at(after_s, repeated);
+    }
+
+    fn repetition_delay_s(&mut self) -> Option<f64> {
+        if self.repeated_calls.each_after_s.is_some() {
+            return self.repeated_calls.each_after_s;
+        }
+        // Drawn only where it may happen: other stories go on as they were.
+        let chance = self.chaos.repeat_call;
+        if chance == 0.0 || !self.rng.random_bool(chance) {
+            return None;
+        }
+        let range = if self.rng.random_bool(0.5) {
+            SOON_S
+        } else {
+            LATE_S
+        };
+        Some(self.rng.random_range(range))
+    }
+
+    /// The repetition reaches the worker, which answers nobody.
+    pub(super) fn repeated_call_arrives(&mut self, host: Host, commands: Commands) {
+        let now = self.now;
+        let Some(worker) = self.workers.get_mut(&host) else {
+            return;
+        };
+        if !worker.up || worker.hangs {
+            return;
+        }
+        self.repeated_calls.arrived += 1;
+        if worker
+            .direct(now, commands, &self.specs, self.run_s)
+            .is_ok()
+        {
+            self.repeated_calls.carried_out += 1;
+            self.at(0.5, Ev::Beat(host));
+        }
+    }
+}
