Fencing: a clear puts every earlier start to that worker out of force

A direct call that had been carried out and answered arrived at its worker once more after the attempt was cleared there; token and session still matched, the worker no longer knew the attempt, and started it again.

Cause: an answered start counted as spent. Only calls without an answer raised the worker's token. Class: a right that should have lapsed, here the force of a command, checked on one path (no answer) and not on the other (answered).

Why it works: every message to a worker gets its token in one place (Machine::token_for). A message that clears carries a larger token than every start sent to that worker before it, by a call, an answer or a held answer, whatever the attempt (ours, unknown, refused). If the clear is carried out, the worker rejects those starts from then on, however late they come; if it isn't, the worker still knows the attempt and ignores them. Another session rejects them anyway, and so does a later leader's token.

Tokens are now counted for each worker, above the term's first one: workers compare only what they have received themselves. Before, tokens and attempts shared 2^24 numbers of a term, and each answered direct call used up one; now only attempts do, so a term lasts longer than before in spite of the new tokens.

--- a/src/sched/direct_calls.rs
+++ b/src/sched/direct_calls.rs
@@ -2,10 +2,10 @@
 //! the handling of their results.
 
 use super::job::{ActiveAttempt, Phase};
-use super::machine::{Machine, MachineState};
+use super::machine::MachineState;
 use super::report_reconciliation::{Delivery, ReportSource};
 use super::{DirectResult, Effect, Scheduler};
-use crate::ids::{CallId, Host, JobId, Token};
+use crate::ids::{CallId, Host, JobId};
 use crate::time::{Span, Time};
 use crate::wire::worker::{Command, Commands};
 
@@ -33,9 +33,9 @@
         if !self.may_start(now) {
             return;
         }
-        let orders = self.orders_for(now, host, Delivery::DirectCall);
-        let is_urgent = |order: &Command| !matches!(order, Command::Clear { .. });
-        if !orders.iter().any(is_urgent) {
+        let commands = self.commands_for(now, host, Delivery::DirectCall);
+        let is_urgent = |command: &Command| !matches!(command, Command::Clear { .. });
+        if !commands.iter().any(is_urgent) {
             return;
         }
         let call = self.next_call_id();
@@ -44,9 +44,9 @@
         };
         machine.direct_call = Some(call);
         let orders = Commands {
-            token: machine.token,
+            token: machine.token_for(&commands),
             session: machine.session,
-            commands: orders,
+            commands,
         };
         self.effects.push(Effect::Orders {
             call,
@@ -83,11 +83,10 @@
     /// commands carry a new fencing token from now on, which makes the worker reject
     /// the call.
     pub(super) fn invalidate_call(&mut self, host: &Host) {
-        let token = self.next_token();
         if let Some(machine) = self.machines.get_mut(host)
             && machine.direct_call.is_some()
         {
-            machine.token = token;
+            machine.raise_token();
         }
     }
 
@@ -137,7 +136,6 @@
         host: Host,
         result: DirectResult,
     ) {
-        let token = self.next_token();
         let Some(machine) = self.machines.get_mut(&host) else {
             return;
         };
@@ -145,12 +143,11 @@
             return;
         }
         machine.direct_call = None;
-        self.apply_call_result(now, &host, token, result);
+        self.apply_call_result(now, &host, result);
         self.probe_finished(now, call);
     }
 
-    /// `token`: a new token for a worker that may still execute the call.
-    fn apply_call_result(&mut self, now: Time, host: &Host, token: Token, result: DirectResult) {
+    fn apply_call_result(&mut self, now: Time, host: &Host, result: DirectResult) {
         let Some(machine) = self.machines.get_mut(host) else {
             return;
         };
@@ -176,18 +173,10 @@
                 // The call may be executed minutes from now, unless the worker receives
                 // a higher token before.
                 machine.no_direct_call_until = now + FAILED_CALL_BACKOFF;
-                machine.await_confirmation(token);
+                machine.await_confirmation();
                 let zone = machine.zone.clone();
                 self.zone_monitor.note_failed_call(&zone);
             }
         }
     }
 }
-
-impl Machine {
-    /// Earlier commands may be executed until the worker confirms this token.
-    pub(super) fn await_confirmation(&mut self, token: Token) {
-        self.token = token;
-        self.unconfirmed_token = Some(token);
-    }
-}
--- a/src/sched/heartbeats.rs
+++ b/src/sched/heartbeats.rs
@@ -132,20 +132,17 @@
                 Answer::later("machine is unreachable and must end attempts", 1),
             );
         }
-        let Some(machine) = self.machines.get_mut(host) else {
-            return;
-        };
-        machine.note_answer(now, &heartbeat);
-        let token = machine.token;
         self.fences.note_answer(&zone, now);
         // An older heartbeat was overtaken by the answer to a direct call. Its answer
         // still renews the lease, so it carries all stops.
         let newest = heartbeat.newest;
-        let orders = self.orders_for(now, host, Delivery::Answer { newest });
-        let answer = ReportResponse {
-            token,
-            commands: orders,
+        let commands = self.commands_for(now, host, Delivery::Answer { newest });
+        let Some(machine) = self.machines.get_mut(host) else {
+            return;
         };
+        let token = machine.token_for(&commands);
+        machine.note_answer(now, &heartbeat);
+        let answer = ReportResponse { token, commands };
         let body = serde_json::to_string(&answer).unwrap_or_default();
         self.answer(heartbeat.req, Answer::new(200, body));
     }
--- a/src/sched/machine.rs
+++ b/src/sched/machine.rs
@@ -49,6 +49,8 @@
     pub seq: Seq,
     /// The fencing token carried by this leader's commands to the worker.
     pub token: Token,
+    /// The token under which the last start was sent to the worker.
+    pub last_start_token: Option<Token>,
     /// Set while an earlier command may still be executed: until the worker confirms
     /// this token.
     pub unconfirmed_token: Option<Token>,
@@ -149,6 +151,7 @@
             session: Session(0),
             seq: Seq(0),
             token,
+            last_start_token: None,
             unconfirmed_token: None,
             direct_call: None,
             no_direct_call_until: Time::default(),
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -11,6 +11,7 @@
 mod estimate;
 mod fair_share;
 mod fences;
+mod fencing;
 mod fleet;
 mod gang;
 mod headroom;
@@ -479,11 +480,6 @@
         !others.is_empty() && self.answers_are_timely(now) && others.keys().all(lately)
     }
 
-    fn next_token(&mut self) -> Token {
-        self.id_counter += 1;
-        Token(self.epoch.base() + self.id_counter)
-    }
-
     fn next_attempt(&mut self) -> Attempt {
         self.id_counter += 1;
         Attempt(self.epoch.base() + self.id_counter)
--- a/src/sched/reachability.rs
+++ b/src/sched/reachability.rs
@@ -153,14 +153,11 @@
     }
 
     fn mark_unreachable(&mut self, now: Time, host: &Host) {
-        // The token is issued only now: one for each heartbeat would exhaust the
-        // epoch's tokens within hours.
-        let token = self.next_token();
         let Some(machine) = self.machines.get_mut(host) else {
             return;
         };
         machine.unreachable_since = Some(now);
-        machine.await_confirmation(token);
+        machine.await_confirmation();
         tracing::info!(%host, tasks = machine.allocations.len(), "worker unreachable: heartbeats arrive but answers have no effect");
         // Attempts whose start was never sent can start elsewhere at once.
         let tasks: Vec<TaskId> = machine.allocations.keys().cloned().collect();
--- a/src/sched/recovery.rs
+++ b/src/sched/recovery.rs
@@ -97,7 +97,7 @@
         };
         machine.direct_call = Some(call);
         let orders = Commands {
-            token: machine.token,
+            token: machine.token_for(&[]),
             // The session of a worker that has not reported yet is unknown.
             session: if machine.has_reported {
                 machine.session
--- a/src/sched/report_reconciliation.rs
+++ b/src/sched/report_reconciliation.rs
@@ -523,7 +523,7 @@
     /// heartbeat and gets the same commands again. Commands that end attempts are not
     /// limited in number: a report lists no more attempts than one message can end.
     /// Others wait for the next message once this one is full.
-    pub(super) fn orders_for(
+    pub(super) fn commands_for(
         &mut self,
         now: Time,
         host: &Host,
--- a/tests/repeated_commands.rs
+++ b/tests/repeated_commands.rs
@@ -3,19 +3,34 @@
 
 mod world;
 
-use hookworks::ids::Host;
+use hookworks::ids::*;
+use hookworks::sched::{DirectResult, Event};
+use hookworks::wire::peer::Request;
 use hookworks::wire::user::JobKind;
-use world::{Ev, World};
+use hookworks::wire::worker::*;
+use world::desk::{Desk, ended, report};
+use world::{Ev, World, job};
 
+const JOB: &str = "job-000001";
 /// When the repetitions arrive, in seconds after the calls.
 const DELAYS_S: [f64; 8] = [0.3, 1.0, 2.0, 4.0, 6.6, 10.0, 30.0, 100.0];
+const ALL_CAUSES: [Cause; 8] = [
+    Cause::Done,
+    Cause::Stopped,
+    Cause::PeersGone,
+    Cause::Alone,
+    Cause::Error,
+    Cause::NoRoom,
+    Cause::InUse,
+    Cause::Unknown,
+];
 
 /// A small fleet whose direct calls all arrive once more, with jobs of a kind.
 fn world_with_repetitions(seed: u64, after_s: f64, kind: JobKind) -> World {
     let mut world = World::new(seed, 3);
     world.repeated_calls.each_after_s = Some(after_s);
     world.run(2.0);
-    for n in 0..6 {
+    for n in 0..9 {
         let team = if n % 2 == 0 { "red" } else { "blue" };
         world.submit_of(n, 2, team, kind);
         world.run(1.5);
@@ -55,3 +70,124 @@
 fn a_repeated_start_does_not_run_a_task_that_was_moved_since() {
     assert_repetitions_start_nothing(JobKind::Array, fail_tasks_for_a_while);
 }
+
+#[test]
+fn a_repeated_start_does_not_run_a_task_that_was_cancelled_since() {
+    assert_repetitions_start_nothing(JobKind::Array, |world| {
+        for n in 0..9 {
+            let cancel = Request::Cancel(format!("job-{n:06}"));
+            world.at(0.7 * n as f64, Ev::User(cancel));
+        }
+    });
+}
+
+#[test]
+fn a_repeated_start_does_not_run_a_task_that_is_done() {
+    assert_repetitions_start_nothing(JobKind::Array, |world| world.run_s = 3.0);
+}
+
+#[test]
+fn a_repeated_start_does_not_run_members_of_a_gang_that_moved() {
+    assert_repetitions_start_nothing(JobKind::Gang, fail_tasks_for_a_while);
+}
+
+#[test]
+fn a_repeated_start_runs_nothing_after_the_leader_came_back_in_300_ms() {
+    assert_repetitions_start_nothing(JobKind::Array, |world| {
+        fail_tasks_for_a_while(world);
+        for round in 0..5 {
+            let led = world.leader().unwrap_or(0);
+            let at = 0.1 + 5.0 * round as f64;
+            world.at(at, Ev::Kill(led));
+            world.at(at + 0.3, Ev::Restart(led));
+        }
+    });
+}
+
+#[test]
+fn a_repeated_start_runs_nothing_after_its_machine_came_back_in_a_next_session() {
+    assert_repetitions_start_nothing(JobKind::Array, |world| {
+        for (n, host) in hosts(world).into_iter().enumerate() {
+            world.at(0.3 + 1.3 * n as f64, Ev::Reborn(host));
+        }
+    });
+}
+
+fn is_clear(command: &Command) -> bool {
+    matches!(command, Command::Clear { .. })
+}
+
+/// Starts task 0 of the job by a direct call; returns the call's token.
+fn started_by_call(desk: &mut Desk) -> (Token, Attempt) {
+    desk.beat(&report(1, 1, Token(0)));
+    desk.submit(&job(1, 1));
+    let attempt = desk.attempt(JOB, 0).expect("placed");
+    let (call, host, commands) = desk.direct().remove(0);
+    let mut shows = report(1, 2, commands.token);
+    shows.tasks = vec![world::desk::task(JOB, 0, attempt, TaskState::Fetching)];
+    let shows = DirectResult::Done(Box::new(shows));
+    desk.event(Event::Direct(call, host, shows));
+    (commands.token, attempt)
+}
+
+/// The answer that clears the attempt, once its end is stored.
+fn cleared(desk: &mut Desk, token: Token, attempt: TaskReport) -> ReportResponse {
+    desk.refuses = true;
+    let mut shows = report(1, 3, token);
+    shows.tasks = vec![attempt];
+    for seq in 3..6 {
+        shows.seq = Seq(seq);
+        let answer = desk.beat(&shows).expect("answered");
+        if answer.commands.iter().any(is_clear) {
+            return answer;
+        }
+    }
+    panic!("not cleared: {shows:?}");
+}
+
+#[test]
+fn an_answer_that_clears_an_attempt_puts_its_start_out_of_force() {
+    for cause in ALL_CAUSES {
+        let mut desk = Desk::new(5);
+        let (token, attempt) = started_by_call(&mut desk);
+        let answer = cleared(&mut desk, token, ended(JOB, 0, attempt, cause));
+        assert!(answer.token > token, "{cause:?}: the start is valid still");
+    }
+}
+
+#[test]
+fn a_direct_call_that_clears_an_attempt_puts_its_start_out_of_force() {
+    let mut desk = Desk::new(5);
+    let (token, attempt) = started_by_call(&mut desk);
+    let mut cleared_under = None;
+    // Clears go along with starts; each call shows the first attempt as ended.
+    for n in 2..6 {
+        desk.submit(&job(n, 1));
+        for (call, host, commands) in desk.direct() {
+            if commands.commands.iter().any(is_clear) {
+                cleared_under.get_or_insert(commands.token);
+            }
+            let mut shows = report(1, n + 1, commands.token);
+            shows.tasks = vec![ended(JOB, 0, attempt, Cause::Done)];
+            let shows = DirectResult::Done(Box::new(shows));
+            desk.event(Event::Direct(call, host, shows));
+        }
+    }
+    let cleared_under = cleared_under.expect("a call cleared it");
+    assert!(cleared_under > token, "the start is valid still");
+}
+
+/// The start was told in an answer that is still on its way when a direct call repeats it.
+#[test]
+fn an_answer_under_way_starts_no_attempt_that_was_cleared_since() {
+    let mut desk = Desk::new(5);
+    desk.beat(&report(1, 1, Token(0)));
+    desk.refuses = true;
+    desk.submit(&job(1, 1));
+    let attempt = desk.attempt(JOB, 0).expect("placed");
+    let under_way = desk.beat(&report(1, 2, Token(0))).expect("answered");
+    assert!(matches!(under_way.commands[..], [Command::Run { .. }]));
+    let failed = ended(JOB, 0, attempt, Cause::Error);
+    let clears = cleared(&mut desk, under_way.token, failed);
+    assert!(clears.token > under_way.token);
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -277,7 +277,7 @@
             zones: vec!["a".into(), "b".into()],
             links: links::Links::default(),
             kept: machines::Kept::default(),
-            repeated_calls: Default::default(),
+            repeated_calls: repeated_calls::RepeatedCalls::new(seed),
             refuses_releases: false,
             wealth: 1.0,
             floor: 0.0,
--- a/tests/world/repeated_calls.rs
+++ b/tests/world/repeated_calls.rs
@@ -3,7 +3,8 @@
 use super::{Ev, World};
 use hookworks::ids::*;
 use hookworks::wire::worker::Commands;
-use rand::RngExt;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 
 /// A repetition arrives soon, while what it is about may still be moving, ...
 const SOON_S: std::ops::Range<f64> = 0.3..12.0;
@@ -11,8 +12,9 @@
 const LATE_S: std::ops::Range<f64> = 12.0..180.0;
 
 /// What has become of the repetitions.
-#[derive(Default)]
 pub struct RepeatedCalls {
+    /// Its own, so that all else in a story stays as it was.
+    rng: StdRng,
     /// Every call arrives once more after so many seconds, whatever the chances say.
     pub each_after_s: Option<f64>,
     /// Repetitions that reached a worker.
@@ -21,6 +23,17 @@
     pub carried_out: u64,
 }
 
+impl RepeatedCalls {
+    pub fn new(seed: u64) -> RepeatedCalls {
+        RepeatedCalls {
+            rng: StdRng::seed_from_u64(seed),
+            each_after_s: None,
+            arrived: 0,
+            carried_out: 0,
+        }
+    }
+}
+
 impl World {
     /// A worker has carried out this call: it may arrive once more.
     pub(super) fn maybe_repeat_call(&mut self, host: &Host, commands: &Commands) {
@@ -35,20 +48,16 @@
         if self.repeated_calls.each_after_s.is_some() {
             return self.repeated_calls.each_after_s;
         }
-        // Drawn only where it may happen: other stories go on as they were.
-        let chance = self.chaos.repeat_call;
-        if chance == 0.0 || !self.rng.random_bool(chance) {
+        let rng = &mut self.repeated_calls.rng;
+        if !rng.random_bool(self.chaos.repeat_call) {
             return None;
         }
-        let range = if self.rng.random_bool(0.5) {
-            SOON_S
-        } else {
-            LATE_S
-        };
-        Some(self.rng.random_range(range))
+        let range = if rng.random_bool(0.5) { SOON_S } else { LATE_S };
+        Some(rng.random_range(range))
     }
 
-    /// The repetition reaches the worker, which answers nobody.
+    /// The repetition reaches the worker, which answers nobody. Whatever it starts has run
+    /// there before.
     pub(super) fn repeated_call_arrives(&mut self, host: Host, commands: Commands) {
         let now = self.now;
         let Some(worker) = self.workers.get_mut(&host) else {
@@ -58,10 +67,15 @@
             return;
         }
         self.repeated_calls.arrived += 1;
-        if worker
+        let runs_before = worker.runs.len();
+        let carried_out = worker
             .direct(now, commands, &self.specs, self.run_s)
-            .is_ok()
-        {
+            .is_ok();
+        for (task, attempt) in &worker.runs[runs_before..] {
+            self.broken
+                .push(format!("{now} started_again: {task} {attempt} {host}"));
+        }
+        if carried_out {
             self.repeated_calls.carried_out += 1;
             self.at(0.5, Ev::Beat(host));
         }
--- a/tests/world/rules.rs
+++ b/tests/world/rules.rs
@@ -263,11 +263,6 @@
                     }
                 }
             }
-            for (task, attempt) in std::mem::take(&mut w.started_again) {
-                let host = &w.host;
-                self.broken
-                    .push(format!("{now} started_again: {task} {attempt} {host}"));
-            }
             ended.push((w.host.clone(), w.take_done()));
         }
         for (host, tasks) in ended {
--- a/tests/world/worker.rs
+++ b/tests/world/worker.rs
@@ -63,10 +63,6 @@
     done: Vec<TaskId>,
     /// Every run that started here, to tell starts that should not be.
     pub runs: Vec<(TaskId, Attempt)>,
-    /// Attempts that were here once and are no longer known.
-    forgotten: BTreeSet<(TaskId, Attempt)>,
-    /// Of these, those that a command has started again.
-    pub started_again: Vec<(TaskId, Attempt)>,
 }
 
 impl Worker {
@@ -95,15 +91,12 @@
             tasks: BTreeMap::new(),
             done: vec![],
             runs: vec![],
-            forgotten: BTreeSet::new(),
-            started_again: vec![],
         }
     }
 
     /// What it had is gone; another session begins.
     pub fn begin_anew(&mut self, now: u64) {
-        self.forgotten
-            .extend(std::mem::take(&mut self.tasks).into_keys());
+        self.tasks.clear();
         self.session += 1;
         self.renewed = now;
     }
@@ -283,9 +276,6 @@
                         // Until it is cancelled, or its gang ends.
                         JobKind::Service | JobKind::Gang => u64::MAX / 4,
                     };
-                    if self.forgotten.contains(&key) {
-                        self.started_again.push(key.clone());
-                    }
                     self.runs.push((task, attempt));
                     let state = match cause {
                         Some(_) => TaskState::Ended,
@@ -317,7 +307,6 @@
                         .is_some_and(|t| t.state == TaskState::Ended)
                     {
                         self.tasks.remove(&key);
-                        self.forgotten.insert(key);
                     }
                 }
             }
