Fencing: a repeated clear forgets no replaced member of a gang

What callers could see: a member of a gang that runs again, or is forgotten before its end is stored, where a clear or its whole message arrives once more.

Cause: a replaced member of a waiting gang keeps its attempt number. On the machine that had listed the ended one, a single message told "clear a, run a"; carried out again once the new one had ended, it clears it and starts it anew. A clear alone that comes again forgets the new one as well. Class as before: a command in force after what it was about has changed; the clear was looked at as harmless, which rests on attempt numbers that are never used twice.

Evidence: the world breaks "started_under_clear" where an attempt starts again under no larger token than its clear.

Why it works: a start waits until the worker no longer lists an ended attempt of the same number (the clear goes at once, by a direct call if need be), so it never shares a message with that clear, and what the worker still lists isn't taken for the end of the new one. A message that starts gang members carries a larger token than every clear sent to that worker before it. The repeated clear is then rejected.

--- a/src/sched/direct_calls.rs
+++ b/src/sched/direct_calls.rs
@@ -7,7 +7,7 @@
 use super::{DirectResult, Effect, Scheduler};
 use crate::ids::{CallId, Host, JobId};
 use crate::time::{Span, Time};
-use crate::wire::worker::{Command, Commands};
+use crate::wire::worker::Commands;
 
 /// Backoff after a refused or unanswered direct call; until then commands go with
 /// heartbeat answers.
@@ -33,9 +33,8 @@
         if !self.may_start(now) {
             return;
         }
-        let commands = self.commands_for(now, host, Delivery::DirectCall);
-        let is_urgent = |command: &Command| !matches!(command, Command::Clear { .. });
-        if !commands.iter().any(is_urgent) {
+        let batch = self.commands_for(now, host, Delivery::DirectCall);
+        if !batch.is_urgent() {
             return;
         }
         let call = self.next_call_id();
@@ -44,9 +43,9 @@
         };
         machine.direct_call = Some(call);
         let orders = Commands {
-            token: machine.token_for(&commands),
+            token: machine.token_for(&batch),
             session: machine.session,
-            commands,
+            commands: batch.commands,
         };
         self.effects.push(Effect::Orders {
             call,
--- a/src/sched/fencing.rs
+++ b/src/sched/fencing.rs
@@ -5,23 +5,61 @@
 //! A message that was carried out and answered may reach its worker once more, minutes
 //! later. That changes nothing while the worker knows the attempts in it. After a clear it
 //! no longer does, so a start would be carried out again. Therefore a message that clears
-//! carries a larger token than every start sent to that worker before it.
+//! carries a larger token than every start sent to that worker before it; and one that
+//! starts an attempt whose number was used before carries a larger token than every clear,
+//! which would make the worker forget the new one.
 
 use super::machine::Machine;
 use crate::ids::Token;
 use crate::wire::worker::Command;
 
+/// The commands of one message to a worker.
+#[derive(Default)]
+pub(super) struct CommandBatch {
+    /// What the worker is to do, in order.
+    pub(super) commands: Vec<Command>,
+    /// Whether an attempt that is started may have been on this machine before: a replaced
+    /// member of a gang keeps its attempt number.
+    pub(super) may_reuse_attempts: bool,
+    /// Whether a start waits until the worker has cleared an attempt of the same number.
+    pub(super) start_waits_for_clear: bool,
+}
+
+impl CommandBatch {
+    /// Whether it must not wait for the next answer, as most clears can.
+    pub(super) fn is_urgent(&self) -> bool {
+        let any_other = self.commands.iter().any(|command| !is_clear(command));
+        any_other || self.start_waits_for_clear && self.clears()
+    }
+
+    fn clears(&self) -> bool {
+        self.commands.iter().any(is_clear)
+    }
+
+    fn starts(&self) -> bool {
+        let is_start = |command: &Command| matches!(command, Command::Run { .. });
+        self.commands.iter().any(is_start)
+    }
+}
+
+fn is_clear(command: &Command) -> bool {
+    matches!(command, Command::Clear { .. })
+}
+
 impl Machine {
     /// The token for a message with these commands, which must be sent with no other.
-    pub(super) fn token_for(&mut self, commands: &[Command]) -> Token {
-        let clears = |command: &Command| matches!(command, Command::Clear { .. });
-        let starts = |command: &Command| matches!(command, Command::Run { .. });
-        if self.last_start_token == Some(self.token) && commands.iter().any(clears) {
+    pub(super) fn token_for(&mut self, batch: &CommandBatch) -> Token {
+        let started_under_this = self.last_start_token == Some(self.token);
+        let cleared_under_this = self.last_clear_token == Some(self.token);
+        if batch.clears() && started_under_this || batch.may_reuse_attempts && cleared_under_this {
             self.raise_token();
         }
-        if commands.iter().any(starts) {
+        if batch.starts() {
             self.last_start_token = Some(self.token);
         }
+        if batch.clears() {
+            self.last_clear_token = Some(self.token);
+        }
         self.token
     }
 
--- a/src/sched/heartbeats.rs
+++ b/src/sched/heartbeats.rs
@@ -136,13 +136,16 @@
         // An older heartbeat was overtaken by the answer to a direct call. Its answer
         // still renews the lease, so it carries all stops.
         let newest = heartbeat.newest;
-        let commands = self.commands_for(now, host, Delivery::Answer { newest });
+        let batch = self.commands_for(now, host, Delivery::Answer { newest });
         let Some(machine) = self.machines.get_mut(host) else {
             return;
         };
-        let token = machine.token_for(&commands);
+        let token = machine.token_for(&batch);
         machine.note_answer(now, &heartbeat);
-        let answer = ReportResponse { token, commands };
+        let answer = ReportResponse {
+            token,
+            commands: batch.commands,
+        };
         let body = serde_json::to_string(&answer).unwrap_or_default();
         self.answer(heartbeat.req, Answer::new(200, body));
     }
--- a/src/sched/machine.rs
+++ b/src/sched/machine.rs
@@ -51,6 +51,8 @@
     pub token: Token,
     /// The token under which the last start was sent to the worker.
     pub last_start_token: Option<Token>,
+    /// The token under which the worker was last told to clear an attempt.
+    pub last_clear_token: Option<Token>,
     /// Set while an earlier command may still be executed: until the worker confirms
     /// this token.
     pub unconfirmed_token: Option<Token>,
@@ -152,6 +154,7 @@
             seq: Seq(0),
             token,
             last_start_token: None,
+            last_clear_token: None,
             unconfirmed_token: None,
             direct_call: None,
             no_direct_call_until: Time::default(),
--- a/src/sched/report_reconciliation.rs
+++ b/src/sched/report_reconciliation.rs
@@ -3,6 +3,7 @@
 //! Whether and when a report is answered is decided in `heartbeats`.
 
 use super::dependencies::ParentOutcome;
+use super::fencing::CommandBatch;
 use super::job::{ActiveAttempt, Phase, Stop};
 use super::machine::{Machine, MachineState};
 use super::reachability::SessionChange;
@@ -231,6 +232,14 @@
         if active.attempt != report.attempt || active.host != *host {
             return false;
         }
+        let (attempt, run_sent) = (active.attempt, active.run_sent);
+        if !run_sent && self.was_listed_as_ended(host, task, attempt) {
+            // An earlier member of the gang, replaced by this one under the same number.
+            return false;
+        }
+        let Some(active) = self.active_attempt_mut(task) else {
+            return false;
+        };
         let running_since = active.running_since;
         let Some(phase) = Phase::of(report.state) else {
             self.attempt_ended(now, host, report, running_since);
@@ -243,6 +252,13 @@
         true
     }
 
+    /// Whether the previous report of the machine listed the attempt as one that is over.
+    fn was_listed_as_ended(&self, host: &Host, task: &TaskId, attempt: Attempt) -> bool {
+        let machine = self.machines.get(host);
+        let listed = machine.and_then(|m| m.unknown_attempts.get(&(task.clone(), attempt)));
+        listed.is_some_and(|ended| *ended)
+    }
+
     fn set_phase(&mut self, host: &Host, task: &TaskId, phase: Phase) {
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
@@ -528,25 +544,53 @@
         now: Time,
         host: &Host,
         delivery: Delivery,
-    ) -> Vec<Command> {
+    ) -> CommandBatch {
         // Nothing is started while the leadership is not proven.
         let may_run = self.may_start_on(now, host, delivery) && self.may_start(now);
         let Some(machine) = self.machines.get(host) else {
-            return vec![];
+            return CommandBatch::default();
         };
         // A direct call in flight and this message could overtake each other; only
         // commands that end attempts are safe in any order.
         let only_kill =
             machine.direct_call.is_some() || delivery == Delivery::Answer { newest: false };
-        let mut orders = self.orders_for_unknown_attempts(machine, only_kill);
+        let mut commands = self.orders_for_unknown_attempts(machine, only_kill);
+        let waiting_for_clear = self.starts_waiting_for_clear(machine);
         let seq = machine.seq;
         let tasks: Vec<TaskId> = machine.allocations.keys().cloned().collect();
         for task in tasks {
-            let may_run = may_run && !only_kill && orders.len() < MAX_ORDERS;
-            orders.extend(self.order_for_attempt(task, seq, delivery, may_run));
+            let may_run = may_run && !only_kill && commands.len() < MAX_ORDERS;
+            let may_run = may_run && !waiting_for_clear.contains(&task);
+            commands.extend(self.order_for_attempt(task, seq, delivery, may_run));
+        }
+        worker_messages::limit_clears(&mut commands);
+        CommandBatch {
+            may_reuse_attempts: commands
+                .iter()
+                .any(|command| self.starts_gang_member(command)),
+            start_waits_for_clear: !waiting_for_clear.is_empty(),
+            commands,
         }
-        worker_messages::limit_clears(&mut orders);
-        orders
+    }
+
+    /// Tasks that are to start here while the worker still lists an ended attempt with the
+    /// same number: it would ignore the start.
+    fn starts_waiting_for_clear(&self, machine: &Machine) -> BTreeSet<TaskId> {
+        let is_waiting = |(task, attempt): &&(TaskId, Attempt)| {
+            let job = self.jobs.get(&task.job);
+            let active = job.and_then(|job| job.active.get(&task.index));
+            active.is_some_and(|active| active.host == machine.host && active.attempt == *attempt)
+        };
+        let listed = machine.unknown_attempts.keys().filter(is_waiting);
+        listed.map(|(task, _)| task.clone()).collect()
+    }
+
+    fn starts_gang_member(&self, command: &Command) -> bool {
+        let Command::Run { task, .. } = command else {
+            return false;
+        };
+        let job = self.jobs.get(&task.job);
+        job.is_some_and(|job| job.spec.kind == JobKind::Gang)
     }
 
     /// A direct call starts nothing on a worker whose heartbeats have stopped: its
@@ -595,7 +639,8 @@
         let attempt = active.attempt;
         match (active.phase, active.stop) {
             (Phase::Placed, None) => {
-                if active.inherited || !may_run || is_new || stored < active.required_version {
+                let is_stored = !is_new && stored >= active.required_version;
+                if active.inherited || !may_run || !is_stored {
                     return None;
                 }
                 active.run_sent = true;
--- a/tests/chain_histories.rs
+++ b/tests/chain_histories.rs
@@ -70,7 +70,7 @@
         copy: 0.03,
         late_txn: 0.01,
         lost_answer: 0.01,
-        repeat_call: 0.0,
+        repeat_call: 0.1,
     };
     w.questions.held = 0.02;
     w.run(2.0);
--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -33,6 +33,16 @@
     assert!(gangs > 40, "hardly any gang began: {gangs}");
 }
 
+/// A member that is replaced keeps its attempt number, here on the machine that was told to
+/// clear it.
+#[test]
+fn a_repeated_clear_forgets_no_replaced_member_of_a_gang() {
+    for seed in [35, 147, 184] {
+        let w = history(seed);
+        assert!(w.broken.is_empty(), "seed {seed}: {:#?}", w.broken);
+    }
+}
+
 /// The checker itself: of one job in twenty no question is answered.
 #[test]
 fn a_job_that_is_not_answered_while_all_others_are_counts_as_forgotten() {
--- a/tests/world/rules.rs
+++ b/tests/world/rules.rs
@@ -263,6 +263,12 @@
                     }
                 }
             }
+            for (task, attempt) in std::mem::take(&mut w.started_under_clear) {
+                let host = &w.host;
+                self.broken.push(format!(
+                    "{now} started_under_clear: {task} {attempt} {host}"
+                ));
+            }
             ended.push((w.host.clone(), w.take_done()));
         }
         for (host, tasks) in ended {
--- a/tests/world/worker.rs
+++ b/tests/world/worker.rs
@@ -63,6 +63,10 @@
     done: Vec<TaskId>,
     /// Every run that started here, to tell starts that should not be.
     pub runs: Vec<(TaskId, Attempt)>,
+    /// Attempts that were cleared in this session, with the largest token that did so.
+    cleared: BTreeMap<(TaskId, Attempt), u64>,
+    /// Of these, those that were started again under no larger token.
+    pub started_under_clear: Vec<(TaskId, Attempt)>,
 }
 
 impl Worker {
@@ -91,12 +95,15 @@
             tasks: BTreeMap::new(),
             done: vec![],
             runs: vec![],
+            cleared: BTreeMap::new(),
+            started_under_clear: vec![],
         }
     }
 
     /// What it had is gone; another session begins.
     pub fn begin_anew(&mut self, now: u64) {
         self.tasks.clear();
+        self.cleared.clear();
         self.session += 1;
         self.renewed = now;
     }
@@ -276,6 +283,9 @@
                         // Until it is cancelled, or its gang ends.
                         JobKind::Service | JobKind::Gang => u64::MAX / 4,
                     };
+                    if self.cleared.get(&key).is_some_and(|by| *by >= self.token) {
+                        self.started_under_clear.push(key.clone());
+                    }
                     self.runs.push((task, attempt));
                     let state = match cause {
                         Some(_) => TaskState::Ended,
@@ -307,6 +317,7 @@
                         .is_some_and(|t| t.state == TaskState::Ended)
                     {
                         self.tasks.remove(&key);
+                        self.cleared.insert(key, self.token);
                     }
                 }
             }
--- a/tests/zone_histories.rs
+++ b/tests/zone_histories.rs
@@ -24,6 +24,7 @@
         refuse_txn: 0.01,
         copy: 0.05,
         late_txn: 0.01,
+        repeat_call: 0.1,
         ..Chaos::default()
     };
     w.run(2.0);
