Logs: commands with their grounds at debug; preemptions by round; proof age of leaders only

"commands sent to a worker" (debug) now has task, attempt, machine, token, session, delivery, the age of the proof, the call under way and the token not confirmed. The leader's kept log was full of single preemptions: one line for all tasks stopped for one job in a round. At the level info starts and clears are still not told: not measured what one line each would cost.

--- a/src/node/health.rs
+++ b/src/node/health.rs
@@ -102,7 +102,8 @@
         };
         let epoch = self.own_epoch().map_or(0, |epoch| epoch.0);
         let leader = self.peers.best_leader().map(|(label, _)| label.to_string());
-        let proof_age_ms = (now - self.proven_at).0 / 1000;
+        // A controller that does not lead has no proof whose age would mean anything.
+        let proof_age_ms = self.own_epoch().map(|_| (now - self.proven_at).0 / 1000);
         let election = self.request_log.election;
         let connections = self.server.metrics();
         let look_ups = match &self.role {
--- a/src/sched/direct_calls.rs
+++ b/src/sched/direct_calls.rs
@@ -38,12 +38,15 @@
             return;
         }
         let call = self.next_call_id();
+        let proof_age = now - self.leadership_confirmed;
         let Some(machine) = self.machines.get_mut(host) else {
             return;
         };
+        let token = machine.token_for(&batch);
+        machine.log_commands(&batch, Delivery::DirectCall, proof_age);
         machine.direct_call = Some(call);
         let orders = Commands {
-            token: machine.token_for(&batch),
+            token,
             session: machine.session,
             commands: batch.commands,
         };
--- a/src/sched/fencing.rs
+++ b/src/sched/fencing.rs
@@ -10,7 +10,9 @@
 //! which would make the worker forget the new one.
 
 use super::machine::Machine;
+use super::report_reconciliation::Delivery;
 use crate::ids::Token;
+use crate::time::Span;
 use crate::wire::worker::Command;
 
 /// The commands of one message to a worker.
@@ -63,6 +65,25 @@
         self.token
     }
 
+    /// Logs what a message tells the worker, and how long ago the leadership was proven,
+    /// without which nothing starts.
+    pub(super) fn log_commands(&self, batch: &CommandBatch, delivery: Delivery, proof_age: Span) {
+        if batch.commands.is_empty() {
+            return;
+        }
+        tracing::debug!(
+            host = %self.host,
+            token = %self.token,
+            session = %self.session,
+            ?delivery,
+            proof_age_ms = proof_age.0 / 1000,
+            direct_call = ?self.direct_call,
+            unconfirmed_token = ?self.unconfirmed_token,
+            commands = ?batch.commands,
+            "commands sent to a worker"
+        );
+    }
+
     /// Puts all earlier messages out of force, once the worker receives the new token.
     pub(super) fn raise_token(&mut self) {
         self.token = Token(self.token.0 + 1);
--- a/src/sched/heartbeats.rs
+++ b/src/sched/heartbeats.rs
@@ -136,11 +136,14 @@
         // An older heartbeat was overtaken by the answer to a direct call. Its answer
         // still renews the lease, so it carries all stops.
         let newest = heartbeat.newest;
-        let batch = self.commands_for(now, host, Delivery::Answer { newest });
+        let delivery = Delivery::Answer { newest };
+        let batch = self.commands_for(now, host, delivery);
+        let proof_age = now - self.leadership_confirmed;
         let Some(machine) = self.machines.get_mut(host) else {
             return;
         };
         let token = machine.token_for(&batch);
+        machine.log_commands(&batch, delivery, proof_age);
         machine.note_answer(now, &heartbeat);
         let answer = ReportResponse {
             token,
--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -151,7 +151,7 @@
             }
             for i in self.stops_to_fit(preemptor, first) {
                 lacking -= resource(&self.victims[i].job.need);
-                self.stop(preemptor, i);
+                self.stop(i);
             }
         }
     }
@@ -187,10 +187,19 @@
         vec![]
     }
 
-    fn stop(&mut self, preemptor: &Preemptor, i: usize) {
+    /// Logs what has been chosen since `before` in one line: rounds of a dozen tasks come
+    /// several times a second.
+    fn log_stops(&self, preemptor: &Preemptor, before: usize) {
+        let (for_job, class) = (preemptor.job.id(), &preemptor.job.spec.class);
+        let names = |(job, task): &(JobId, TaskIndex)| format!("{job}/{task}");
+        let tasks: Vec<String> = self.stops[before..].iter().map(names).collect();
+        if !tasks.is_empty() {
+            tracing::info!(%for_job, %class, tasks = tasks.join(" "), "preempted");
+        }
+    }
+
+    fn stop(&mut self, i: usize) {
         let victim = &mut self.victims[i];
-        tracing::info!(job = %victim.job.id(), task = %victim.task, host = %victim.machine.host,
-            for_job = %preemptor.job.id(), class = %preemptor.job.spec.class, "preempted");
         victim.chosen = true;
         self.stops.push((victim.job.id().clone(), victim.task));
     }
@@ -215,7 +224,9 @@
         }
         let mut selection = Selection::new(self, now, order);
         for preemptor in &preemptors {
+            let before = selection.stops.len();
             selection.serve(preemptor);
+            selection.log_stops(preemptor, before);
             if selection.is_full() {
                 break;
             }
