Tests: repeated calls are a standing chance of the random histories

Of the direct calls that a worker has carried out three in ten arrive once more, within 12 s or within three minutes, in the histories of jobs, zones and chains. Each counts those that were carried out and fails if hardly any was. A fault put in, workers that take them whatever their token, is noticed. tests/upgrade.rs: the clear of a later term is above every start of an earlier one, in either version. One test shows what controllers can't exclude: a worker that begins again at session 1 with no token.

--- a/tests/chain_histories.rs
+++ b/tests/chain_histories.rs
@@ -70,7 +70,7 @@
         copy: 0.03,
         late_txn: 0.01,
         lost_answer: 0.01,
-        repeat_call: 0.1,
+        repeat_call: 0.3,
     };
     w.questions.held = 0.02;
     w.run(2.0);
@@ -279,7 +279,7 @@
 
 /// Plays these seeds and returns how many jobs were done and told as cancelled.
 fn rules_hold(usual: u64, story: Story) -> (usize, usize) {
-    let (mut done, mut cancelled, mut wrong) = (0, 0, vec![]);
+    let (mut done, mut cancelled, mut repeated, mut wrong) = (0, 0, 0, vec![]);
     for seed in seeds(usual) {
         let w = history(seed, story);
         let faults = faults(&w);
@@ -292,10 +292,15 @@
             let all = w.pipelines.jobs().into_iter();
             all.filter(|id| w.told_over(id) == Some(state)).count()
         };
+        repeated += w.repeated_calls.carried_out;
         done += ended(JobState::Done);
         cancelled += ended(JobState::Cancelled);
     }
     assert!(wrong.is_empty(), "{} seeds are wrong", wrong.len());
+    assert!(
+        repeated > 20,
+        "hardly any repeated call was carried out: {repeated}"
+    );
     (done, cancelled)
 }
 
--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -9,7 +9,7 @@
 /// `HISTORIES` asks for more than the usual number of them.
 #[test]
 fn rules_hold_in_many_random_histories() {
-    let (mut gangs, mut holds, mut limited) = (0, 0, 0);
+    let (mut gangs, mut holds, mut limited, mut repeated) = (0, 0, 0, 0);
     let more = std::env::var("HISTORIES").ok().and_then(|n| n.parse().ok());
     for seed in 0..more.unwrap_or(40) {
         let mut w = history(seed);
@@ -27,7 +27,12 @@
         gangs += w.gangs_begun;
         holds += w.holds_told;
         limited += w.limited.len();
+        repeated += w.repeated_calls.carried_out;
     }
+    assert!(
+        repeated > 40,
+        "hardly any repeated call was carried out: {repeated}"
+    );
     assert!(limited > 20, "hardly any limit was reached: {limited}");
     assert!(holds > 50, "hardly any hold was told: {holds}");
     assert!(gangs > 40, "hardly any gang began: {gangs}");
@@ -43,6 +48,15 @@
     }
 }
 
+/// The checker itself: tokens don't keep repeated calls from being carried out.
+#[test]
+fn repeated_starts_that_are_carried_out_are_noticed() {
+    let mut faulty =
+        (0..10).map(|seed| history_with(seed, |w| w.repeated_calls.ignores_tokens = true));
+    let started_again = |w: &World| w.broken.iter().any(|b| b.contains("started_again"));
+    assert!(faulty.any(|w| started_again(&w)));
+}
+
 /// The checker itself: of one job in twenty no question is answered.
 #[test]
 fn a_job_that_is_not_answered_while_all_others_are_counts_as_forgotten() {
--- a/tests/random_history/mod.rs
+++ b/tests/random_history/mod.rs
@@ -22,7 +22,7 @@
         refuse_txn: 0.02,
         copy: 0.05,
         late_txn: 0.01,
-        repeat_call: 0.1,
+        repeat_call: 0.3,
         ..Chaos::default()
     };
     w.run(2.0);
--- a/tests/repeated_commands.rs
+++ b/tests/repeated_commands.rs
@@ -9,6 +9,7 @@
 use hookworks::wire::user::JobKind;
 use hookworks::wire::worker::*;
 use world::desk::{Desk, ended, report};
+use world::worker::Worker;
 use world::{Ev, World, job};
 
 const JOB: &str = "job-000001";
@@ -191,3 +192,23 @@
     let clears = cleared(&mut desk, under_way.token, failed);
     assert!(clears.token > under_way.token);
 }
+
+/// What no controller can exclude: such a worker knows neither token nor session of before.
+#[test]
+fn a_worker_that_begins_again_at_session_1_without_a_token_takes_a_repeated_start() {
+    let mut desk = Desk::new(5);
+    desk.beat(&report(1, 1, Token(0)));
+    desk.submit(&job(1, 1));
+    let (_, host, commands) = desk.direct().remove(0);
+    let specs = [(JobId::from(JOB), job(1, 1))].into_iter().collect();
+    let mut worker = Worker::new(host, "a".into(), false, desk.now);
+    worker.up = true;
+    let answer = worker.direct(desk.now, commands.clone(), &specs, 15.0);
+    assert!(answer.is_ok() && worker.runs.len() == 1);
+    // Any message of the leader of now keeps it from doing so.
+    let mut worker = Worker::new(worker.host.clone(), "a".into(), false, desk.now);
+    worker.up = true;
+    worker.token = commands.token.0 + 1;
+    let answer = worker.direct(desk.now, commands, &specs, 15.0);
+    assert!(answer.is_err() && worker.runs.is_empty());
+}
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -18,12 +18,14 @@
 use hookworks::wire::peer::{Answer, PeerMessage, PingExtension, PingIdentity, Request};
 use hookworks::wire::peer_frame::{encode, read};
 use hookworks::wire::user::JobState;
+use hookworks::wire::worker::{Cause, Command};
 use hookworks_job_lifecycle::JobEvent;
 use hookworks_membership::ReportedVersion;
 use rand::RngExt;
 use serde::Deserialize;
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
+use world::desk::{Desk, ended, report};
 use world::old_version::production;
 use world::versions::{OLD, SwitchFault, VersionAct};
 use world::{Ev, World, job};
@@ -625,3 +627,23 @@
     assert_eq!((found.unreadable, found.litter), (later, vec![]));
     all_done(&mut w, 300.0);
 }
+
+/// Both versions count their tokens within the term: the clear of a later one is above every
+/// start of an earlier one.
+#[test]
+fn a_clear_puts_the_starts_of_an_earlier_leader_of_either_version_out_of_force() {
+    let last_of_term = Token(Epoch(6).base() - 1);
+    let mut desk = Desk::new(6);
+    let mut shows = report(1, 1, last_of_term);
+    shows.tasks = vec![ended(
+        "job-000009",
+        0,
+        Attempt(last_of_term.0),
+        Cause::Error,
+    )];
+    let answer = desk.beat(&shows).expect("answered");
+    let is_clear = |command: &Command| matches!(command, Command::Clear { .. });
+    assert!(answer.commands.iter().any(is_clear), "{answer:?}");
+    assert!(answer.token > last_of_term);
+    assert!(answer.token < Token(Epoch(7).base()));
+}
--- a/tests/world/repeated_calls.rs
+++ b/tests/world/repeated_calls.rs
@@ -17,6 +17,8 @@
     rng: StdRng,
     /// Every call arrives once more after so many seconds, whatever the chances say.
     pub each_after_s: Option<f64>,
+    /// A fault put in: workers take repetitions whatever their token.
+    pub ignores_tokens: bool,
     /// Repetitions that reached a worker.
     pub arrived: u64,
     /// Those that matched its token and session, so that it carried them out.
@@ -28,6 +30,7 @@
         RepeatedCalls {
             rng: StdRng::seed_from_u64(seed),
             each_after_s: None,
+            ignores_tokens: false,
             arrived: 0,
             carried_out: 0,
         }
@@ -58,7 +61,7 @@
 
     /// The repetition reaches the worker, which answers nobody. Whatever it starts has run
     /// there before.
-    pub(super) fn repeated_call_arrives(&mut self, host: Host, commands: Commands) {
+    pub(super) fn repeated_call_arrives(&mut self, host: Host, mut commands: Commands) {
         let now = self.now;
         let Some(worker) = self.workers.get_mut(&host) else {
             return;
@@ -67,6 +70,9 @@
             return;
         }
         self.repeated_calls.arrived += 1;
+        if self.repeated_calls.ignores_tokens {
+            commands.token = Token(worker.token);
+        }
         let runs_before = worker.runs.len();
         let carried_out = worker
             .direct(now, commands, &self.specs, self.run_s)
--- a/tests/zone_histories.rs
+++ b/tests/zone_histories.rs
@@ -24,7 +24,7 @@
         refuse_txn: 0.01,
         copy: 0.05,
         late_txn: 0.01,
-        repeat_call: 0.1,
+        repeat_call: 0.3,
         ..Chaos::default()
     };
     w.run(2.0);
@@ -128,6 +128,7 @@
 #[test]
 fn invariants_hold_in_random_zone_histories() {
     let more = std::env::var("HISTORIES").ok().and_then(|n| n.parse().ok());
+    let mut repeated = 0;
     for seed in 0..more.unwrap_or(20) {
         let w = history(seed);
         let (broken, log) = (&w.broken[..w.broken.len().min(5)], &w.log);
@@ -136,5 +137,10 @@
         let i = w.leader().expect("a leader in the end");
         let left: Vec<_> = w.sched(i).jobs.keys().cloned().collect();
         assert!(left.is_empty(), "seed {seed}: never finished {left:?}");
+        repeated += w.repeated_calls.carried_out;
     }
+    assert!(
+        repeated > 20,
+        "hardly any repeated call was carried out: {repeated}"
+    );
 }
