Tests: repeated transactions change nothing

In the histories of zones and chains one in ten transactions that the state service has carried out arrives once more, up to three minutes later.

--- a/tests/chain_histories.rs
+++ b/tests/chain_histories.rs
@@ -71,6 +71,7 @@
         late_txn: 0.01,
         lost_answer: 0.01,
         repeat_call: 0.3,
+        repeat_txn: 0.1,
     };
     w.questions.held = 0.02;
     w.run(2.0);
--- a/tests/world/dispatch.rs
+++ b/tests/world/dispatch.rs
@@ -31,6 +31,7 @@
             Ev::ToCtl(i, host, sent, body) => self.report_arrives(i, host, sent, body),
             Ev::ToWorker(h, sent, a, _) => self.answer_arrives(h, sent, a),
             Ev::Orders(i, epoch, call, h, orders) => self.orders_arrive(i, epoch, call, h, orders),
+            Ev::RepeatedTxn(i, txn) => self.repeated_txn_arrives(i, &txn),
             Ev::RepeatedCall(h, commands) => self.repeated_call_arrives(h, commands),
             Ev::Direct(i, epoch, call, h, r) => self.in_term(i, epoch, Event::Direct(call, h, r)),
             Ev::Txn(i, epoch, id, txn) => self.transaction_arrives(i, epoch, id, txn),
@@ -171,6 +172,9 @@
         } else {
             self.store.of(i).apply(&txn)
         };
+        if matches!(outcome, TxnOutcome::Ok(_)) {
+            self.maybe_repeat_txn(i, &txn);
+        }
         self.answer_transaction(i, epoch, id, outcome);
     }
 
--- a/tests/world/links.rs
+++ b/tests/world/links.rs
@@ -26,6 +26,8 @@
     pub lost_answer: f64,
     /// A direct call that was carried out arrives once more, up to minutes later.
     pub repeat_call: f64,
+    /// A transaction that was carried out arrives once more, up to minutes later.
+    pub repeat_txn: f64,
 }
 
 /// What becomes of messages from one zone to another.
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -61,6 +61,8 @@
     Orders(usize, Epoch, CallId, Host, Commands),
     /// A direct call that was carried out before arrives once more.
     RepeatedCall(Host, Commands),
+    /// The same of a transaction.
+    RepeatedTxn(usize, Txn),
     Direct(usize, Epoch, CallId, Host, DirectResult),
     Txn(usize, Epoch, TxnId, Txn),
     TxnDone(usize, Epoch, TxnId, TxnOutcome),
--- a/tests/world/repeated_calls.rs
+++ b/tests/world/repeated_calls.rs
@@ -1,7 +1,10 @@
-//! Direct calls that a worker has carried out and answered, and that arrive once more.
+//! Direct calls and transactions that were carried out and answered, and that arrive once
+//! more.
 
 use super::{Ev, World};
 use hookworks::ids::*;
+use hookworks::store::TxnOutcome;
+use hookworks::wire::state::Txn;
 use hookworks::wire::worker::Commands;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -23,6 +26,8 @@
     pub arrived: u64,
     /// Those that matched its token and session, so that it carried them out.
     pub carried_out: u64,
+    /// Repeated transactions that reached the state service.
+    pub transactions: u64,
 }
 
 impl RepeatedCalls {
@@ -33,30 +38,52 @@
             ignores_tokens: false,
             arrived: 0,
             carried_out: 0,
+            transactions: 0,
         }
     }
+
+    /// After how many seconds a message arrives once more, if it does.
+    fn delay_s(&mut self, chance: f64) -> Option<f64> {
+        if !self.rng.random_bool(chance) {
+            return None;
+        }
+        let range = if self.rng.random_bool(0.5) {
+            SOON_S
+        } else {
+            LATE_S
+        };
+        Some(self.rng.random_range(range))
+    }
 }
 
 impl World {
     /// A worker has carried out this call: it may arrive once more.
     pub(super) fn maybe_repeat_call(&mut self, host: &Host, commands: &Commands) {
-        let Some(after_s) = self.repetition_delay_s() else {
+        let fixed = self.repeated_calls.each_after_s;
+        let chance = self.chaos.repeat_call;
+        let Some(after_s) = fixed.or_else(|| self.repeated_calls.delay_s(chance)) else {
             return;
         };
         let repeated = Ev::RepeatedCall(host.clone(), commands.clone());
         self.at(after_s, repeated);
     }
 
-    fn repetition_delay_s(&mut self) -> Option<f64> {
-        if self.repeated_calls.each_after_s.is_some() {
-            return self.repeated_calls.each_after_s;
+    /// The state service has carried out this transaction: it may arrive once more.
+    pub(super) fn maybe_repeat_txn(&mut self, i: usize, txn: &Txn) {
+        let chance = self.chaos.repeat_txn;
+        if let Some(after_s) = self.repeated_calls.delay_s(chance) {
+            self.at(after_s, Ev::RepeatedTxn(i, txn.clone()));
         }
-        let rng = &mut self.repeated_calls.rng;
-        if !rng.random_bool(self.chaos.repeat_call) {
-            return None;
+    }
+
+    /// The repetition changes nothing: its conditions hold no more.
+    pub(super) fn repeated_txn_arrives(&mut self, i: usize, txn: &Txn) {
+        self.repeated_calls.transactions += 1;
+        let outcome = self.store.of(i).apply(txn);
+        if matches!(outcome, TxnOutcome::Ok(_)) && !txn.changes.is_empty() {
+            self.broken
+                .push(format!("{} applied_again: {txn:?}", self.now));
         }
-        let range = if rng.random_bool(0.5) { SOON_S } else { LATE_S };
-        Some(rng.random_range(range))
     }
 
     /// The repetition reaches the worker, which answers nobody. Whatever it starts has run
--- a/tests/zone_histories.rs
+++ b/tests/zone_histories.rs
@@ -25,6 +25,7 @@
         copy: 0.05,
         late_txn: 0.01,
         repeat_call: 0.3,
+        repeat_txn: 0.1,
         ..Chaos::default()
     };
     w.run(2.0);
