--- a/tests/zone_histories.rs
+++ b/tests/zone_histories.rs
@@ -129,7 +129,7 @@
 #[test]
 fn invariants_hold_in_random_zone_histories() {
     let more = std::env::var("HISTORIES").ok().and_then(|n| n.parse().ok());
-    let mut repeated = 0;
+    let (mut repeated, mut transactions) = (0, 0);
     for seed in 0..more.unwrap_or(20) {
         let w = history(seed);
         let (broken, log) = (&w.broken[..w.broken.len().min(5)], &w.log);
@@ -139,7 +139,12 @@
         let left: Vec<_> = w.sched(i).jobs.keys().cloned().collect();
         assert!(left.is_empty(), "seed {seed}: never finished {left:?}");
         repeated += w.repeated_calls.carried_out;
+        transactions += w.repeated_calls.transactions;
     }
+    assert!(
+        transactions > 100,
+        "hardly any transaction was repeated: {transactions}"
+    );
     assert!(
         repeated > 20,
         "hardly any repeated call was carried out: {repeated}"
