Soak: direct commands that were carried out arrive once more

A kind of trouble of the soak with real processes, repeated_commands: three in ten of the direct calls that a worker has carried out and answered arrive there once more, 0.3 to 20 s later.

--- a/crates/scale/src/interference.rs
+++ b/crates/scale/src/interference.rs
@@ -15,6 +15,8 @@
 const LATE_WRITE_S: std::ops::Range<f64> = 2.0..8.0;
 /// A late command is carried out between these two times after it was sent.
 const LATE_COMMAND_S: std::ops::Range<f64> = 2.0..8.0;
+/// A command arrives once more between these two times after it was carried out.
+const REPEATED_COMMAND_S: std::ops::Range<f64> = 0.3..20.0;
 /// A copy of a report is delivered between these two times after it was sent.
 const LATE_COPY_S: std::ops::Range<f64> = 2.0..20.0;
 
@@ -48,13 +50,15 @@
     LateReports,
     /// Direct commands get no answer and are carried out seconds later.
     LateCommands,
+    /// Direct commands that were carried out and answered arrive once more, seconds later.
+    RepeatedCommands,
     /// The cloud refuses everybody.
     CloudOut,
 }
 
 impl TroubleKind {
     /// All kinds.
-    pub const ALL: [TroubleKind; 14] = [
+    pub const ALL: [TroubleKind; 15] = [
         TroubleKind::Restart,
         TroubleKind::Pause,
         TroubleKind::LinkHeld,
@@ -68,6 +72,7 @@
         TroubleKind::LateWrites,
         TroubleKind::LateReports,
         TroubleKind::LateCommands,
+        TroubleKind::RepeatedCommands,
         TroubleKind::CloudOut,
     ];
 
@@ -87,6 +92,7 @@
             TroubleKind::LateWrites => "late_writes",
             TroubleKind::LateReports => "late_reports",
             TroubleKind::LateCommands => "late_commands",
+            TroubleKind::RepeatedCommands => "repeated_commands",
             TroubleKind::CloudOut => "cloud_out",
         }
     }
@@ -126,6 +132,8 @@
     copies: Vec<LateCopy>,
     /// Share of the direct commands that are held up.
     late_commands: f64,
+    /// Share of the direct commands that arrive once more.
+    repeated_commands: f64,
     cloud_out: bool,
     effects: BTreeMap<TroubleKind, u64>,
 }
@@ -220,6 +228,21 @@
         Some(Duration::from_secs_f64(late))
     }
 
+    /// Sets the share of direct commands that arrive once more after they were carried out.
+    pub fn repeat_commands(&self, share: f64) {
+        self.present().repeated_commands = share;
+    }
+
+    /// After how long a command that was just carried out arrives once more, if it does.
+    pub fn repetition_delay(&self) -> Option<Duration> {
+        let share = self.present().repeated_commands;
+        if share <= 0.0 || !rand::rng().random_bool(share) {
+            return None;
+        }
+        let after_s = rand::rng().random_range(REPEATED_COMMAND_S);
+        Some(Duration::from_secs_f64(after_s))
+    }
+
     /// Begins or ends an outage of the cloud.
     pub fn set_cloud_out(&self, out: bool) {
         self.present().cloud_out = out;
--- a/crates/scale/src/soak/troubles.rs
+++ b/crates/scale/src/soak/troubles.rs
@@ -17,6 +17,8 @@
 const COPIED_REPORTS: f64 = 0.2;
 /// Share of the direct commands that are late.
 const LATE_COMMANDS: f64 = 0.3;
+/// Share of the direct commands that arrive once more.
+const REPEATED_COMMANDS: f64 = 0.3;
 const COPY_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// A trouble that has begun, with the controllers that it struck.
@@ -91,6 +93,7 @@
             (TroubleKind::MachinesEnd, Target::Machines(count)) => self.end_machines(site, count),
             (TroubleKind::LateReports, _) => interference.copy_reports(COPIED_REPORTS),
             (TroubleKind::LateCommands, _) => interference.delay_commands(LATE_COMMANDS),
+            (TroubleKind::RepeatedCommands, _) => interference.repeat_commands(REPEATED_COMMANDS),
             (TroubleKind::CloudOut, _) => interference.set_cloud_out(true),
             (kind, _) => set_state(site, &controllers, Some(state_trouble(kind))),
         }
@@ -123,11 +126,13 @@
             (TroubleKind::ZoneCut, _) if !goes_on => site.shared.cut(None),
             (TroubleKind::LateReports, _) if !goes_on => interference.copy_reports(0.0),
             (TroubleKind::LateCommands, _) if !goes_on => interference.delay_commands(0.0),
+            (TroubleKind::RepeatedCommands, _) if !goes_on => interference.repeat_commands(0.0),
             (TroubleKind::CloudOut, _) => interference.set_cloud_out(goes_on),
             (
                 TroubleKind::ZoneCut
                 | TroubleKind::LateReports
                 | TroubleKind::LateCommands
+                | TroubleKind::RepeatedCommands
                 | TroubleKind::MachinesEnd,
                 _,
             ) => {}
--- a/crates/scale/src/standin/commands.rs
+++ b/crates/scale/src/standin/commands.rs
@@ -1,7 +1,7 @@
 //! What controllers ask of workers directly: `POST /orders` and `GET /show`.
 
 use super::Shared;
-use super::reports::Worker;
+use super::reports::{LateCommand, Worker};
 use super::workers::{read_all, write_all};
 use crate::counters::Counterpart;
 use crate::http::{Request, Response, parse_request};
@@ -42,7 +42,11 @@
             self.input.drain(..length);
             if let Some(delay) = delay_of(shared, &request) {
                 // Its sender gets no answer.
-                worker.hold_command(Instant::now() + delay, request.body);
+                worker.hold_command(LateCommand {
+                    due: Instant::now() + delay,
+                    body: request.body,
+                    is_repeated: false,
+                });
                 return false;
             }
             let response = answer(worker, shared, &request).encode();
@@ -64,6 +68,17 @@
     is_command.then(|| shared.interference.command_delay())?
 }
 
+/// A command that was carried out may arrive once more.
+fn maybe_repeat(worker: &mut Worker, shared: &Shared, body: &[u8]) {
+    if let Some(delay) = shared.interference.repetition_delay() {
+        worker.hold_command(LateCommand {
+            due: Instant::now() + delay,
+            body: body.to_vec(),
+            is_repeated: true,
+        });
+    }
+}
+
 fn answer(worker: &mut Worker, shared: &Shared, r: &Request) -> Response {
     match (r.method.as_str(), r.path.as_str()) {
         ("GET", "/show") => Response::json(200, &worker.machine.report()),
@@ -78,6 +93,9 @@
                 judge: &mut judge,
             };
             let done = worker.machine.commanded(&mut context, &orders);
+            if done {
+                maybe_repeat(worker, shared, &r.body);
+            }
             let status = if done { 200 } else { 409 };
             Response::json(status, &worker.machine.report())
         }
--- a/crates/scale/src/standin/reports.rs
+++ b/crates/scale/src/standin/reports.rs
@@ -39,12 +39,20 @@
     pub leaving: Option<(Instant, Vec<u8>)>,
     /// A response on its way from there.
     pub arriving: Option<(Instant, Response)>,
-    /// Commands that are held up, and when each is carried out.
-    pub late_commands: Vec<(Instant, Vec<u8>)>,
+    /// Commands that are carried out later.
+    pub late_commands: Vec<LateCommand>,
     /// The earliest time in the heap of wakes.
     pub queued: Option<Instant>,
 }
 
+/// A direct command that is carried out later than it was sent.
+pub(super) struct LateCommand {
+    pub due: Instant,
+    pub body: Vec<u8>,
+    /// It was carried out and answered before.
+    pub is_repeated: bool,
+}
+
 impl Worker {
     pub fn next_wake(&self) -> Instant {
         let report = match self.in_flight {
@@ -55,7 +63,7 @@
             self.leaving.as_ref().map(|l| l.0),
             self.arriving.as_ref().map(|a| a.0),
             Some(report),
-            self.late_commands.iter().map(|(due, _)| *due).min(),
+            self.late_commands.iter().map(|late| late.due).min(),
         ];
         let ways = ways.into_iter().flatten();
         ways.fold(self.machine.change_due(), Instant::min)
@@ -97,20 +105,20 @@
         }
     }
 
-    /// A command is held up until `due`.
-    pub fn hold_command(&mut self, due: Instant, body: Vec<u8>) {
-        self.late_commands.push((due, body));
+    /// A command is carried out later.
+    pub fn hold_command(&mut self, command: LateCommand) {
+        self.late_commands.push(command);
     }
 
     /// Carries out late commands that are due, if token and session still match.
     fn carry_out_late(&mut self, shared: &Shared, now: Instant) {
         let (due, later) = std::mem::take(&mut self.late_commands)
             .into_iter()
-            .partition(|(at, _)| *at <= now);
+            .partition(|late| late.due <= now);
         self.late_commands = later;
-        let due: Vec<(Instant, Vec<u8>)> = due;
-        for (_, body) in due {
-            let Ok(orders) = serde_json::from_slice::<Commands>(&body) else {
+        let due: Vec<LateCommand> = due;
+        for late in due {
+            let Ok(orders) = serde_json::from_slice::<Commands>(&late.body) else {
                 continue;
             };
             let mut judge = shared.judge();
@@ -118,7 +126,10 @@
                 now,
                 judge: &mut judge,
             };
-            self.machine.commanded(&mut context, &orders);
+            let carried_out = self.machine.commanded(&mut context, &orders);
+            if carried_out && late.is_repeated {
+                shared.interference.count(TroubleKind::RepeatedCommands);
+            }
         }
     }
 
