--- a/crates/scale/src/judge.rs
+++ b/crates/scale/src/judge.rs
@@ -51,6 +51,8 @@
     /// A job was called queued or running too long after its user was told that
     /// a job that it needs, directly or through others, is cancelled.
     Orphaned,
+    /// A command that arrived once more started an attempt that had been there before.
+    StartedAgain,
     /// No task was started.
     NothingRan,
 }
@@ -189,6 +191,12 @@
     }
 
     /// Counts a started task's processors towards its team's limit.
+    /// A command that was carried out before has started this attempt on its machine.
+    pub fn started_again(&mut self, now: Instant, task: &TaskId, host: &Host) {
+        let what = format!("{task} on {host}");
+        self.record_breach(Rule::StartedAgain, now, what);
+    }
+
     fn use_cpus(&mut self, now: Instant, task: &TaskId, plan: &Plan) {
         let team = &plan.spec.team;
         let used = self.used.entry(team.clone()).or_default();
--- a/crates/scale/src/machine.rs
+++ b/crates/scale/src/machine.rs
@@ -189,6 +189,24 @@
         true
     }
 
+    /// Carries out a command that was carried out before: it should start nothing now.
+    pub fn commanded_again(&mut self, context: &mut Context, orders: &Commands) -> bool {
+        let is_unknown = |command: &&Command| match command {
+            Command::Run { task, attempt } => self.position(task, *attempt).is_none(),
+            Command::Kill { .. } | Command::Clear { .. } => false,
+        };
+        let starts: Vec<Command> = orders.commands.iter().filter(is_unknown).cloned().collect();
+        let carried_out = self.commanded(context, orders);
+        for start in starts.iter().filter(|_| carried_out) {
+            if let Command::Run { task, .. } = start {
+                context
+                    .judge
+                    .started_again(context.now, task, &self.place.host);
+            }
+        }
+        carried_out
+    }
+
     fn see_token(&mut self, token: Token) {
         if token > self.token {
             self.token = token;
--- a/crates/scale/src/standin/reports.rs
+++ b/crates/scale/src/standin/reports.rs
@@ -126,8 +126,9 @@
                 now,
                 judge: &mut judge,
             };
-            let carried_out = self.machine.commanded(&mut context, &orders);
-            if carried_out && late.is_repeated {
+            if !late.is_repeated {
+                self.machine.commanded(&mut context, &orders);
+            } else if self.machine.commanded_again(&mut context, &orders) {
                 shared.interference.count(TroubleKind::RepeatedCommands);
             }
         }
--- a/crates/scale/tests/machine.rs
+++ b/crates/scale/tests/machine.rs
@@ -3,7 +3,7 @@
 use clap::Parser;
 use hookworks::ids::{Attempt, JobId, Session, TaskId, TaskIndex, Token};
 use hookworks::wire::worker::{Cause, Command, Commands, Report, ReportResponse, TaskState};
-use hookworks_scale::judge::Judge;
+use hookworks_scale::judge::{Judge, Rule};
 use hookworks_scale::layout::Layout;
 use hookworks_scale::machine::{Context, Heartbeat, Machine};
 use hookworks_scale::options::RunOptions;
@@ -151,3 +151,31 @@
     let after = s.at(27);
     assert_eq!((after.session, after.tasks.len()), (Session(2), 0));
 }
+
+#[test]
+fn a_repeated_start_after_its_clear_is_noticed_unless_the_token_is_larger() {
+    for (clear_token, broken) in [(1, vec![Rule::StartedAgain]), (2, vec![])] {
+        let mut s = Story::new();
+        let run = s.run(0);
+        s.order(0, 1, vec![run.clone()]);
+        s.at(1);
+        s.at(15);
+        let clear = Command::Clear {
+            task: s.task(0),
+            attempt: Attempt(1),
+        };
+        s.order(16, clear_token, vec![clear]);
+        let now = s.start + Duration::from_secs(17);
+        let repeated = Commands {
+            token: Token(1),
+            session: Session(1),
+            commands: vec![run],
+        };
+        let judge = &mut s.judge;
+        s.machine
+            .commanded_again(&mut Context { now, judge }, &repeated);
+        let verdict = s.judge.verdict(now);
+        let rules: Vec<Rule> = verdict.broken.keys().copied().collect();
+        assert_eq!(rules, broken, "cleared under token {clear_token}");
+    }
+}
