--- a/crates/scale/src/interference.rs
+++ b/crates/scale/src/interference.rs
@@ -200,12 +200,11 @@
     /// A report is sent to that address; a copy of it may arrive later.
     pub fn report_sent(&self, to: SocketAddr, bytes: &[u8]) {
         let mut present = self.present();
-        if present.copied_reports <= 0.0 || !rand::rng().random_bool(present.copied_reports) {
+        let Some(delay) = draw_delay(present.copied_reports, LATE_COPY_S) else {
             return;
-        }
-        let late = Duration::from_secs_f64(rand::rng().random_range(LATE_COPY_S));
+        };
         let copy = LateCopy {
-            due: Instant::now() + late,
+            due: Instant::now() + delay,
             to,
             bytes: bytes.to_vec(),
         };
@@ -220,12 +219,9 @@
     /// How long a command that has just come is held up, if it is.
     pub fn command_delay(&self) -> Option<Duration> {
         let share = self.present().late_commands;
-        if share <= 0.0 || !rand::rng().random_bool(share) {
-            return None;
-        }
+        let delay = draw_delay(share, LATE_COMMAND_S)?;
         self.count(TroubleKind::LateCommands);
-        let late = rand::rng().random_range(LATE_COMMAND_S);
-        Some(Duration::from_secs_f64(late))
+        Some(delay)
     }
 
     /// Sets the share of direct commands that arrive once more after they were carried out.
@@ -236,11 +232,7 @@
     /// After how long a command that was just carried out arrives once more, if it does.
     pub fn repetition_delay(&self) -> Option<Duration> {
         let share = self.present().repeated_commands;
-        if share <= 0.0 || !rand::rng().random_bool(share) {
-            return None;
-        }
-        let after_s = rand::rng().random_range(REPEATED_COMMAND_S);
-        Some(Duration::from_secs_f64(after_s))
+        draw_delay(share, REPEATED_COMMAND_S)
     }
 
     /// Begins or ends an outage of the cloud.
@@ -303,6 +295,13 @@
     }
 }
 
+/// A delay between these two times, in seconds, for this share of the messages.
+fn draw_delay(share: f64, range_s: std::ops::Range<f64>) -> Option<Duration> {
+    let mut rng = rand::rng();
+    let is_drawn = share > 0.0 && rng.random_bool(share);
+    is_drawn.then(|| Duration::from_secs_f64(rng.random_range(range_s)))
+}
+
 fn carry_out_later(request: Request, answer: Arc<dyn Fn(&Request) -> Response + Send + Sync>) {
     let late = Duration::from_secs_f64(rand::rng().random_range(LATE_WRITE_S));
     let thread = std::thread::Builder::new().name("late-write".into());
--- a/crates/scale/src/judge.rs
+++ b/crates/scale/src/judge.rs
@@ -190,13 +190,13 @@
         self.use_cpus(now, task, &plan);
     }
 
-    /// Counts a started task's processors towards its team's limit.
     /// A command that was carried out before has started this attempt on its machine.
     pub fn started_again(&mut self, now: Instant, task: &TaskId, host: &Host) {
         let what = format!("{task} on {host}");
         self.record_breach(Rule::StartedAgain, now, what);
     }
 
+    /// Counts a started task's processors towards its team's limit.
     fn use_cpus(&mut self, now: Instant, task: &TaskId, plan: &Plan) {
         let team = &plan.spec.team;
         let used = self.used.entry(team.clone()).or_default();
--- a/crates/scale/src/machine.rs
+++ b/crates/scale/src/machine.rs
@@ -181,30 +181,35 @@
 
     /// Commands that came straight; false: nothing was carried out.
     pub fn commanded(&mut self, context: &mut Context, orders: &Commands) -> bool {
-        if orders.session != self.session || orders.token < self.token {
-            return false;
+        let accepted = self.accept(orders);
+        if accepted {
+            self.execute(context, &orders.commands);
         }
-        self.see_token(orders.token);
-        self.execute(context, &orders.commands);
-        true
+        accepted
+    }
+
+    /// Whether session and token still match; the token counts as seen then.
+    fn accept(&mut self, orders: &Commands) -> bool {
+        let accepted = orders.session == self.session && orders.token >= self.token;
+        if accepted {
+            self.see_token(orders.token);
+        }
+        accepted
     }
 
     /// Carries out a command that was carried out before: it should start nothing now.
     pub fn commanded_again(&mut self, context: &mut Context, orders: &Commands) -> bool {
-        let is_unknown = |command: &&Command| match command {
-            Command::Run { task, attempt } => self.position(task, *attempt).is_none(),
-            Command::Kill { .. } | Command::Clear { .. } => false,
-        };
-        let starts: Vec<Command> = orders.commands.iter().filter(is_unknown).cloned().collect();
-        let carried_out = self.commanded(context, orders);
-        for start in starts.iter().filter(|_| carried_out) {
-            if let Command::Run { task, .. } = start {
-                context
-                    .judge
-                    .started_again(context.now, task, &self.place.host);
+        let accepted = self.accept(orders);
+        for command in orders.commands.iter().filter(|_| accepted) {
+            if let Command::Run { task, attempt } = command
+                && self.position(task, *attempt).is_none()
+            {
+                let host = &self.place.host;
+                context.judge.started_again(context.now, task, host);
             }
+            self.execute(context, std::slice::from_ref(command));
         }
-        carried_out
+        accepted
     }
 
     fn see_token(&mut self, token: Token) {
--- a/src/sched/fencing.rs
+++ b/src/sched/fencing.rs
@@ -30,24 +30,19 @@
 impl CommandBatch {
     /// Whether it must not wait for the next answer, as most clears can.
     pub(super) fn is_urgent(&self) -> bool {
-        let any_other = self.commands.iter().any(|command| !is_clear(command));
+        let any_other = self.commands.iter().any(|command| !command.is_clear());
         any_other || self.start_waits_for_clear && self.clears()
     }
 
     fn clears(&self) -> bool {
-        self.commands.iter().any(is_clear)
+        self.commands.iter().any(Command::is_clear)
     }
 
     fn starts(&self) -> bool {
-        let is_start = |command: &Command| matches!(command, Command::Run { .. });
-        self.commands.iter().any(is_start)
+        self.commands.iter().any(Command::is_run)
     }
 }
 
-fn is_clear(command: &Command) -> bool {
-    matches!(command, Command::Clear { .. })
-}
-
 impl Machine {
     /// The token for a message with these commands, which must be sent with no other.
     pub(super) fn token_for(&mut self, batch: &CommandBatch) -> Token {
--- a/src/sched/recovery.rs
+++ b/src/sched/recovery.rs
@@ -12,7 +12,6 @@
 //! of an earlier leader. Where that leaves attempts uncertain, an empty call in its
 //! session raises the token at once rather than one or two heartbeats later.
 
-use super::fencing::CommandBatch;
 use super::job::Phase;
 use super::machine::MachineState;
 use super::place::may_run_on;
@@ -98,7 +97,7 @@
         };
         machine.direct_call = Some(call);
         let orders = Commands {
-            token: machine.token_for(&CommandBatch::default()),
+            token: machine.token,
             // The session of a worker that has not reported yet is unknown.
             session: if machine.has_reported {
                 machine.session
--- a/src/sched/report_reconciliation.rs
+++ b/src/sched/report_reconciliation.rs
@@ -232,15 +232,11 @@
         if active.attempt != report.attempt || active.host != *host {
             return false;
         }
-        let (attempt, run_sent) = (active.attempt, active.run_sent);
-        if !run_sent && self.was_listed_as_ended(host, task, attempt) {
+        let (running_since, run_sent) = (active.running_since, active.run_sent);
+        if !run_sent && self.was_listed_as_ended(host, task, report.attempt) {
             // An earlier member of the gang, replaced by this one under the same number.
             return false;
         }
-        let Some(active) = self.active_attempt_mut(task) else {
-            return false;
-        };
-        let running_since = active.running_since;
         let Some(phase) = Phase::of(report.state) else {
             self.attempt_ended(now, host, report, running_since);
             return false;
--- a/src/sched/worker_messages.rs
+++ b/src/sched/worker_messages.rs
@@ -64,11 +64,10 @@
 /// Leaves out of a message the clears that it has no room for: they are sent again with the
 /// next one. Commands that stop attempts always stay, and those that start some are few.
 pub fn limit_clears(commands: &mut Vec<Command>) {
-    let is_clear = |command: &Command| matches!(command, Command::Clear { .. });
-    let others = commands.iter().filter(|command| !is_clear(command));
+    let others = commands.iter().filter(|command| !command.is_clear());
     let mut bytes: usize = others.map(command_bytes).sum();
     commands.retain(|command| {
-        if !is_clear(command) {
+        if !command.is_clear() {
             return true;
         }
         bytes += command_bytes(command);
--- a/src/wire/worker.rs
+++ b/src/wire/worker.rs
@@ -138,6 +138,18 @@
     },
 }
 
+impl Command {
+    /// Whether it starts an attempt.
+    pub fn is_run(&self) -> bool {
+        matches!(self, Command::Run { .. })
+    }
+
+    /// Whether it makes the worker forget an attempt that has ended.
+    pub fn is_clear(&self) -> bool {
+        matches!(self, Command::Clear { .. })
+    }
+}
+
 /// Response to a heartbeat.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ReportResponse {
--- a/tests/repeated_commands.rs
+++ b/tests/repeated_commands.rs
@@ -6,6 +6,7 @@
 use hookworks::ids::*;
 use hookworks::sched::{DirectResult, Event};
 use hookworks::wire::peer::Request;
+use hookworks::wire::state::{Change, Txn};
 use hookworks::wire::user::JobKind;
 use hookworks::wire::worker::*;
 use world::desk::{Desk, ended, report};
@@ -114,12 +115,8 @@
     });
 }
 
-fn is_clear(command: &Command) -> bool {
-    matches!(command, Command::Clear { .. })
-}
-
-/// Starts task 0 of the job by a direct call; returns the call's token.
-fn started_by_call(desk: &mut Desk) -> (Token, Attempt) {
+/// Starts task 0 of the job by this direct call.
+fn started_by_call(desk: &mut Desk) -> (Commands, Attempt) {
     desk.beat(&report(1, 1, Token(0)));
     desk.submit(&job(1, 1));
     let attempt = desk.attempt(JOB, 0).expect("placed");
@@ -128,7 +125,7 @@
     shows.tasks = vec![world::desk::task(JOB, 0, attempt, TaskState::Fetching)];
     let shows = DirectResult::Done(Box::new(shows));
     desk.event(Event::Direct(call, host, shows));
-    (commands.token, attempt)
+    (commands, attempt)
 }
 
 /// The answer that clears the attempt, once its end is stored.
@@ -139,7 +136,7 @@
     for seq in 3..6 {
         shows.seq = Seq(seq);
         let answer = desk.beat(&shows).expect("answered");
-        if answer.commands.iter().any(is_clear) {
+        if answer.commands.iter().any(Command::is_clear) {
             return answer;
         }
     }
@@ -150,22 +147,25 @@
 fn an_answer_that_clears_an_attempt_puts_its_start_out_of_force() {
     for cause in ALL_CAUSES {
         let mut desk = Desk::new(5);
-        let (token, attempt) = started_by_call(&mut desk);
-        let answer = cleared(&mut desk, token, ended(JOB, 0, attempt, cause));
-        assert!(answer.token > token, "{cause:?}: the start is valid still");
+        let (start, attempt) = started_by_call(&mut desk);
+        let answer = cleared(&mut desk, start.token, ended(JOB, 0, attempt, cause));
+        assert!(
+            answer.token > start.token,
+            "{cause:?}: the start is valid still"
+        );
     }
 }
 
 #[test]
 fn a_direct_call_that_clears_an_attempt_puts_its_start_out_of_force() {
     let mut desk = Desk::new(5);
-    let (token, attempt) = started_by_call(&mut desk);
+    let (start, attempt) = started_by_call(&mut desk);
     let mut cleared_under = None;
     // Clears go along with starts; each call shows the first attempt as ended.
     for n in 2..6 {
         desk.submit(&job(n, 1));
         for (call, host, commands) in desk.direct() {
-            if commands.commands.iter().any(is_clear) {
+            if commands.commands.iter().any(Command::is_clear) {
                 cleared_under.get_or_insert(commands.token);
             }
             let mut shows = report(1, n + 1, commands.token);
@@ -175,7 +175,7 @@
         }
     }
     let cleared_under = cleared_under.expect("a call cleared it");
-    assert!(cleared_under > token, "the start is valid still");
+    assert!(cleared_under > start.token, "the start is valid still");
 }
 
 /// The start was told in an answer that is still on its way when a direct call repeats it.
@@ -193,22 +193,43 @@
     assert!(clears.token > under_way.token);
 }
 
-/// What no controller can exclude: such a worker knows neither token nor session of before.
+/// What no controller can exclude until the start has been cleared: such a worker knows
+/// neither token nor session of before.
 #[test]
 fn a_worker_that_begins_again_at_session_1_without_a_token_takes_a_repeated_start() {
     let mut desk = Desk::new(5);
-    desk.beat(&report(1, 1, Token(0)));
-    desk.submit(&job(1, 1));
-    let (_, host, commands) = desk.direct().remove(0);
+    let (start, attempt) = started_by_call(&mut desk);
     let specs = [(JobId::from(JOB), job(1, 1))].into_iter().collect();
-    let mut worker = Worker::new(host, "a".into(), false, desk.now);
-    worker.up = true;
-    let answer = worker.direct(desk.now, commands.clone(), &specs, 15.0);
-    assert!(answer.is_ok() && worker.runs.len() == 1);
-    // Any message of the leader of now keeps it from doing so.
-    let mut worker = Worker::new(worker.host.clone(), "a".into(), false, desk.now);
-    worker.up = true;
-    worker.token = commands.token.0 + 1;
-    let answer = worker.direct(desk.now, commands, &specs, 15.0);
-    assert!(answer.is_err() && worker.runs.is_empty());
+    let begin_again = || {
+        let mut worker = Worker::new("n-000001".into(), "a".into(), false, 0);
+        worker.up = true;
+        worker
+    };
+    let mut unaware = begin_again();
+    let answer = unaware.direct(1, start.clone(), &specs, 15.0);
+    assert!(answer.is_ok() && unaware.runs.len() == 1);
+    let clears = cleared(&mut desk, start.token, ended(JOB, 0, attempt, Cause::Error));
+    let mut answered = begin_again();
+    answered.answered(1, 0, clears, &specs, 15.0);
+    let answer = answered.direct(2, start, &specs, 15.0);
+    assert!(answer.is_err() && answered.runs.is_empty());
+}
+
+/// The checker itself: a transaction without a condition is applied each time.
+#[test]
+fn a_repeated_transaction_that_is_applied_again_is_noticed() {
+    let mut world = World::new(1, 3);
+    let value = serde_json::json!({});
+    let change = Change::Put {
+        key: "some/record".into(),
+        value,
+        lease: None,
+    };
+    let unconditional = Txn {
+        conditions: vec![],
+        changes: vec![change],
+    };
+    world.at(0.0, Ev::RepeatedTxn(0, unconditional));
+    world.run(0.1);
+    assert!(world.broken.iter().any(|b| b.contains("applied_again")));
 }
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -628,10 +628,8 @@
     all_done(&mut w, 300.0);
 }
 
-/// Both versions count their tokens within the term: the clear of a later one is above every
-/// start of an earlier one.
 #[test]
-fn a_clear_puts_the_starts_of_an_earlier_leader_of_either_version_out_of_force() {
+fn a_clear_puts_every_start_of_an_earlier_term_out_of_force() {
     let last_of_term = Token(Epoch(6).base() - 1);
     let mut desk = Desk::new(6);
     let mut shows = report(1, 1, last_of_term);
@@ -642,8 +640,7 @@
         Cause::Error,
     )];
     let answer = desk.beat(&shows).expect("answered");
-    let is_clear = |command: &Command| matches!(command, Command::Clear { .. });
-    assert!(answer.commands.iter().any(is_clear), "{answer:?}");
+    assert!(answer.commands.iter().any(Command::is_clear), "{answer:?}");
     assert!(answer.token > last_of_term);
     assert!(answer.token < Token(Epoch(7).base()));
 }
