Show an older answer after a leader that is back at once has confirmed a newer one

Cause: answers that a follower passes on are valid until the leader's lease would have run out; a leader that is back in a fraction of a second ends that lease early.

--- a/review/stage-2/src/scene.rs
+++ b/review/stage-2/src/scene.rs
@@ -2,6 +2,7 @@
 //! of the deploy file, beside the stand-ins.
 
 use crate::http;
+use crate::net::Net;
 use crate::record::Record;
 use crate::state::State;
 use crate::world::{JobFacts, Rules, World, secs};
@@ -11,6 +12,7 @@
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio, exit};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -33,6 +35,7 @@
 pub struct Scene {
     pub world: Arc<World>,
     pub state: Arc<State>,
+    pub net: Arc<Net>,
     pub record: Arc<Record>,
     pub trouble: bool,
     children: Arc<Mutex<Vec<Option<Child>>>>,
@@ -50,9 +53,18 @@
     exit(2)
 }
 
+/// A free port below those that the system gives to clients, so that a controller that
+/// is started anew finds it free.
 fn free_port() -> SocketAddr {
-    let l = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| give_up(&e.to_string()));
-    l.local_addr().unwrap_or_else(|e| give_up(&e.to_string()))
+    static TRIED: AtomicU16 = AtomicU16::new(0);
+    let from = (std::process::id() % 1700) as u16 * 10;
+    for _ in 0..2000 {
+        let port = 12_000 + (from + TRIED.fetch_add(1, Ordering::Relaxed)) % 17_000;
+        if let Ok(l) = TcpListener::bind(("127.0.0.1", port)) {
+            return l.local_addr().unwrap_or_else(|e| give_up(&e.to_string()));
+        }
+    }
+    give_up("no free port")
 }
 
 fn command() -> Vec<String> {
@@ -90,24 +102,31 @@
             list_lag_s: number("cloud", "list_lag_s"),
             teams: p["teams"].as_array().into_iter().flatten().map(team).collect(),
         };
-        let world = World::new(rules, record.clone());
         let count = 3;
+        let zone = |n: usize| site.zones[n % site.zones.len()];
+        let net = Arc::new(Net::new((0..count).map(|n| zone(n).to_string()).collect()));
+        let world = World::new(rules, record.clone(), net.clone());
         let state = Arc::new(State::new(&p["state"], count, Duration::from_millis(3)));
         let temporary = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         std::fs::create_dir_all(&temporary).unwrap_or_else(|e| give_up(&e.to_string()));
-        let w = world.clone();
-        let cloud = http::serve(Arc::new(move |r: &http::Request| w.cloud(r)));
         let labels: Vec<String> = (0..count).map(|n| format!("bullock-{n}")).collect();
         let listen: Vec<SocketAddr> = (0..count).map(|_| free_port()).collect();
         let peers: Vec<SocketAddr> = (0..count).map(|_| free_port()).collect();
-        let zone = |n: usize| site.zones[n % site.zones.len()];
         let mut settings = vec![];
         for n in 0..count {
-            let s = state.clone();
-            let at = http::serve(Arc::new(move |r: &http::Request| s.answer(n, r)));
+            let (s, held) = (state.clone(), net.clone());
+            let at = http::serve(Arc::new(move |r: &http::Request| {
+                held.hold(|net| net.state_cut(n));
+                s.answer(n, r)
+            }));
+            let (w, held) = (world.clone(), net.clone());
+            let cloud = http::serve(Arc::new(move |r: &http::Request| {
+                held.hold(|net| net.region_cut(n));
+                w.cloud(r)
+            }));
             let others = (0..count).filter(|o| *o != n);
             let seeds: Vec<Value> = others
-                .map(|o| json!({"label": labels[o], "zone": zone(o), "peer_addr": peers[o]}))
+                .map(|o| json!({"label": labels[o], "zone": zone(o), "peer_addr": net.link(n, o, peers[o])}))
                 .collect();
             let v = json!({"label": labels[n], "zone": zone(n), "listen": listen[n],
                 "cluster_listen": peers[n], "seeds": seeds,
@@ -129,9 +148,13 @@
             give_up("it took too long");
         });
         let logs = std::env::var("LOGS").map_or(temporary.clone(), PathBuf::from);
+        let s = state.clone();
+        *world.led.lock().unwrap() =
+            Some(Box::new(move |token| s.led.lock().unwrap().get(&(token >> 24)).copied()));
         let scene = Scene {
             world,
             state,
+            net,
             record,
             trouble,
             children,
@@ -181,8 +204,8 @@
     /// Stops a controller's process, or lets it go on.
     pub fn signal(&self, n: usize, name: &str) {
         if let Some(child) = &self.children.lock().unwrap()[n] {
-            let id = child.id().to_string();
-            let _ = Command::new("kill").args([&format!("-{name}"), &id]).status();
+            let kill = format!("kill -{name} {}", child.id());
+            let _ = Command::new("sh").args(["-c", &kill]).status();
             self.record.line(format!("{} gets {name}", self.labels[n]));
         }
     }
@@ -216,7 +239,12 @@
     }
 
     pub fn wait_for_leader(&self) -> usize {
-        self.wait("a leader", 20.0, || self.leader())
+        let leader = self.wait("a leader", 20.0, || self.leader());
+        if let Some(ended) = self.ended().first() {
+            self.end();
+            give_up(ended);
+        }
+        leader
     }
 
     /// Waits until that is so; the case can't run if it takes longer.
@@ -240,8 +268,16 @@
         std::thread::sleep(secs(s));
     }
 
+    /// The controller that leads in this epoch, as the state service was told.
+    pub fn led_by(&self, epoch: u64) -> Option<usize> {
+        self.state.led.lock().unwrap().get(&epoch).copied()
+    }
+
     /// A request of a user to a controller: status and body, or none without an answer.
     pub fn ask(&self, n: usize, method: &str, path: &str, body: &[u8], wait_s: f64) -> Option<(u16, Value)> {
+        if self.net.region_cut(n) {
+            return None;
+        }
         let answer = http::call(self.listen[n], method, path, body, secs(wait_s));
         let text = match &answer {
             Ok((status, v)) => format!("{status} {v}"),
--- a/review/stage-2/src/sites.rs
+++ b/review/stage-2/src/sites.rs
@@ -55,6 +55,22 @@
     }
 }
 
+/// Script workloads at the size of the fleet page.
+pub fn scriptwell_fleet() -> Site {
+    let mut site = scriptwell();
+    let p = &mut site.params;
+    let limits = [(6000.0, 15000.0), (5000.0, 12000.0), (3500.0, 9000.0), (3500.0, 9000.0)];
+    for (n, (cpus, most)) in limits.into_iter().enumerate() {
+        p["teams"][n]["cpus"] = json!(cpus);
+        p["teams"][n]["cpus_max"] = json!(most);
+    }
+    p["workers"] = json!({"report_s": 5.0, "lease_s": 26.5, "gang_wait_s": 30.0, "gang_peer_s": 8.0, "cancel_s": 46.5});
+    p["state"] = json!({"rps": 180.0, "write_rps": 70.0, "value_kb": 32.0, "txn_ops": 16});
+    p["cloud"]["rps"] = json!(3.0);
+    p["machine_limits"] = json!({"core_share": 0.28, "ram_mb": 188.0, "max_connections": 3129});
+    site
+}
+
 /// A submission; `more` replaces or adds fields.
 pub fn job(id: &str, class: &str, team: &str, shape: &str, pieces: u64, more: Value) -> Value {
     let mut v = json!({"Id": id, "Jobline": class, "Crew": team, "Shape": shape, "Urgency": "normal",
--- a/review/stage-2/src/state.rs
+++ b/review/stage-2/src/state.rs
@@ -1,6 +1,7 @@
 //! The state service: keys with revisions, transactions, leases, limits.
 
 use crate::http::{Answer, Request};
+use crate::world::{random, secs};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Mutex;
@@ -47,16 +48,21 @@
 }
 
 pub struct State {
+    /// Which controller took the lead, by epoch.
+    pub led: Mutex<HashMap<u64, usize>>,
     store: Mutex<Store>,
     txn_ops: usize,
     value_bytes: usize,
-    latency: Duration,
+    latency: Mutex<Duration>,
+    /// Shares of the transactions without an answer: carried out 2 to 12 s late, and at once.
+    pub unanswered: Mutex<(f64, f64)>,
 }
 
 impl State {
     pub fn new(limits: &Value, nodes: usize, latency: Duration) -> State {
         let number = |name: &str| limits[name].as_f64().unwrap_or(100.0);
         State {
+            led: Mutex::default(),
             store: Mutex::new(Store {
                 ledger: 1,
                 items: BTreeMap::new(),
@@ -69,7 +75,8 @@
             }),
             txn_ops: number("txn_ops") as usize,
             value_bytes: (number("value_kb") * 1024.0) as usize,
-            latency,
+            latency: Mutex::new(latency),
+            unanswered: Mutex::default(),
         }
     }
 
@@ -90,7 +97,28 @@
     }
 
     pub fn answer(&self, node: usize, r: &Request) -> Answer {
-        std::thread::sleep(self.latency);
+        let latency = *self.latency.lock().unwrap();
+        std::thread::sleep(latency);
+        if r.path == "/txn" {
+            let (late, lost) = *self.unanswered.lock().unwrap();
+            if random() < late {
+                std::thread::sleep(secs(2.0 + 10.0 * random()));
+                self.answer_now(node, r);
+                return None;
+            }
+            if random() < lost {
+                self.answer_now(node, r);
+                return None;
+            }
+        }
+        self.answer_now(node, r)
+    }
+
+    pub fn set_latency(&self, latency: Duration) {
+        *self.latency.lock().unwrap() = latency;
+    }
+
+    fn answer_now(&self, node: usize, r: &Request) -> Answer {
         let mut store = self.store.lock().unwrap();
         store.expire();
         if store.outage || store.refused[node] {
@@ -107,7 +135,7 @@
                 Some(i) => (200, pair(rest, i)),
                 None => (404, json!({"Ledger": store.ledger})),
             },
-            ("POST", "txn") => self.txn(&mut store, r),
+            ("POST", "txn") => self.txn(node, &mut store, r),
             ("POST", "grants") if rest.is_empty() => {
                 let life = r.json().and_then(|b| b["LifeMs"].as_u64()).unwrap_or(1000);
                 let life = Duration::from_millis(life);
@@ -134,7 +162,7 @@
         })
     }
 
-    fn txn(&self, store: &mut Store, r: &Request) -> (u16, Value) {
+    fn txn(&self, node: usize, store: &mut Store, r: &Request) -> (u16, Value) {
         let Some(body) = r.json().filter(|_| r.body.len() <= 64 * 1024) else {
             return (400, json!({"error": "malformed"}));
         };
@@ -166,6 +194,9 @@
         }
         for c in apply {
             if let Some(key) = c["Put"].as_str() {
+                if let (true, Some(epoch)) = (c["Permit"].is_u64(), c["V"]["epoch"].as_u64()) {
+                    self.led.lock().unwrap().insert(epoch, node);
+                }
                 let item = Item {
                     value: c["V"].clone(),
                     stamp: store.ledger,
--- a/review/stage-2/src/world.rs
+++ b/review/stage-2/src/world.rs
@@ -2,6 +2,7 @@
 //! of it. One lock and one clock for everything; `tick` advances it.
 
 use crate::http::{self, Answer, Request};
+use crate::net::Net;
 use crate::record::Record;
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -150,6 +151,8 @@
     pub jobs: HashMap<String, JobFacts>,
     pub broken: Vec<String>,
     pub started: u64,
+    /// Tasks that have completed.
+    pub done: BTreeSet<String>,
     hires: HashMap<String, Vec<String>>,
     next_host: u64,
     /// How many machines there may be.
@@ -168,10 +171,13 @@
     inner: Mutex<Inner>,
     pub record: Arc<Record>,
     pub nodes: Mutex<Vec<(String, SocketAddr)>>,
+    pub net: Arc<Net>,
+    /// Who leads by token, if known; set by the scene.
+    pub led: Mutex<Option<Box<dyn Fn(u64) -> Option<usize> + Send>>>,
 }
 
 impl World {
-    pub fn new(rules: Rules, record: Arc<Record>) -> Arc<World> {
+    pub fn new(rules: Rules, record: Arc<Record>, net: Arc<Net>) -> Arc<World> {
         let world = Arc::new(World {
             rules,
             inner: Mutex::new(Inner {
@@ -179,6 +185,7 @@
                 jobs: HashMap::new(),
                 broken: vec![],
                 started: 0,
+                done: BTreeSet::new(),
                 hires: HashMap::new(),
                 next_host: 1,
                 capacity: 0,
@@ -189,6 +196,8 @@
             }),
             record,
             nodes: Mutex::new(vec![]),
+            net,
+            led: Mutex::new(None),
         });
         let w = world.clone();
         std::thread::spawn(move || {
@@ -288,6 +297,24 @@
             }
             let text = body.to_string();
             let (label, address) = &nodes[node % nodes.len()];
+            let zone = self.inner().machines[host].zone.clone();
+            let at = node % nodes.len();
+            while self.net.worker_cut(at, &zone) && last.elapsed() < Duration::from_secs(4) {
+                std::thread::sleep(Duration::from_millis(10));
+            }
+            if self.net.worker_cut(at, &zone) {
+                // It is delivered once the cut is over; nobody waits for the answer.
+                let (net, address, zone) = (self.net.clone(), *address, zone.clone());
+                std::thread::spawn(move || {
+                    net.hold(|n| n.worker_cut(at, &zone));
+                    let _ = http::call(address, "POST", "/agent/beat", text.as_bytes(), Duration::from_secs(4));
+                });
+                self.record.line(format!("report {host} -> {label} is held up"));
+                self.move_on(host, node + 1);
+                std::thread::sleep(Duration::from_secs(1));
+                last = Instant::now() - Duration::from_secs(60);
+                continue;
+            }
             self.record.line(format!("report {host} -> {label}: {text}"));
             let answer = http::call(*address, "POST", "/agent/beat", text.as_bytes(), Duration::from_secs(4));
             match answer {
@@ -359,6 +386,12 @@
             self.record.line(format!("orders to {host} held up: {}", String::from_utf8_lossy(&r.body)));
             std::thread::sleep(secs(2.0 + 14.0 * random()));
         }
+        let token = r.json().and_then(|v| v["Baton"].as_u64()).unwrap_or(0);
+        let caller = self.led.lock().unwrap().as_ref().and_then(|f| f(token));
+        let zone = self.inner().machines.get(host).map(|m| m.zone.clone());
+        if let (Some(caller), Some(zone)) = (caller, zone) {
+            self.net.hold(|n| n.worker_cut(caller, &zone));
+        }
         let answer = self.orders_now(host, r);
         answer.filter(|_| !late && random() >= lost)
     }
@@ -558,7 +591,10 @@
                 Status::Waiting if now >= t.since + secs(self.rules.gang_wait_s) => {
                     t.set(now, Status::Ended("alone"));
                 }
-                Status::Running if due => t.set(now, Status::Ended("done")),
+                Status::Running if due => {
+                    t.set(now, Status::Ended("done"));
+                    inner.done.insert(t.name());
+                }
                 Status::Flushing if due => {
                     t.set(now, Status::Ended("stopped"));
                     t.kept = true;
