--- a/review/stage-2/src/bin/session-copy.rs
+++ b/review/stage-2/src/bin/session-copy.rs
@@ -16,13 +16,15 @@
     let world = scene.world.clone();
     let (north, east) = ("brisbane-north", "townsville-east");
     let host = world.add_machine(north, false, Duration::ZERO);
-    let other = world.add_machine(east, false, Duration::ZERO);
+    world.add_machine(east, false, Duration::ZERO);
     {
         let mut inner = world.inner();
         inner.capacity = 2;
         inner.cloud_latency = Duration::from_millis(120);
         for (n, m) in inner.machines.values_mut().enumerate() {
             m.node = n;
+            // An earlier job of the class has left its image.
+            m.images.insert("img-01".into());
         }
     }
     let runs = |task: &str, on: &str| {
@@ -43,7 +45,7 @@
     };
     scene.wait_for_leader();
     scene.sleep(4.0);
-    submit("job-000101", 100.0, json!({}));
+    submit("job-000101", 300.0, json!({}));
     scene.wait("the first task runs", 12.0, || runs(FIRST, &host));
     // A report of that, in the first session, which will come once more.
     let shows = |r: &Value| {
@@ -61,10 +63,10 @@
         scene.wait_for_leader();
     }
     scene.wait("the first task runs", 15.0, || runs(FIRST, &host));
-    // Further work: something beside it, and a machine with room for one more task.
-    submit("job-000102", 200.0, json!({"Yard": north}));
-    submit("job-000103", 200.0, json!({"Yard": east, "Vcpus": 14.0, "RamGb": 20.0}));
-    scene.wait("the others run", 12.0, || runs("job-000102/0", &host).and(runs("job-000103/0", &other)));
+    // Further work: the machine is full, and a job waits for room in its zone.
+    submit("job-000102", 300.0, json!({"Yard": north, "Vcpus": 14.0, "RamGb": 20.0}));
+    scene.wait("the other runs", 12.0, || runs("job-000102/0", &host));
+    submit("job-000103", 40.0, json!({"Yard": north}));
     scene.wait("the worker was just answered", 8.0, || {
         last().filter(|r| r.0.elapsed() < Duration::from_millis(60) && shows(&r.1)).map(|_| ())
     });
