Scheduler: an end counts once it is proven to be that of the latest start

Cause: a new leader took the end of an attempt (`alone`, and any other) from whatever report came first, also from a copy of an old one. The design holds that such an end is true for ever, since no number is begun twice. Two paths begin one twice: a replaced member of a gang, and an attempt that an earlier leader stored and a later one resumes in its worker's next session.

Change: an end counts if the worker had received our token when it sent the report. For arrays and services it is enough that the worker's session is known from a message of this term, as the answer to the first call of a take-over: within a session an ended attempt stays listed until its outcome is stored. Until then the attempt counts as shown, and a call that confirms the token is requested.

`failure_is_counted_once_across_failover` counted the failure from the first report of the next leader, which may be a copy. It now asks for none from that one, and for one, however often it is repeated, from the reports that carry the new token.

Evidence: `an_end_shown_before_the_token_was_received_ends_no_attempt` and `an_end_of_a_gang_member_counts_once_the_worker_has_received_the_token` failed before the change, each at its first cause, and pass with all eight.

--- a/src/sched/report_reconciliation.rs
+++ b/src/sched/report_reconciliation.rs
@@ -176,7 +176,7 @@
         let mut unknown_attempts = BTreeMap::new();
         let mut shown = BTreeSet::new();
         for task in &report.tasks {
-            if self.apply_task(now, &report.host, task) {
+            if self.apply_task(now, report, task) {
                 shown.insert(task.task.clone());
                 continue;
             }
@@ -222,23 +222,26 @@
         self.jobs.get_mut(&task.job)?.active.get_mut(&task.index)
     }
 
-    /// Applies the report of one task. Returns true if it is an active attempt of ours
-    /// on that machine.
-    fn apply_task(&mut self, now: Time, host: &Host, report: &TaskReport) -> bool {
-        let task = &report.task;
+    /// Applies what a report says of one task. Returns true if it is an active attempt of
+    /// ours on that machine.
+    fn apply_task(&mut self, now: Time, report: &Report, reported: &TaskReport) -> bool {
+        let (host, task) = (&report.host, &reported.task);
         let Some(active) = self.active_attempt_mut(task) else {
             return false;
         };
-        if active.attempt != report.attempt || active.host != *host {
+        if active.attempt != reported.attempt || active.host != *host {
             return false;
         }
         let (running_since, run_sent) = (active.running_since, active.run_sent);
-        if !run_sent && self.was_listed_as_ended(host, task, report.attempt) {
+        if !run_sent && self.was_listed_as_ended(host, task, reported.attempt) {
             // An earlier member of the gang, replaced by this one under the same number.
             return false;
         }
-        let Some(phase) = Phase::of(report.state) else {
-            self.attempt_ended(now, host, report, running_since);
+        let Some(phase) = Phase::of(reported.state) else {
+            if !self.is_end_final(report, task) {
+                return self.await_proof_of_end(host, run_sent);
+            }
+            self.attempt_ended(now, host, reported, running_since);
             return false;
         };
         self.set_phase(host, task, phase);
@@ -248,6 +251,31 @@
         true
     }
 
+    /// Whether an attempt that this report shows as ended can't have been started again
+    /// under its number since the report was sent.
+    ///
+    /// An array task or a replica is started again only in a later session: within one, its
+    /// worker lists it as ended until the outcome is stored. A member of a gang may be
+    /// replaced in the same session, by a command of an earlier leader that is still under
+    /// way, so the worker must have received our token.
+    fn is_end_final(&self, report: &Report, task: &TaskId) -> bool {
+        let machine = self.machines.get(&report.host);
+        let session_is_current = machine.is_some_and(|machine| machine.session_confirmed);
+        let job = self.jobs.get(&task.job);
+        let is_gang = job.is_some_and(|job| job.spec.kind == JobKind::Gang);
+        report.token >= self.base_token() || session_is_current && !is_gang
+    }
+
+    /// The end of an attempt is not proven to be that of its latest start: a call that
+    /// confirms our token is to show what is there now. Returns true if the attempt counts
+    /// as shown until then; one that this leader has not started is to be cleared first.
+    fn await_proof_of_end(&mut self, host: &Host, run_sent: bool) -> bool {
+        if run_sent {
+            self.request_confirmation(host);
+        }
+        run_sent
+    }
+
     /// Whether the previous report of the machine listed the attempt as one that is over.
     fn was_listed_as_ended(&self, host: &Host, task: &TaskId, attempt: Attempt) -> bool {
         let machine = self.machines.get(host);
--- a/tests/life.rs
+++ b/tests/life.rs
@@ -327,6 +327,13 @@
             let mut r = report(number(&host), 20, Token(5 << 24));
             r.tasks = vec![ended(JOB, 0, a, Cause::Error)];
             next.beat(&r);
+            let counts = &next.s.jobs[&JobId::from(JOB)].failure_counts;
+            assert_eq!(counts.of(0), 0, "the report may be an old copy");
+            // From the second one on the worker has received the new token.
+            for seq in 21..=23 {
+                r.seq = Seq(seq);
+                next.beat(&r);
+            }
         }
         assert_eq!(next.s.jobs[&JobId::from(JOB)].failure_counts.of(0), 1);
     }
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -3,12 +3,14 @@
 mod world;
 
 use hookworks::ids::*;
-use hookworks::sched::Config;
 use hookworks::sched::job::Job;
+use hookworks::sched::{Config, DirectResult, Event};
 use hookworks::time::{Time, WallTime};
+use hookworks::wire::cloud::ListedHost;
 use hookworks::wire::peer::Request;
+use hookworks::wire::user::JobKind;
 use hookworks::wire::worker::*;
-use world::desk::{Desk, report};
+use world::desk::{Desk, ended, report, task};
 use world::job;
 
 const JOB: &str = "job-000001";
@@ -26,8 +28,9 @@
 /// Loads the job record that `first` has stored, as the next leader does.
 fn inherit(first: &Desk, change: impl Fn(&mut Config)) -> Desk {
     let record = first.s.jobs[&JobId::from(JOB)].encode(0);
-    let loaded = Job::decode(&record, Time(first.now), WallTime(1_000_000)).unwrap();
-    assert_eq!(loaded.active.len(), 8);
+    let mut loaded = Job::decode(&record, Time(first.now), WallTime(1_000_000)).unwrap();
+    (loaded.parts[0].version, loaded.parts[0].stored_version) = (1, 1);
+    assert_eq!(loaded.active.len(), loaded.spec.tasks as usize);
     Desk::set_up(6, vec![loaded], change)
 }
 
@@ -103,3 +106,167 @@
         assert_eq!(a.commands, [], "a machine with a preemption notice");
     }
 }
+
+const ALL_CAUSES: [Cause; 8] = [
+    Cause::Done,
+    Cause::Stopped,
+    Cause::PeersGone,
+    Cause::Alone,
+    Cause::Error,
+    Cause::NoRoom,
+    Cause::InUse,
+    Cause::Unknown,
+];
+
+/// A leader that finds a gang of two on record, on machines 1 and 2, beside an empty
+/// machine 3. Returns the attempt, and which task is on machine 1.
+fn inherit_gang() -> (Desk, Attempt, u32) {
+    let mut first = Desk::new(5);
+    for n in 1..=2 {
+        first.beat(&report(n, 1, Token(0)));
+    }
+    let mut gang = job(1, 2);
+    (gang.kind, gang.cpus) = (JobKind::Gang, 6.0);
+    first.submit(&gang);
+    let attempt = first.attempt(JOB, 0).expect("placed");
+    let (index, _) = task_on_first(&first);
+    let mut desk = inherit(&first, |_| {});
+    // Nobody reads the answers to copies.
+    desk.hear = false;
+    desk.beat(&report(3, 1, Token(Epoch(6).base())));
+    (desk, attempt, index)
+}
+
+fn host(n: u32) -> Host {
+    report(n, 0, Token(0)).host
+}
+
+/// A task on machine 1, and its attempt.
+fn task_on_first(desk: &Desk) -> (u32, Attempt) {
+    let active = &desk.s.jobs[&JobId::from(JOB)].active;
+    let on_first = active.iter().find(|(_, a)| a.host == host(1));
+    let (index, attempt) = on_first.expect("a task on machine 1");
+    (index.0, attempt.attempt)
+}
+
+/// The cloud lists machine 1 as running.
+fn list_running(desk: &mut Desk) {
+    let first = report(1, 0, Token(0));
+    desk.event(Event::Listed(vec![ListedHost {
+        host: first.host,
+        addr: first.addr,
+        build: first.build,
+        zone: first.zone,
+        spot: first.spot,
+        status: "running".into(),
+        age_s: 0.0,
+    }]));
+}
+
+/// Takes the call to machine 1 that is under way.
+fn call_to_first(desk: &mut Desk) -> (CallId, Host, Commands) {
+    let mut calls = desk.direct().into_iter();
+    calls
+        .find(|(_, called, _)| *called == host(1))
+        .expect("a call to machine 1")
+}
+
+/// Answers the call to machine 1 that is to confirm the token, with what is there.
+fn confirm(desk: &mut Desk, tasks: Vec<TaskReport>) {
+    desk.wait(0.5);
+    let (call, called, commands) = call_to_first(desk);
+    assert_eq!(commands.commands, []);
+    let shown = Report {
+        tasks,
+        ..report(1, 9, commands.token)
+    };
+    desk.event(Event::Direct(
+        call,
+        called,
+        DirectResult::Done(Box::new(shown)),
+    ));
+}
+
+/// Guards against a task on two machines: a replaced member of a gang keeps its attempt
+/// number, and a copy of a report that showed the end of the member before it reached the
+/// next leader first, which then started the task elsewhere (review case 4).
+#[test]
+fn an_end_shown_before_the_token_was_received_ends_no_attempt() {
+    for cause in ALL_CAUSES {
+        let (mut desk, attempt, index) = inherit_gang();
+        let mut copy = report(1, 2, Token(Epoch(5).base()));
+        copy.tasks = vec![ended(JOB, index, attempt, cause)];
+        desk.beat(&copy);
+        assert_eq!(desk.attempt(JOB, index), Some(attempt), "{cause:?}");
+        let waits = task(JOB, index, attempt, TaskState::Waiting);
+        confirm(&mut desk, vec![waits]);
+        assert_eq!(desk.attempt(JOB, index), Some(attempt), "{cause:?}");
+        let active = &desk.s.jobs[&JobId::from(JOB)].active;
+        assert_eq!(active[&TaskIndex(index)].host, host(1), "{cause:?}");
+    }
+}
+
+/// Guards against a slow failover: the room of a member that did end is free after one call,
+/// not after two heartbeats.
+#[test]
+fn an_end_of_a_gang_member_counts_once_the_worker_has_received_the_token() {
+    for cause in ALL_CAUSES {
+        let (mut desk, attempt, index) = inherit_gang();
+        let mut report = report(1, 2, Token(Epoch(5).base()));
+        report.tasks = vec![ended(JOB, index, attempt, cause)];
+        desk.beat(&report);
+        confirm(&mut desk, report.tasks.clone());
+        assert!(
+            !desk.s.machines[&host(1)]
+                .allocations
+                .keys()
+                .any(|task| task.index.0 == index),
+            "{cause:?}"
+        );
+    }
+}
+
+/// Guards against a team beyond its limit: an attempt that an earlier leader had resumed in
+/// its worker's second session lost its room to a copy of a report of the first one, which
+/// showed its end there (history 1533).
+#[test]
+fn an_end_in_an_earlier_session_ends_no_resumed_attempt() {
+    for cause in ALL_CAUSES {
+        let first = eight_placed();
+        let mut desk = inherit(&first, |c| c.teams[0].cpus_max = 99.0);
+        desk.hear = false;
+        let (index, attempt) = task_on_first(&desk);
+        let mut copy = report(1, 2, Token(Epoch(5).base()));
+        copy.tasks = vec![ended(JOB, index, attempt, cause)];
+        desk.beat(&copy);
+        assert_eq!(desk.attempt(JOB, index), Some(attempt), "{cause:?}");
+        // A call shows what is there by now.
+        desk.wait(0.5);
+        let (call, called, _) = call_to_first(&mut desk);
+        let mut current = report(1, 9, Token(Epoch(5).base()));
+        current.session = Session(2);
+        current.tasks = vec![task(JOB, index, attempt, TaskState::Running)];
+        let answer = DirectResult::Conflict(Box::new(current));
+        desk.event(Event::Direct(call, called, answer));
+        assert_eq!(desk.attempt(JOB, index), Some(attempt), "{cause:?}");
+    }
+}
+
+/// Guards against a slow failover: the first answer of a worker to a call shows its current
+/// session, and what has ended there counts at once.
+#[test]
+fn an_end_in_the_current_session_counts_without_the_token() {
+    for cause in ALL_CAUSES {
+        let first = eight_placed();
+        let mut desk = inherit(&first, |c| c.teams[0].cpus_max = 99.0);
+        desk.hear = false;
+        let (index, attempt) = task_on_first(&desk);
+        list_running(&mut desk);
+        let (call, called, _) = call_to_first(&mut desk);
+        let mut current = report(1, 2, Token(Epoch(5).base()));
+        current.tasks = vec![ended(JOB, index, attempt, cause)];
+        let answer = DirectResult::Conflict(Box::new(current));
+        desk.event(Event::Direct(call, called, answer));
+        assert_ne!(desk.attempt(JOB, index), Some(attempt), "{cause:?}");
+    }
+}
