Scheduler: only a session heard in this term ends what was before it

Cause: a copy of a report of an earlier session was the first that a new leader heard of a machine, and made the worker's current session look new. All attempts that the copy showed were taken for gone with the session before. The design holds that what was seen in one session can't be in a later one; but an earlier leader resumes what it finds on record under the number that it has, in whatever session the worker is by then.

Change: a later session ends attempts only if the one before was heard in this term, and then only those that the report itself doesn't show. What a copy showed and a later report lacks ends as it always did: once the worker has received our token and no command is under way. A call that confirms the token is requested then, so that this takes no two heartbeats.

Evidence: `a_session_known_from_a_copy_ends_no_attempt` and `an_attempt_that_a_later_session_shows_is_there` failed before the change and pass now.

--- a/src/sched/report_reconciliation.rs
+++ b/src/sched/report_reconciliation.rs
@@ -43,6 +43,13 @@
     DirectCall,
 }
 
+impl TaskReport {
+    /// Whether the attempt has not ended.
+    fn is_active(&self) -> bool {
+        self.state != TaskState::Ended
+    }
+}
+
 impl Phase {
     /// None for an attempt that has ended.
     fn of(state: TaskState) -> Option<Phase> {
@@ -113,8 +120,8 @@
         let Some(session) = self.update_worker(now, report, source) else {
             return false;
         };
-        if session != SessionChange::Same {
-            self.new_session(now, &report.host, session);
+        if session == SessionChange::Later {
+            self.new_session(now, report);
         }
         let shown = self.apply_tasks(now, report);
         if source == ReportSource::Heartbeat {
@@ -192,24 +199,27 @@
         shown
     }
 
-    /// A new session proves that the old lease expired, so everything on the worker has
-    /// ended. If the previous session is not proven to have been reported under this
-    /// leader, only attempts seen or started under this leader count as ended: a
-    /// duplicate of an old report can make the current session look new.
-    fn new_session(&mut self, now: Time, host: &Host, session: SessionChange) {
-        let proven = session == SessionChange::Later;
+    /// A session later than one that was heard in this term proves that the old lease has
+    /// expired, so everything has ended that the worker does not show. Not so where the
+    /// earlier session is known from a heartbeat that may be a copy: an earlier leader may
+    /// have resumed an attempt in the later one under its number. What is missing then ends
+    /// as in any report, in `handle_missing_attempts`.
+    fn new_session(&mut self, now: Time, report: &Report) {
+        let host = &report.host;
         let Some(machine) = self.machines.get_mut(host) else {
             return;
         };
-        if proven {
-            machine.unconfirmed_token = None;
-        }
-        let ended = |active: &&mut ActiveAttempt| {
-            let seen = !active.inherited || active.phase != Phase::Placed;
-            active.run_sent && (proven || seen)
+        machine.unconfirmed_token = None;
+        let shown = |task: &TaskId, attempt: Attempt| {
+            let is_shown = |reported: &TaskReport| {
+                reported.task == *task && reported.attempt == attempt && reported.is_active()
+            };
+            report.tasks.iter().any(is_shown)
         };
         let tasks: Vec<TaskId> = machine.allocations.keys().cloned().collect();
         for task in tasks {
+            let ended =
+                |active: &&mut ActiveAttempt| active.run_sent && !shown(&task, active.attempt);
             if self.active_attempt_mut(&task).filter(ended).is_some() {
                 tracing::debug!(%host, %task, "attempt ended with its worker's session");
                 self.attempt_gone_with(now, &task, Some(Failure::Lost), false);
@@ -551,7 +561,11 @@
                     !active.run_sent
                         || (no_command_pending && source == ReportSource::Heartbeat && answered)
                 }
-                _ => no_command_pending,
+                _ if !no_command_pending => {
+                    self.request_confirmation(host);
+                    false
+                }
+                _ => true,
             };
             if gone {
                 self.attempt_gone(now, &task);
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -173,12 +173,18 @@
 
 /// Answers the call to machine 1 that is to confirm the token, with what is there.
 fn confirm(desk: &mut Desk, tasks: Vec<TaskReport>) {
+    confirm_in(desk, Session(1), tasks);
+}
+
+fn confirm_in(desk: &mut Desk, session: Session, tasks: Vec<TaskReport>) {
     desk.wait(0.5);
     let (call, called, commands) = call_to_first(desk);
     assert_eq!(commands.commands, []);
+    assert_eq!(commands.session, session);
     let shown = Report {
+        session,
         tasks,
-        ..report(1, 9, commands.token)
+        ..report(1, 19, commands.token)
     };
     desk.event(Event::Direct(
         call,
@@ -270,3 +276,59 @@
         assert_ne!(desk.attempt(JOB, index), Some(attempt), "{cause:?}");
     }
 }
+
+/// Guards against a task on two machines: an attempt that an earlier leader had resumed in
+/// its worker's second session was taken for gone with the first one, because a copy of a
+/// report of the first session reached the next leader before any other (review case 5).
+#[test]
+fn a_session_known_from_a_copy_ends_no_attempt() {
+    let first = eight_placed();
+    let mut desk = inherit(&first, |c| c.teams[0].cpus_max = 99.0);
+    desk.hear = false;
+    let (index, attempt) = task_on_first(&desk);
+    for (session, state) in [(1, TaskState::Running), (1, TaskState::Fetching)] {
+        let mut copy = report(1, 2, Token(Epoch(5).base()));
+        copy.session = Session(session);
+        copy.tasks = vec![task(JOB, index, attempt, state)];
+        desk.beat(&copy);
+    }
+    desk.wait(0.5);
+    // The worker is in its second session: it refuses the call, and shows what is there.
+    let (call, called, _) = call_to_first(&mut desk);
+    let mut current = report(1, 9, Token(Epoch(5).base()));
+    current.session = Session(2);
+    current.tasks = vec![task(JOB, index, attempt, TaskState::Running)];
+    let answer = DirectResult::Conflict(Box::new(current.clone()));
+    desk.event(Event::Direct(call, called, answer));
+    assert_eq!(desk.attempt(JOB, index), Some(attempt));
+    // And what a report of that session lacks may still be begun by the earlier leader.
+    (current.seq, current.tasks) = (Seq(10), vec![]);
+    desk.beat(&current);
+    assert_eq!(desk.attempt(JOB, index), Some(attempt));
+    desk.wait(4.0);
+    current.seq = Seq(11);
+    desk.beat(&current);
+    // Not so once the worker has received our token, which a call brings about.
+    confirm_in(&mut desk, Session(2), vec![]);
+    assert_ne!(desk.attempt(JOB, index), Some(attempt));
+}
+
+/// A worker may take up an attempt just after its session has begun: what a report shows is
+/// there, whatever its session proves of others.
+#[test]
+fn an_attempt_that_a_later_session_shows_is_there() {
+    let first = eight_placed();
+    let mut desk = inherit(&first, |c| c.teams[0].cpus_max = 99.0);
+    desk.hear = false;
+    let (index, attempt) = task_on_first(&desk);
+    let mut report = report(1, 2, Token(Epoch(6).base()));
+    report.tasks = vec![task(JOB, index, attempt, TaskState::Running)];
+    desk.beat(&report);
+    (report.session, report.seq) = (Session(2), Seq(3));
+    desk.beat(&report);
+    assert_eq!(desk.attempt(JOB, index), Some(attempt));
+    // What it lacks has ended with the session.
+    (report.session, report.seq, report.tasks) = (Session(3), Seq(4), vec![]);
+    desk.beat(&report);
+    assert_ne!(desk.attempt(JOB, index), Some(attempt));
+}
