Election: an earlier lease is revoked only once none of its answers may be told

Cause: an answer carries for how long the lease that it rests on is proven, up to 1.55 s, and a follower tells it until then. That no other leader tells anything newer meanwhile rests on the lease's running out by itself. Two paths end it early: a process that finds the key held by an earlier one at its own address, and the orderly end of a leader.

Change: an answer may be told for 240 ms after it was decided, and no longer than the lease. A process revokes the lease of an earlier one 250 ms after it has bound its address, by which moment that one had ended; a leader that ends in good order resigns 250 ms after its last answer. The leader's key says so (`revocation_delay_ms`), an optional field that the version in production ignores; without it the lease runs out by itself.

--- a/src/election.rs
+++ b/src/election.rs
@@ -1,7 +1,8 @@
 //! Leader election by a leased key; every leadership has a new and larger epoch.
 //!
 //! A controller that finds the key held by an earlier process of its own does
-//! not wait for that lease to expire: it revokes the lease and campaigns at once.
+//! not wait for that lease to expire: it revokes the lease and campaigns as soon as
+//! no answer of that process may be told any more, see [`ANSWER_VALIDITY`].
 //! For why that is safe, and when it is not done, see docs/notes/quick-restarts.md.
 
 use crate::ids::{ControllerId, Epoch, Instance, Revision};
@@ -25,6 +26,19 @@
 /// Number of renewals within the duration of a lease.
 const RENEWALS_PER_LEASE: u64 = 4;
 
+/// How long an answer to a user may be told after the leader has decided it, by whichever
+/// controller the user asked. That controller may have stood still since it received the
+/// answer, and another leader may have told the user's job to be over.
+pub const ANSWER_VALIDITY: Span = Span(240_000);
+/// How long after its last answer a leader's lease may be revoked: the validity of answers,
+/// with a margin for clocks that run at different rates.
+pub const REVOCATION_DELAY: Span = Span(250_000);
+
+/// Until when an answer that rests on the leadership may be told.
+pub fn answer_valid_until(decided_at: Time, lease_valid_until: Time) -> Time {
+    lease_valid_until.min(decided_at + ANSWER_VALIDITY)
+}
+
 /// The address at which a process listens for the other controllers. The
 /// operating system binds an address to one process at a time, so the process that
 /// holds it knows that every earlier holder has ended.
@@ -77,6 +91,10 @@
     /// Where its process listens; earlier versions don't write it.
     #[serde(rename = "home", default, skip_serializing_if = "Option::is_none")]
     pub address: Option<BoundAddress>,
+    /// In milliseconds, how long after its process has ended its lease may be revoked.
+    /// Earlier versions don't write it: their answers are valid as long as their lease.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub revocation_delay_ms: Option<u64>,
 }
 
 /// A controller process that takes part in the election.
@@ -88,6 +106,8 @@
     pub instance: Instance,
     /// Where it listens for the other controllers, if known.
     pub address: Option<BoundAddress>,
+    /// When it had bound that address: every earlier process there had ended by then.
+    pub bound_at: Time,
 }
 
 impl Candidate {
@@ -99,12 +119,20 @@
         record.label == self.label && addresses.is_some_and(|(own, others)| own.excludes(others))
     }
 
+    /// From when on the lease of a replaced process may be revoked: no answer that rests on
+    /// it may be told any more. None if the lease must expire by itself.
+    fn may_revoke_at(&self, record: &LeaderRecord) -> Option<Time> {
+        let delay = Span::millis(record.revocation_delay_ms?);
+        self.has_replaced(record).then_some(self.bound_at + delay)
+    }
+
     fn record(&self, epoch: Epoch) -> LeaderRecord {
         LeaderRecord {
             label: self.label.clone(),
             epoch,
             instance: self.instance,
             address: self.address.clone(),
+            revocation_delay_ms: Some(REVOCATION_DELAY.0 / 1000),
         }
     }
 }
@@ -142,6 +170,8 @@
     fast_polls_left: u32,
     /// The last step got no answer from the state service.
     unavailable: bool,
+    /// How long after the last step the lease of an earlier process may be revoked.
+    revocation_in: Option<Span>,
 }
 
 impl<S: StateStore> Elector<S> {
@@ -154,6 +184,7 @@
             lease: None,
             fast_polls_left: 0,
             unavailable: false,
+            revocation_in: None,
         }
     }
 
@@ -166,6 +197,8 @@
     pub fn step_interval(&self) -> Span {
         if self.leads() {
             Span(self.lease_duration.0 / RENEWALS_PER_LEASE)
+        } else if let Some(wait) = self.revocation_in {
+            wait.min(POLL_INTERVAL)
         } else if self.fast_polls_left > 0 {
             POLL_INTERVAL_SUSPECTED
         } else if self.unavailable {
@@ -184,6 +217,7 @@
     /// campaigns if it is free.
     pub fn step(&mut self, now: impl Fn() -> Time) -> ElectionOutcome {
         self.fast_polls_left = self.fast_polls_left.saturating_sub(1);
+        self.revocation_in = None;
         let outcome = match self.lease {
             Some(lease) => self.renew(lease, now),
             None => self.follow(now),
@@ -220,7 +254,12 @@
         let (Some(record), Some(lease)) = (&leader, leader_key.lease) else {
             return Ok(ElectionOutcome::Following(leader));
         };
-        if !self.candidate.has_replaced(record) {
+        let Some(may_revoke_at) = self.candidate.may_revoke_at(record) else {
+            return Ok(ElectionOutcome::Following(leader));
+        };
+        let time = now();
+        if time < may_revoke_at {
+            self.revocation_in = Some(may_revoke_at - time);
             return Ok(ElectionOutcome::Following(leader));
         }
         tracing::info!(epoch = %record.epoch, lease, "revoking the leader lease of an earlier process of this controller");
@@ -276,7 +315,8 @@
         }
     }
 
-    /// Revokes the own lease, so that the next leader need not wait for its expiry.
+    /// Revokes the own lease, so that the next leader need not wait for its expiry. To be
+    /// called no sooner than [`REVOCATION_DELAY`] after the last answer to a user.
     pub fn resign(&mut self) {
         if let Some(lease) = self.lease.take() {
             self.state.revoke(lease);
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -8,7 +8,7 @@
 mod request_log;
 mod threads;
 mod upgrade;
-use crate::election::{BoundAddress, Candidate, ElectionOutcome, LeaderRecord};
+use crate::election::{BoundAddress, Candidate, ElectionOutcome, LeaderRecord, REVOCATION_DELAY};
 use crate::sched::job::Final;
 use crate::sched::{Effect, Event, Scheduler};
 use crate::store::budget::Budget;
@@ -251,6 +251,7 @@
         label: platform.label.clone(),
         instance,
         address: Some(BoundAddress::of_this_process(platform.cluster_listen)),
+        bound_at: clock.now(),
     };
     let state_requests = threads::state_service::start(&settings, &inbox);
     let cloud_requests =
@@ -386,9 +387,13 @@
                 && (self.pending.is_empty() || now - since > Span::secs(3.0))
             {
                 // Steps down before resigning, so that nothing is sent under an epoch whose
-                // key was released.
+                // key was released, and resigns once nothing sent before may be told.
+                let led = self.own_epoch().is_some();
                 self.step_down(now, LeadershipEnd::Stopping);
                 self.send_outgoing(now);
+                if led {
+                    std::thread::sleep(REVOCATION_DELAY.std());
+                }
                 self.resign();
                 self.server.stop(SHUTDOWN_RESPONSE_TIMEOUT);
                 return;
--- a/src/node/requests.rs
+++ b/src/node/requests.rs
@@ -6,6 +6,7 @@
 use super::threads::state_service::StateRequest;
 use super::{Node, Origin, PendingRequest, Role};
 use crate::api::redirect;
+use crate::election::answer_valid_until;
 use crate::ids::{ControllerId, Epoch, RequestId};
 use crate::sched::Event;
 use crate::time::{Span, Time};
@@ -267,8 +268,9 @@
         let Some(pending) = self.pending.remove(&req) else {
             return;
         };
-        // An answer that relies on the proven lease is valid only as long as that lease,
-        // even if this process is suspended before the answer is sent. A forwarded
+        // An answer that relies on the proven lease is valid no longer than that lease, even
+        // if this process is suspended before the answer is sent, and for a short time only,
+        // as the lease may be revoked soon after this process has ended. A forwarded
         // request's answer already carries a limit from the leader. The lease of a worker
         // counts from when it sent its heartbeat, so that answer needs no limit.
         if let Role::Leader(leadership) = &self.role
@@ -277,8 +279,9 @@
             && answer.status < FIRST_RETRYABLE_STATUS
             && leadership.scheduler.may_start(now)
         {
-            answer.valid_us =
-                Some((leadership.scheduler.leadership_valid_until() - pending.received_at).0);
+            let lease_valid_until = leadership.scheduler.leadership_valid_until();
+            let valid_until = answer_valid_until(now, lease_valid_until);
+            answer.valid_us = Some((valid_until - pending.received_at).0);
         }
         self.latency
             .saturating_record((now - pending.received_at).0);
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -144,6 +144,7 @@
         label: "a".into(),
         instance: Instance(1),
         address: None,
+        bound_at: Time(0),
     };
     match Elector::new(s.clone(), me, Span::secs(2.0)).step(|| Time(0)) {
         ElectionOutcome::Elected {
--- a/tests/world/dispatch.rs
+++ b/tests/world/dispatch.rs
@@ -20,6 +20,7 @@
         };
         match e {
             Ev::Elect(i) => self.elect(i),
+            Ev::ElectOnce(i) => self.stand(i),
             Ev::Tick(i) => self.tick(i),
             Ev::Wake(i) => self.wake(i),
             Ev::List(i) => {
@@ -218,6 +219,8 @@
         self.ctls[i] = self.new_ctl(i, life);
         // A new process looks at once who leads, and hears of machines.
         self.stand(i);
+        let pause = self.ctls[i].elector.step_interval().as_secs();
+        self.at(pause, Ev::ElectOnce(i));
         self.at(0.1, Ev::ListOnce(i));
     }
 
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -52,6 +52,8 @@
 
 pub enum Ev {
     Elect(usize),
+    /// One more step of its election, at a moment of its own.
+    ElectOnce(usize),
     Tick(usize),
     Wake(usize),
     Beat(Host),
@@ -326,6 +328,7 @@
             label,
             instance: Instance(life),
             address: Some(given::bound_address(i)),
+            bound_at: self.time(),
         };
         Ctl {
             elector: Elector::new(self.store.of(i), me, ttl),
