--- a/tests/random_history/mod.rs
+++ b/tests/random_history/mod.rs
@@ -153,6 +153,7 @@
     w.run(240.0);
     // The storm is over: everything accepted must come to its end, and stays known.
     w.chaos = Chaos::default();
+    w.at(0.0, Ev::KeepReports(0.0));
     w.all_quiet();
     for id in &ids {
         for k in 0..48 {
