--- a/src/sched/direct_calls.rs
+++ b/src/sched/direct_calls.rs
@@ -3,7 +3,8 @@
 
 use super::job::{ActiveAttempt, Phase};
 use super::machine::MachineState;
-use super::report_reconciliation::{Delivery, ReportSource};
+use super::report_reconciliation::ReportSource;
+use super::worker_commands::Delivery;
 use super::{DirectResult, Effect, Scheduler};
 use crate::ids::{CallId, Host, JobId};
 use crate::time::{Span, Time};
--- a/src/sched/fencing.rs
+++ b/src/sched/fencing.rs
@@ -10,7 +10,7 @@
 //! which would make the worker forget the new one.
 
 use super::machine::Machine;
-use super::report_reconciliation::Delivery;
+use super::worker_commands::Delivery;
 use crate::ids::Token;
 use crate::time::Span;
 use crate::wire::worker::Command;
--- a/src/sched/heartbeats.rs
+++ b/src/sched/heartbeats.rs
@@ -3,7 +3,8 @@
 
 use super::Scheduler;
 use super::machine::{Machine, MachineState, SentAnswer};
-use super::report_reconciliation::{Delivery, ReportSource};
+use super::report_reconciliation::ReportSource;
+use super::worker_commands::Delivery;
 use crate::ids::{ControllerId, Host, RequestId, Seq, Session};
 use crate::time::{Span, Time};
 use crate::wire::peer::Answer;
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -33,6 +33,7 @@
 mod resources;
 mod team;
 mod wait_limits;
+mod worker_commands;
 mod worker_messages;
 mod zones;
 
