Soak, tests: all controllers away, and reports kept for the next leader

Two kinds of trouble more that a soak draws: all_away ends all controllers and starts them again after 0.3 to 14 s (a worker's lease is 10 s there), kept_reports keeps copies of reports, which reach every controller once another epoch stands in the leader's key.

--- a/crates/scale/src/interference.rs
+++ b/crates/scale/src/interference.rs
@@ -4,7 +4,7 @@
 use crate::http::{Request, Response};
 use rand::RngExt;
 use serde::Serialize;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -19,6 +19,8 @@
 const REPEATED_COMMAND_S: std::ops::Range<f64> = 0.3..20.0;
 /// A copy of a report is delivered between these two times after it was sent.
 const LATE_COPY_S: std::ops::Range<f64> = 2.0..20.0;
+/// Reports that are kept for the next leader at the most.
+const MAX_KEPT_REPORTS: usize = 200;
 
 /// A way in which something goes wrong.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
@@ -26,6 +28,8 @@
 pub enum TroubleKind {
     /// Controllers end, and are started again within a second.
     Restart,
+    /// All controllers end, and are started again later, also after longer than a lease.
+    AllAway,
     /// A controller stands still while its clocks run on.
     Pause,
     /// What one controller sends to another is held, and delivered afterwards.
@@ -48,6 +52,8 @@
     LateWrites,
     /// Copies of workers' reports arrive seconds later.
     LateReports,
+    /// Copies of workers' reports reach every controller once the next one leads.
+    KeptReports,
     /// Direct commands get no answer and are carried out seconds later.
     LateCommands,
     /// Direct commands that were carried out and answered arrive once more, seconds later.
@@ -58,8 +64,9 @@
 
 impl TroubleKind {
     /// All kinds.
-    pub const ALL: [TroubleKind; 15] = [
+    pub const ALL: [TroubleKind; 17] = [
         TroubleKind::Restart,
+        TroubleKind::AllAway,
         TroubleKind::Pause,
         TroubleKind::LinkHeld,
         TroubleKind::LinksRefused,
@@ -71,6 +78,7 @@
         TroubleKind::AnswersLost,
         TroubleKind::LateWrites,
         TroubleKind::LateReports,
+        TroubleKind::KeptReports,
         TroubleKind::LateCommands,
         TroubleKind::RepeatedCommands,
         TroubleKind::CloudOut,
@@ -80,6 +88,7 @@
     pub const fn name(self) -> &'static str {
         match self {
             TroubleKind::Restart => "restart",
+            TroubleKind::AllAway => "all_away",
             TroubleKind::Pause => "pause",
             TroubleKind::LinkHeld => "link_held",
             TroubleKind::LinksRefused => "links_refused",
@@ -91,6 +100,7 @@
             TroubleKind::AnswersLost => "answers_lost",
             TroubleKind::LateWrites => "late_writes",
             TroubleKind::LateReports => "late_reports",
+            TroubleKind::KeptReports => "kept_reports",
             TroubleKind::LateCommands => "late_commands",
             TroubleKind::RepeatedCommands => "repeated_commands",
             TroubleKind::CloudOut => "cloud_out",
@@ -120,6 +130,8 @@
     pub to: SocketAddr,
     /// The request as it was sent.
     pub bytes: Vec<u8>,
+    /// The trouble that it is part of.
+    pub trouble: TroubleKind,
 }
 
 #[derive(Default)]
@@ -130,6 +142,10 @@
     /// Share of the reports that are copied.
     copied_reports: f64,
     copies: Vec<LateCopy>,
+    /// Share of the reports that are kept for the next leader.
+    kept_reports: f64,
+    /// These reports, the oldest first.
+    kept: VecDeque<Vec<u8>>,
     /// Share of the direct commands that are held up.
     late_commands: f64,
     /// Share of the direct commands that arrive once more.
@@ -138,6 +154,16 @@
     effects: BTreeMap<TroubleKind, u64>,
 }
 
+impl Present {
+    /// Keeps a copy of a report, in place of the oldest one if there are many.
+    fn keep(&mut self, bytes: &[u8]) {
+        if self.kept.len() >= MAX_KEPT_REPORTS {
+            self.kept.pop_front();
+        }
+        self.kept.push_back(bytes.to_vec());
+    }
+}
+
 /// The troubles that are present, and how often each has taken effect.
 #[derive(Default)]
 pub struct Interference {
@@ -200,6 +226,9 @@
     /// A report is sent to that address; a copy of it may arrive later.
     pub fn report_sent(&self, to: SocketAddr, bytes: &[u8]) {
         let mut present = self.present();
+        if is_drawn(present.kept_reports) {
+            present.keep(bytes);
+        }
         let Some(delay) = draw_delay(present.copied_reports, LATE_COPY_S) else {
             return;
         };
@@ -207,10 +236,31 @@
             due: Instant::now() + delay,
             to,
             bytes: bytes.to_vec(),
+            trouble: TroubleKind::LateReports,
         };
         present.copies.push(copy);
     }
 
+    /// Sets the share of reports of which a copy is kept for the next leader.
+    pub fn keep_reports(&self, share: f64) {
+        self.present().kept_reports = share;
+    }
+
+    /// Another controller leads: the copies kept for it are due at each of these addresses.
+    pub fn leader_changed(&self, controllers: &[SocketAddr]) {
+        let mut present = self.present();
+        let due = Instant::now();
+        for bytes in std::mem::take(&mut present.kept) {
+            let copies = controllers.iter().map(|to| LateCopy {
+                due,
+                to: *to,
+                bytes: bytes.clone(),
+                trouble: TroubleKind::KeptReports,
+            });
+            present.copies.extend(copies);
+        }
+    }
+
     /// Sets the share of direct commands that are held up.
     pub fn delay_commands(&self, share: f64) {
         self.present().late_commands = share;
@@ -297,9 +347,12 @@
 
 /// A delay between these two times, in seconds, for this share of the messages.
 fn draw_delay(share: f64, range_s: std::ops::Range<f64>) -> Option<Duration> {
-    let mut rng = rand::rng();
-    let is_drawn = share > 0.0 && rng.random_bool(share);
-    is_drawn.then(|| Duration::from_secs_f64(rng.random_range(range_s)))
+    is_drawn(share).then(|| Duration::from_secs_f64(rand::rng().random_range(range_s)))
+}
+
+/// Whether a message is one of this share.
+fn is_drawn(share: f64) -> bool {
+    share > 0.0 && rand::rng().random_bool(share)
 }
 
 fn carry_out_later(request: Request, answer: Arc<dyn Fn(&Request) -> Response + Send + Sync>) {
--- a/crates/scale/src/run.rs
+++ b/crates/scale/src/run.rs
@@ -271,6 +271,11 @@
         (0..layout.controllers).find(named)
     }
 
+    /// The epoch in the leader's key.
+    pub fn leader_epoch(&self) -> Option<u64> {
+        self.state.peek(LEADER_KEY)?["epoch"].as_u64()
+    }
+
     fn snapshot(&self) -> Snapshot {
         let all = 0..self.options.controllers;
         let usage = |c| self.controllers.usage(c, true).unwrap_or_default();
--- a/crates/scale/src/soak/schedule.rs
+++ b/crates/scale/src/soak/schedule.rs
@@ -17,6 +17,8 @@
 const LASTS_S: std::ops::Range<f64> = 2.0..7.0;
 /// A controller that ended is started again after so long.
 const BACK_AFTER_S: std::ops::Range<f64> = 0.05..0.9;
+/// All controllers are away for less than a leader's lease, or for longer than a worker's.
+const AWAY_S: std::ops::Range<f64> = 0.3..14.0;
 /// A pause is longer than a leader's lease, or shorter.
 const PAUSE_S: std::ops::Range<f64> = 0.3..4.0;
 /// Machines that end at a time.
@@ -118,6 +120,7 @@
 fn for_how_long(kind: TroubleKind, rng: &mut StdRng) -> f64 {
     match kind {
         TroubleKind::Restart => rng.random_range(BACK_AFTER_S),
+        TroubleKind::AllAway => rng.random_range(AWAY_S),
         TroubleKind::Pause => rng.random_range(PAUSE_S),
         TroubleKind::MachinesEnd => 0.0,
         _ => rng.random_range(LASTS_S),
--- a/crates/scale/src/soak/troubles.rs
+++ b/crates/scale/src/soak/troubles.rs
@@ -6,7 +6,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::io::Write;
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
 /// How much longer requests to a slow state service take.
@@ -15,6 +15,8 @@
 const DISTURBED_WRITES: f64 = 0.3;
 /// Share of the reports of which a copy comes late.
 const COPIED_REPORTS: f64 = 0.2;
+/// Share of the reports of which a copy is kept for the next leader.
+const KEPT_REPORTS: f64 = 0.3;
 /// Share of the direct commands that are late.
 const LATE_COMMANDS: f64 = 0.3;
 /// Share of the direct commands that arrive once more.
@@ -31,6 +33,8 @@
 pub(super) struct Troubles {
     to_come: Vec<Trouble>,
     under_way: Vec<Begun>,
+    /// The latest epoch in the leader's key.
+    epoch: Option<u64>,
     rng: StdRng,
 }
 
@@ -40,6 +44,7 @@
         Troubles {
             to_come: schedule,
             under_way: vec![],
+            epoch: None,
             rng: StdRng::seed_from_u64(seed),
         }
     }
@@ -62,20 +67,35 @@
                 self.begin(site, trouble);
             }
         }
+        self.watch_leader(site);
         for copy in site.shared.interference.due_copies(now) {
             deliver(site, &copy);
         }
     }
 
+    /// Copies that are kept for the next leader are due once there is one.
+    fn watch_leader(&mut self, site: &Site) {
+        let epoch = site.leader_epoch();
+        if epoch.is_none() || epoch == self.epoch {
+            return;
+        }
+        self.epoch = epoch;
+        let layout = &site.shared.layout;
+        let addresses: Vec<SocketAddr> = (0..layout.controllers)
+            .map(|number| layout.controller(number))
+            .collect();
+        site.shared.interference.leader_changed(&addresses);
+    }
+
     fn begin(&mut self, site: &Site, trouble: Trouble) {
         site.shared.judge().trouble_began();
         let interference = &site.shared.interference;
         let controllers = controllers_of(site, trouble.target);
         match (trouble.kind, trouble.target) {
-            (TroubleKind::Restart, _) => {
+            (kind @ (TroubleKind::Restart | TroubleKind::AllAway), _) => {
                 for controller in &controllers {
                     site.controllers.kill(*controller);
-                    interference.count(TroubleKind::Restart);
+                    interference.count(kind);
                 }
             }
             (TroubleKind::Pause, _) => {
@@ -92,6 +112,7 @@
             (TroubleKind::ZoneCut, Target::Zone(zone)) => site.shared.cut(Some(zone)),
             (TroubleKind::MachinesEnd, Target::Machines(count)) => self.end_machines(site, count),
             (TroubleKind::LateReports, _) => interference.copy_reports(COPIED_REPORTS),
+            (TroubleKind::KeptReports, _) => interference.keep_reports(KEPT_REPORTS),
             (TroubleKind::LateCommands, _) => interference.delay_commands(LATE_COMMANDS),
             (TroubleKind::RepeatedCommands, _) => interference.repeat_commands(REPEATED_COMMANDS),
             (TroubleKind::CloudOut, _) => interference.set_cloud_out(true),
@@ -109,7 +130,7 @@
         // Another trouble of the same kind may go on.
         let goes_on = self.under_way.iter().any(|b| b.trouble.kind == kind);
         match (kind, begun.trouble.target) {
-            (TroubleKind::Restart, _) => {
+            (TroubleKind::Restart | TroubleKind::AllAway, _) => {
                 for controller in &begun.controllers {
                     start_if_ended(site, *controller);
                 }
@@ -125,12 +146,14 @@
             (TroubleKind::LinksRefused, _) => interference.refuse_links(goes_on),
             (TroubleKind::ZoneCut, _) if !goes_on => site.shared.cut(None),
             (TroubleKind::LateReports, _) if !goes_on => interference.copy_reports(0.0),
+            (TroubleKind::KeptReports, _) if !goes_on => interference.keep_reports(0.0),
             (TroubleKind::LateCommands, _) if !goes_on => interference.delay_commands(0.0),
             (TroubleKind::RepeatedCommands, _) if !goes_on => interference.repeat_commands(0.0),
             (TroubleKind::CloudOut, _) => interference.set_cloud_out(goes_on),
             (
                 TroubleKind::ZoneCut
                 | TroubleKind::LateReports
+                | TroubleKind::KeptReports
                 | TroubleKind::LateCommands
                 | TroubleKind::RepeatedCommands
                 | TroubleKind::MachinesEnd,
@@ -208,6 +231,6 @@
         Ok(())
     });
     if written.is_ok() {
-        site.shared.interference.count(TroubleKind::LateReports);
+        site.shared.interference.count(copy.trouble);
     }
 }
--- a/tests/troubles/mod.rs
+++ b/tests/troubles/mod.rs
@@ -16,6 +16,8 @@
 pub enum Trouble {
     /// The leader ends, or all do, and are back within a second.
     HandOver,
+    /// All controllers are away, for less than a leader's lease or longer than a worker's.
+    AllAway,
     /// A machine can't be reached, hangs, or hears nothing.
     Machine,
     /// It begins anew, or is taken.
@@ -58,8 +60,9 @@
     OddRequests,
 }
 
-pub const TROUBLES: [Trouble; 21] = [
+pub const TROUBLES: [Trouble; 22] = [
     Trouble::HandOver,
+    Trouble::AllAway,
     Trouble::Machine,
     Trouble::Loss,
     Trouble::LateWrites,
@@ -108,6 +111,13 @@
                 w.at(at + back, Ev::Restart(i));
             }
         }
+        Trouble::AllAway => {
+            let away = w.rng.random_range(0.3..30.0);
+            for i in 0..3 {
+                w.at(at, Ev::Kill(i));
+                w.at(at + away, Ev::Restart(i));
+            }
+        }
         Trouble::Machine => {
             let e = |h: Host, on| match n {
                 0 => Ev::Cut(h, on),
