Election: nothing new is stored; before the switch an earlier lease expires by itself

The field was to tell processes whose answers are valid for 240 ms from those of the version before, whose answers are valid as long as their lease. That no such process runs is on record already: `hookworks/format` exists once every controller is known to be of this version. Without it the lease of an earlier process is left to expire.

The tests' world has that key from the beginning, with the records' form as it was, and without it where versions are played.

Evidence: all of tests/upgrade.rs, and `lease_of_an_earlier_process_expires_by_itself_before_the_switch`.

--- a/src/election.rs
+++ b/src/election.rs
@@ -7,7 +7,7 @@
 
 use crate::ids::{ControllerId, Epoch, Instance, Revision};
 use crate::store::client::{ReadError, StateStore, TxnOutcome};
-use crate::store::{EPOCH_KEY, LEADER_KEY};
+use crate::store::{EPOCH_KEY, FORMAT_KEY, LEADER_KEY};
 use crate::time::{Span, Time};
 use crate::wire::state::{Change, Condition, Item, Txn};
 use serde::{Deserialize, Serialize};
@@ -91,10 +91,6 @@
     /// Where its process listens; earlier versions don't write it.
     #[serde(rename = "home", default, skip_serializing_if = "Option::is_none")]
     pub address: Option<BoundAddress>,
-    /// In milliseconds, how long after its process has ended its lease may be revoked.
-    /// Earlier versions don't write it: their answers are valid as long as their lease.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub revocation_delay_ms: Option<u64>,
 }
 
 /// A controller process that takes part in the election.
@@ -119,20 +115,12 @@
         record.label == self.label && addresses.is_some_and(|(own, others)| own.excludes(others))
     }
 
-    /// From when on the lease of a replaced process may be revoked: no answer that rests on
-    /// it may be told any more. None if the lease must expire by itself.
-    fn may_revoke_at(&self, record: &LeaderRecord) -> Option<Time> {
-        let delay = Span::millis(record.revocation_delay_ms?);
-        self.has_replaced(record).then_some(self.bound_at + delay)
-    }
-
     fn record(&self, epoch: Epoch) -> LeaderRecord {
         LeaderRecord {
             label: self.label.clone(),
             epoch,
             instance: self.instance,
             address: self.address.clone(),
-            revocation_delay_ms: Some(REVOCATION_DELAY.0 / 1000),
         }
     }
 }
@@ -254,14 +242,19 @@
         let (Some(record), Some(lease)) = (&leader, leader_key.lease) else {
             return Ok(ElectionOutcome::Following(leader));
         };
-        let Some(may_revoke_at) = self.candidate.may_revoke_at(record) else {
+        if !self.candidate.has_replaced(record) {
             return Ok(ElectionOutcome::Following(leader));
-        };
-        let time = now();
+        }
+        let (time, may_revoke_at) = (now(), self.candidate.bound_at + REVOCATION_DELAY);
         if time < may_revoke_at {
             self.revocation_in = Some(may_revoke_at - time);
             return Ok(ElectionOutcome::Following(leader));
         }
+        if self.state.get(FORMAT_KEY)?.is_none() {
+            // The earlier process may be of a version whose answers are valid as long as
+            // its lease, which has to expire by itself.
+            return Ok(ElectionOutcome::Following(leader));
+        }
         tracing::info!(epoch = %record.epoch, lease, "revoking the leader lease of an earlier process of this controller");
         self.state.revoke(lease);
         // If the revocation failed, the key is still held and the campaign fails.
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -34,8 +34,8 @@
 use hookworks::election::{Candidate, Elector};
 use hookworks::ids::*;
 use hookworks::sched::{DirectResult, Event, Scheduler};
-use hookworks::store::TxnOutcome;
 use hookworks::store::commit::Committer;
+use hookworks::store::{RecordFormat, TxnOutcome};
 use hookworks::time::{Span, Time, WallTime};
 use hookworks::wire::cloud::RentalRequest;
 use hookworks::wire::peer::{Answer, Request};
@@ -311,6 +311,7 @@
             versions: Default::default(),
             effect_log: Default::default(),
         };
+        w.put_format(RecordFormat::Legacy);
         for i in 0..controllers {
             let c = w.new_ctl(i, 1);
             w.ctls.push(c);
--- a/tests/world/store.rs
+++ b/tests/world/store.rs
@@ -270,6 +270,11 @@
         s.keys.insert(key.into(), (value, r, None));
     }
 
+    /// Removes a key by other means.
+    pub fn remove(&self, key: &str) {
+        self.0.lock().unwrap().keys.remove(key);
+    }
+
     pub fn keys(&self) -> Vec<String> {
         self.0.lock().unwrap().keys.keys().cloned().collect()
     }
--- a/tests/world/versions.rs
+++ b/tests/world/versions.rs
@@ -80,6 +80,9 @@
 impl World {
     /// From now on the controllers' processes run these versions.
     pub fn run_versions(&mut self, runs: &[ControllerVersion]) {
+        if !self.is_switched() {
+            self.store.remove(FORMAT_KEY);
+        }
         self.versions.runs = runs.to_vec();
         self.versions.next = runs.to_vec();
         self.versions.processes = (0..runs.len()).map(|i| self.process(i)).collect();
